--- /dev/null
+++ b/cmake/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/packages/base/include/vanillalever/base/settings.h
@@ -0,0 +1,37 @@
+#ifndef VANILLALEVER_BASE_SETTINGS_H_
+#define VANILLALEVER_BASE_SETTINGS_H_
+
+#include <string>
+#include <vector>
+
+namespace vanillalever::base {
+
+// Exit code of a process whose settings are invalid.
+inline constexpr int kExitBadSettings = 2;
+
+// Sets every gflags flag that was not given on the command line from the
+// environment variable VANILLALEVER_<FLAG IN UPPER CASE>. Call after
+// gflags::ParseCommandLineFlags. Returns one message per value that gflags
+// refused.
+std::vector<std::string> ApplyEnvironment();
+
+// Collects one message per invalid setting.
+class SettingsCheck {
+ public:
+  // Adds "flag --<name>: <message>" unless `ok` holds.
+  void Require(bool ok, const std::string& flag, const std::string& message);
+  void Add(std::vector<std::string> messages);
+
+  const std::vector<std::string>& messages() const { return messages_; }
+
+  // Prints every message to standard error. Returns kExitBadSettings if there
+  // are any, else zero.
+  int Report() const;
+
+ private:
+  std::vector<std::string> messages_;
+};
+
+}  // namespace vanillalever::base
+
+#endif  // VANILLALEVER_BASE_SETTINGS_H_
--- /dev/null
+++ b/packages/base/src/logging.cc
@@ -0,0 +1,76 @@
+#include "vanillalever/base/logging.h"
+
+#include <memory>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+namespace vanillalever::base {
+namespace {
+
+log4cplus::Logger& RootLogger() {
+  static log4cplus::Initializer initializer;
+  static log4cplus::Logger logger = log4cplus::Logger::getRoot();
+  return logger;
+}
+
+// A line break inside a value would forge a second log line.
+std::string Quote(const std::string& value) {
+  bool plain = !value.empty() &&
+               value.find_first_of(" \"\\=\n\r\t") == std::string::npos;
+  if (plain)
+    return value;
+  std::string text = "\"";
+  for (char c : value) {
+    if (c == '"' || c == '\\')
+      text += '\\';
+    text += static_cast<unsigned char>(c) < 0x20 ? ' ' : c;
+  }
+  return text + "\"";
+}
+
+log4cplus::LogLevel ToLibraryLevel(LogLevel level) {
+  switch (level) {
+    case LogLevel::kInfo:
+      return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::kWarning:
+      return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::kError:
+      break;
+  }
+  return log4cplus::ERROR_LOG_LEVEL;
+}
+
+}  // namespace
+
+void InitLogging(std::string_view process_name) {
+  log4cplus::Logger& logger = RootLogger();
+  logger.removeAllAppenders();
+  log4cplus::SharedAppenderPtr appender(
+      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
+                                     /*immediateFlush=*/true));
+  std::string pattern = "%D{%Y-%m-%dT%H:%M:%S.%q} level=%p process=";
+  pattern += process_name;
+  pattern += " %m%n";
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+  logger.addAppender(appender);
+  logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+}
+
+void LogEvent(LogLevel level,
+              std::string_view event,
+              std::initializer_list<LogField> fields) {
+  std::string line = "event=";
+  line += event;
+  for (const LogField& field : fields) {
+    line += " ";
+    line += field.key;
+    line += "=" + Quote(field.value);
+  }
+  RootLogger().log(ToLibraryLevel(level), line);
+}
+
+}  // namespace vanillalever::base
