Add the config package: objects, validation, versions and admin codec

Change: packages/config parses six kinds of objects by field tables of member pointers, validates a whole set, compares sets, applies and rebases change sets, holds the current version, maps bearer tokens to organisations and encodes the rows and the admin API's JSON. Nothing in it does I/O, and its public headers include no library header. Ruled out: generic JSON Schema validation, because it cannot name references between objects, and one parser function per kind, because parser, writer and reference documentation would drift apart.

--- /dev/null
+++ b/packages/config/include/vanillalever/config/admin_codec.h
@@ -0,0 +1,78 @@
+#ifndef VANILLALEVER_CONFIG_ADMIN_CODEC_H_
+#define VANILLALEVER_CONFIG_ADMIN_CODEC_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "vanillalever/base/error.h"
+#include "vanillalever/config/admin_status.h"
+#include "vanillalever/config/change_set.h"
+#include "vanillalever/config/config_version.h"
+
+namespace vanillalever::config {
+
+// Change set read from a request, and every fault found in it.
+struct DecodedChange {
+  ChangeSet change;
+  ConfigErrors errors;
+};
+
+// Answer to a validate or apply request.
+struct ChangeAnswer {
+  // Version that holds the change; for a refusal or a validation, the current
+  // one.
+  std::int64_t version = 0;
+  // Differences from the version before, if the change is accepted.
+  Diff diff;
+  // Set if the change is refused.
+  std::optional<base::ErrorInfo> error;
+  ConfigErrors errors;
+  std::vector<ObjectId> conflicts;
+};
+
+// Answer to a config request.
+struct ConfigAnswer {
+  std::int64_t version = 0;
+  std::vector<Object> objects;
+};
+
+// JSON bodies of the admin API, shared by the entry and vanillaleverctl. The
+// functions that read answers ignore fields they do not know, so that the tool
+// and the entry may differ by a release, and throw base::Error for text that is
+// no such answer.
+class AdminCodec {
+ public:
+  static std::string EncodeChange(const ChangeSet& change);
+  static DecodedChange DecodeChange(std::string_view text);
+
+  // Answer for the result of Apply or Rebase. `version` as in ChangeAnswer.
+  static ChangeAnswer AnswerFor(const ChangeResult& result,
+                                std::int64_t version);
+  // Answer for a request whose body has faults.
+  static ChangeAnswer AnswerFor(const ConfigErrors& errors,
+                                std::int64_t version);
+  static std::string EncodeChangeAnswer(const ChangeAnswer& answer);
+  static ChangeAnswer DecodeChangeAnswer(std::string_view text);
+
+  static std::string EncodeConfig(std::int64_t version, const ConfigSet& set);
+  static ConfigAnswer DecodeConfig(std::string_view text);
+
+  static std::string EncodeHistory(const std::vector<ConfigVersion>& versions);
+  static std::vector<ConfigVersion> DecodeHistory(std::string_view text);
+
+  static std::string EncodeStatus(const AdminStatus& status);
+  static AdminStatus DecodeStatus(std::string_view text);
+
+  // Error body {"error":{...}} of any route.
+  static std::string EncodeError(const base::ErrorInfo& error);
+  // Nothing if `text` is not an error body, for example because a load balancer
+  // wrote it.
+  static std::optional<base::ErrorInfo> DecodeError(std::string_view text);
+};
+
+}  // namespace vanillalever::config
+
+#endif  // VANILLALEVER_CONFIG_ADMIN_CODEC_H_
--- /dev/null
+++ b/packages/config/include/vanillalever/config/config_holder.h
@@ -0,0 +1,41 @@
+#ifndef VANILLALEVER_CONFIG_CONFIG_HOLDER_H_
+#define VANILLALEVER_CONFIG_CONFIG_HOLDER_H_
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+
+#include "vanillalever/config/config_version.h"
+
+namespace vanillalever::config {
+
+// Answer of ConfigHolder::Offer.
+enum class OfferResult {
+  kAccepted,  // the offered version is now current
+  kSame,      // the offered version is already current
+  kLower,     // refused: a higher version is current
+  kDiffers,   // refused: the current version has this number and other objects
+};
+
+// Configuration in force in this process. Thread-safe. Never reverts to a lower
+// version (promise P10).
+class ConfigHolder {
+ public:
+  // Makes `body` current unless it is lower than the current version.
+  OfferResult Offer(std::shared_ptr<const ConfigBody> body);
+
+  // Current version; nullptr until the first one is accepted, and a process in
+  // that state serves nothing (rule R10).
+  std::shared_ptr<const ConfigBody> current() const;
+
+  // Number of the current version; zero until the first one is accepted.
+  std::int64_t number() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::shared_ptr<const ConfigBody> current_;
+};
+
+}  // namespace vanillalever::config
+
+#endif  // VANILLALEVER_CONFIG_CONFIG_HOLDER_H_
--- /dev/null
+++ b/packages/config/src/admin_codec.cc
@@ -0,0 +1,340 @@
+#include "vanillalever/config/admin_codec.h"
+
+#include <utility>
+
+#include "message_reader.h"
+#include "object_json.h"
+
+namespace vanillalever::config {
+namespace {
+
+constexpr char kChange[] = "change";
+
+json WriteError(const base::ErrorInfo& error) {
+  return {{"code", base::kErrorCodeNames.name(error.code)},
+          {"message", error.message},
+          {"step", base::kStepNames.name(error.step)},
+          {"peer", error.peer},
+          {"ran", base::kRanNames.name(error.ran)},
+          {"retry_after_ms", error.retry_after.count()}};
+}
+
+base::ErrorInfo ReadError(const json& value) {
+  MessageReader reader(value, "error");
+  base::ErrorInfo error;
+  error.message = reader.Text("message");
+  error.peer = reader.OptionalText("peer");
+  // Names of a later release are read as the defaults.
+  error.code = base::kErrorCodeNames.value(reader.Text("code"))
+                   .value_or(base::ErrorCode::kInternal);
+  error.step = base::kStepNames.value(reader.OptionalText("step"))
+                   .value_or(base::Step::kParse);
+  error.ran = base::kRanNames.value(reader.OptionalText("ran"))
+                  .value_or(base::Ran::kUnknown);
+  if (reader.Has("retry_after_ms"))
+    error.retry_after = reader.Milliseconds("retry_after_ms");
+  return error;
+}
+
+json WriteIds(const std::vector<ObjectId>& ids) {
+  json array = json::array();
+  for (const ObjectId& id : ids)
+    array.push_back(id.text());
+  return array;
+}
+
+// Reads the fields of a change request and collects every fault.
+class ChangeReader {
+ public:
+  ChangeReader(const json& value, DecodedChange& decoded)
+      : value_(value), decoded_(decoded) {}
+
+  void Run() {
+    ChangeSet& change = decoded_.change;
+    ReadBase();
+    ReadText("token", change.token);
+    ReadText("author", change.author);
+    ReadText("reason", change.reason);
+    if (value_.contains("put"))
+      ReadObjects(value_["put"], "put", change.put, decoded_.errors);
+    if (value_.contains("delete"))
+      ReadDelete(value_["delete"]);
+    RefuseUnknown();
+  }
+
+ private:
+  void Fail(const std::string& field, std::string expected) {
+    decoded_.errors.push_back({kChange, field, std::move(expected)});
+  }
+
+  void ReadBase() {
+    auto found = value_.find("base_version");
+    if (found == value_.end())
+      Fail("base_version", "this field, found none");
+    else if (!found->is_number_unsigned() ||
+             found->get<std::uint64_t>() > std::uint64_t{INT64_MAX})
+      Fail("base_version", "an integer from 0, found " + Found(*found));
+    else
+      decoded_.change.base_version = found->get<std::int64_t>();
+  }
+
+  void ReadText(const char* field, std::string& target) {
+    auto found = value_.find(field);
+    if (found == value_.end())
+      Fail(field, "this field, found none");
+    else if (!found->is_string() || found->get<std::string>().empty())
+      Fail(field, "a text, found " + Found(*found));
+    else
+      target = found->get<std::string>();
+  }
+
+  void ReadDelete(const json& list) {
+    if (!list.is_array()) {
+      Fail("delete", "a list of kind/name, found " + Found(list));
+      return;
+    }
+    for (std::size_t i = 0; i < list.size(); ++i) {
+      std::optional<ObjectId> id;
+      if (list[i].is_string())
+        id = ParseObjectId(list[i].get_ref<const std::string&>());
+      if (id)
+        decoded_.change.remove.push_back(*id);
+      else
+        Fail("delete[" + std::to_string(i) + "]",
+             "kind/name with a kind of " + kKindNames.joined() + ", found " +
+                 Found(list[i]));
+    }
+  }
+
+  void RefuseUnknown() {
+    constexpr std::string_view kKnown =
+        "base_version, token, author, reason, put, delete";
+    for (const auto& [name, unused] : value_.items()) {
+      if ((", " + std::string(kKnown) + ",").find(", " + name + ",") ==
+          std::string::npos)
+        Fail(name, "no such field; known are " + std::string(kKnown));
+    }
+  }
+
+  const json& value_;
+  DecodedChange& decoded_;
+};
+
+json WriteEntry(const EntryStatus& entry) {
+  return {{"incarnation", entry.incarnation},
+          {"address", entry.address},
+          {"data_centre", entry.data_centre},
+          {"shards", entry.shards},
+          {"programs", entry.programs},
+          {"config_version", entry.config_version},
+          {"leaving", entry.leaving}};
+}
+
+EntryStatus ReadEntry(const json& value) {
+  MessageReader reader(value, "status.entries");
+  return {reader.Text("incarnation"), reader.Text("address"),
+          reader.Text("data_centre"), reader.Integer("shards"),
+          reader.Integer("programs"), reader.Integer("config_version"),
+          reader.Flag("leaving")};
+}
+
+json WriteServer(const ServerStatus& server) {
+  return {{"pool", server.pool},
+          {"address", server.address},
+          {"data_centre", server.data_centre},
+          {"incarnation", server.incarnation},
+          {"state", server.state},
+          {"config_version", server.config_version},
+          {"backlog_tokens", server.backlog_tokens},
+          {"running", server.running},
+          {"queued", server.queued},
+          {"slowness", server.slowness},
+          {"report_age_ms", server.report_age.count()}};
+}
+
+ServerStatus ReadServer(const json& value) {
+  MessageReader reader(value, "status.servers");
+  ServerStatus server;
+  server.pool = reader.Text("pool");
+  server.address = reader.Text("address");
+  server.data_centre = reader.Text("data_centre");
+  server.incarnation = reader.Text("incarnation");
+  server.state = reader.Text("state");
+  server.config_version = reader.Integer("config_version");
+  server.backlog_tokens = reader.Integer("backlog_tokens");
+  server.running = reader.Integer("running");
+  server.queued = reader.Integer("queued");
+  server.slowness = reader.Number("slowness");
+  server.report_age = reader.Milliseconds("report_age_ms");
+  return server;
+}
+
+}  // namespace
+
+std::string AdminCodec::EncodeChange(const ChangeSet& change) {
+  json put = json::array();
+  for (const Object& object : change.put)
+    put.push_back(WriteObject(object));
+  return Dump({{"base_version", change.base_version},
+               {"token", change.token},
+               {"author", change.author},
+               {"reason", change.reason},
+               {"put", std::move(put)},
+               {"delete", WriteIds(change.remove)}});
+}
+
+DecodedChange AdminCodec::DecodeChange(std::string_view text) {
+  DecodedChange decoded;
+  std::optional<json> value = ParseDocument(text, kChange, decoded.errors);
+  if (!value)
+    return decoded;
+  if (!value->is_object()) {
+    decoded.errors.push_back(
+        {kChange, "", "a JSON object, found " + Found(*value)});
+    return decoded;
+  }
+  ChangeReader(*value, decoded).Run();
+  return decoded;
+}
+
+ChangeAnswer AdminCodec::AnswerFor(const ChangeResult& result,
+                                   std::int64_t version) {
+  ChangeAnswer answer;
+  answer.version = version;
+  if (result.accepted()) {
+    answer.diff = result.diff;
+    return answer;
+  }
+  answer = AnswerFor(result.errors, version);
+  answer.conflicts = result.conflicts;
+  if (result.conflicts.empty())
+    return answer;
+  answer.error =
+      base::NotRun(base::ErrorCode::kConflict, base::Step::kConfigure,
+                   std::to_string(result.conflicts.size()) +
+                       " objects conflict with a concurrent change")
+          .info();
+  return answer;
+}
+
+ChangeAnswer AdminCodec::AnswerFor(const ConfigErrors& errors,
+                                   std::int64_t version) {
+  ChangeAnswer answer;
+  answer.version = version;
+  answer.errors = errors;
+  answer.error =
+      base::NotRun(
+          base::ErrorCode::kInvalidRequest, base::Step::kConfigure,
+          "the change set has " + std::to_string(errors.size()) + " faults")
+          .info();
+  return answer;
+}
+
+std::string AdminCodec::EncodeChangeAnswer(const ChangeAnswer& answer) {
+  json value = {{"version", answer.version}, {"diff", WriteDiff(answer.diff)}};
+  if (answer.error) {
+    value["error"] = WriteError(*answer.error);
+    value["errors"] = WriteErrors(answer.errors);
+    value["conflicts"] = WriteIds(answer.conflicts);
+  }
+  return Dump(value);
+}
+
+ChangeAnswer AdminCodec::DecodeChangeAnswer(std::string_view text) {
+  const std::string source = "answer";
+  json value = ParseMessage(text, source);
+  MessageReader reader(value, source);
+  ChangeAnswer answer;
+  if (reader.Has("error"))
+    answer.error = ReadError(reader.Field("error"));
+  // A refusal by another layer, such as authentication, has only the error.
+  if (!answer.error || reader.Has("version"))
+    answer.version = reader.Integer("version");
+  if (reader.Has("diff"))
+    answer.diff = ReadDiff(reader.List("diff"), source);
+  if (reader.Has("errors"))
+    answer.errors = ReadErrors(reader.List("errors"), source);
+  if (!reader.Has("conflicts"))
+    return answer;
+  for (const json& item : reader.List("conflicts")) {
+    std::optional<ObjectId> id;
+    if (item.is_string())
+      id = ParseObjectId(item.get_ref<const std::string&>());
+    if (!id)
+      reader.Fail("conflicts", "kind/name, found " + Found(item));
+    answer.conflicts.push_back(*id);
+  }
+  return answer;
+}
+
+std::string AdminCodec::EncodeConfig(std::int64_t version,
+                                     const ConfigSet& set) {
+  json objects = json::array();
+  for (const Object& object : set.Objects())
+    objects.push_back(WriteObject(object));
+  return Dump({{"version", version}, {"objects", std::move(objects)}});
+}
+
+ConfigAnswer AdminCodec::DecodeConfig(std::string_view text) {
+  const std::string source = "config";
+  json value = ParseMessage(text, source);
+  MessageReader reader(value, source);
+  return {reader.Integer("version"),
+          ReadMessageObjects(reader.List("objects"), source)};
+}
+
+std::string AdminCodec::EncodeHistory(
+    const std::vector<ConfigVersion>& versions) {
+  json array = json::array();
+  for (const ConfigVersion& version : versions)
+    array.push_back(WriteVersion(version));
+  return Dump({{"versions", std::move(array)}});
+}
+
+std::vector<ConfigVersion> AdminCodec::DecodeHistory(std::string_view text) {
+  const std::string source = "history";
+  json value = ParseMessage(text, source);
+  std::vector<ConfigVersion> versions;
+  for (const json& item : MessageReader(value, source).List("versions"))
+    versions.push_back(ReadVersion(item, source));
+  return versions;
+}
+
+std::string AdminCodec::EncodeStatus(const AdminStatus& status) {
+  json entries = json::array();
+  for (const EntryStatus& entry : status.entries)
+    entries.push_back(WriteEntry(entry));
+  json servers = json::array();
+  for (const ServerStatus& server : status.servers)
+    servers.push_back(WriteServer(server));
+  return Dump({{"entries", std::move(entries)},
+               {"servers", std::move(servers)},
+               {"version", status.version}});
+}
+
+AdminStatus AdminCodec::DecodeStatus(std::string_view text) {
+  json value = ParseMessage(text, "status");
+  MessageReader reader(value, "status");
+  AdminStatus status;
+  status.version = reader.Integer("version");
+  for (const json& item : reader.List("entries"))
+    status.entries.push_back(ReadEntry(item));
+  for (const json& item : reader.List("servers"))
+    status.servers.push_back(ReadServer(item));
+  return status;
+}
+
+std::string AdminCodec::EncodeError(const base::ErrorInfo& error) {
+  return Dump({{"error", WriteError(error)}});
+}
+
+std::optional<base::ErrorInfo> AdminCodec::DecodeError(std::string_view text) {
+  try {
+    json value = ParseMessage(text, "answer");
+    return ReadError(MessageReader(value, "answer").Field("error"));
+  } catch (const base::Error&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace vanillalever::config
--- /dev/null
+++ b/packages/config/src/config_holder.cc
@@ -0,0 +1,31 @@
+#include "vanillalever/config/config_holder.h"
+
+#include <utility>
+
+namespace vanillalever::config {
+
+OfferResult ConfigHolder::Offer(std::shared_ptr<const ConfigBody> body) {
+  std::lock_guard lock(mutex_);
+  std::int64_t present = current_ ? current_->version.number : 0;
+  std::int64_t offered = body->version.number;
+  if (current_ && offered == present)
+    return body->version.body_hash == current_->version.body_hash
+               ? OfferResult::kSame
+               : OfferResult::kDiffers;
+  if (offered <= present)
+    return OfferResult::kLower;
+  current_ = std::move(body);
+  return OfferResult::kAccepted;
+}
+
+std::shared_ptr<const ConfigBody> ConfigHolder::current() const {
+  std::lock_guard lock(mutex_);
+  return current_;
+}
+
+std::int64_t ConfigHolder::number() const {
+  std::lock_guard lock(mutex_);
+  return current_ ? current_->version.number : 0;
+}
+
+}  // namespace vanillalever::config
--- /dev/null
+++ b/packages/config/src/field_table.cc
@@ -0,0 +1,170 @@
+#include "field_table.h"
+
+namespace vanillalever::config {
+namespace {
+
+// Keeps sums of a few thousand budgets within 64 bits.
+constexpr std::int64_t kMaxTokens = 1'000'000'000'000'000;
+// Thirty days. Longer programs or waits are taken for a mistyped unit.
+constexpr std::int64_t kMaxMs = std::int64_t{30} * 24 * 3600 * 1000;
+constexpr std::int64_t kMaxTurns = 1'000'000;
+constexpr std::int64_t kMaxCallTokens = 10'000'000;
+constexpr std::int64_t kMaxRank = 1000;
+constexpr std::int64_t kMaxServers = 10'000;
+// Half the circumference of the earth through fibre takes about 100 ms.
+constexpr std::int64_t kMaxDistanceMs = 1000;
+// Bounds the work of one object's validation.
+constexpr std::int64_t kMaxListLength = 1000;
+
+constexpr bool kRequired = true;
+constexpr bool kOptional = false;
+
+constexpr Constraint kNameText{0, 0, TextForm::kName};
+constexpr Constraint kNameList{0, kMaxListLength, TextForm::kName};
+
+}  // namespace
+
+template <>
+std::span<const FieldSpec<Organisation>> FieldTable() {
+  static constexpr FieldSpec<Organisation> kFields[] = {
+      {"name", kRequired, &Organisation::name, kNameText},
+      {"token_hashes",
+       kRequired,
+       &Organisation::token_hashes,
+       {1, kMaxListLength, TextForm::kHash}},
+      {"classes", kRequired, &Organisation::classes, kNameList},
+      {"budget", kRequired, &Organisation::budget, kNameText},
+  };
+  return kFields;
+}
+
+template <>
+std::span<const FieldSpec<Limits>> FieldTable() {
+  static constexpr FieldSpec<Limits> kFields[] = {
+      {"turns", kRequired, &Limits::turns, {1, kMaxTurns}},
+      {"elapsed_ms", kRequired, &Limits::elapsed, {1, kMaxMs}},
+      {"spend_tokens", kRequired, &Limits::spend_tokens, {1, kMaxTokens}},
+  };
+  return kFields;
+}
+
+template <>
+std::span<const FieldSpec<ProgramClass>> FieldTable() {
+  static constexpr FieldSpec<ProgramClass> kFields[] = {
+      {"name", kRequired, &ProgramClass::name, kNameText},
+      {"organisation", kRequired, &ProgramClass::organisation, kNameText},
+      {"priority", kRequired, &ProgramClass::priority, kNameText},
+      {"pools", kRequired, &ProgramClass::pools, kNameList},
+      {"default_budget", kRequired, &ProgramClass::default_budget, kNameText},
+      {"limits", kRequired, &ProgramClass::limits, {}},
+      {"short_work", kOptional, &ProgramClass::short_work, {}},
+      {"expected_tokens",
+       kOptional,
+       &ProgramClass::expected_tokens,
+       {0, kMaxTokens}},
+      {"default_deadline_ms",
+       kRequired,
+       &ProgramClass::default_deadline,
+       {1, kMaxMs}},
+  };
+  return kFields;
+}
+
+template <>
+std::span<const FieldSpec<Budget>> FieldTable() {
+  static constexpr FieldSpec<Budget> kFields[] = {
+      {"name", kRequired, &Budget::name, kNameText},
+      {"scope", kRequired, &Budget::scope, {}},
+      {"tokens", kRequired, &Budget::tokens, {1, kMaxTokens}},
+  };
+  return kFields;
+}
+
+template <>
+std::span<const FieldSpec<Operation>> FieldTable() {
+  static constexpr FieldSpec<Operation> kFields[] = {
+      {"name", kRequired, &Operation::name, kNameText},
+      {"repeatable", kRequired, &Operation::repeatable, {}},
+      {"cost_tokens", kOptional, &Operation::cost_tokens, {0, kMaxCallTokens}},
+      {"deadline_ms", kOptional, &Operation::deadline, {0, kMaxMs}},
+  };
+  return kFields;
+}
+
+template <>
+std::span<const FieldSpec<PoolServer>> FieldTable() {
+  static constexpr FieldSpec<PoolServer> kFields[] = {
+      {"address", kRequired, &PoolServer::address, {0, 0, TextForm::kAddress}},
+      {"data_centre", kRequired, &PoolServer::data_centre, kNameText},
+  };
+  return kFields;
+}
+
+template <>
+std::span<const FieldSpec<Pool>> FieldTable() {
+  static constexpr FieldSpec<Pool> kFields[] = {
+      {"name", kRequired, &Pool::name, kNameText},
+      {"place", kRequired, &Pool::place, kNameText},
+      {"type", kRequired, &Pool::kind, {}},
+      {"servers", kOptional, &Pool::servers, {0, kMaxServers}},
+      {"service", kOptional, &Pool::service, kNameText},
+      {"expected_servers",
+       kOptional,
+       &Pool::expected_servers,
+       {0, kMaxServers}},
+      {"operations", kRequired, &Pool::operations, {1, kMaxListLength}},
+      {"checks_fencing", kRequired, &Pool::checks_fencing, {}},
+      {"checks_sender", kRequired, &Pool::checks_sender, {}},
+      {"reachable_without_sidecar",
+       kRequired,
+       &Pool::reachable_without_sidecar,
+       {}},
+      {"model", kOptional, &Pool::model, {0, 0, TextForm::kLabel}},
+      {"max_tokens_per_call",
+       kOptional,
+       &Pool::max_tokens_per_call,
+       {0, kMaxCallTokens}},
+  };
+  return kFields;
+}
+
+template <>
+std::span<const FieldSpec<Priority>> FieldTable() {
+  static constexpr FieldSpec<Priority> kFields[] = {
+      {"name", kRequired, &Priority::name, kNameText},
+      {"rank", kRequired, &Priority::rank, {0, kMaxRank}},
+      {"reserved_share", kOptional, &Priority::reserved_share, {0, 1}},
+      {"queue_wait_ms", kRequired, &Priority::queue_wait, {1, kMaxMs}},
+  };
+  return kFields;
+}
+
+template <>
+std::span<const FieldSpec<Distance>> FieldTable() {
+  static constexpr FieldSpec<Distance> kFields[] = {
+      {"from", kRequired, &Distance::from, kNameText},
+      {"to", kRequired, &Distance::to, kNameText},
+      {"ms", kRequired, &Distance::ms, {0, kMaxDistanceMs}},
+  };
+  return kFields;
+}
+
+template <>
+std::span<const FieldSpec<Place>> FieldTable() {
+  static constexpr FieldSpec<Place> kFields[] = {
+      {"name", kRequired, &Place::name, kNameText},
+      {"region", kRequired, &Place::region, kNameText},
+      {"data_centres",
+       kRequired,
+       &Place::data_centres,
+       {1, kMaxListLength, TextForm::kName}},
+      {"distances", kOptional, &Place::distances, {0, kMaxListLength}},
+      {"client_distance_ms",
+       kOptional,
+       &Place::client_distance_ms,
+       {0, kMaxDistanceMs}},
+  };
+  return kFields;
+}
+
+}  // namespace vanillalever::config
--- /dev/null
+++ b/packages/config/src/json_document.cc
@@ -0,0 +1,115 @@
+#include "json_document.h"
+
+#include <set>
+#include <stdexcept>
+#include <vector>
+
+#include "vanillalever/base/error.h"
+#include "vanillalever/config/object_codec.h"
+
+namespace vanillalever::config {
+namespace {
+
+// Longest part of a value that a message quotes, in bytes.
+constexpr std::size_t kMaxQuote = 60;
+
+// Watches the parser's events for repeated fields and deep nesting.
+class DocumentCheck {
+ public:
+  DocumentCheck(std::string_view source, ConfigErrors& errors)
+      : source_(source), errors_(errors) {}
+
+  bool operator()(int depth, json::parse_event_t event, json& parsed) {
+    switch (event) {
+      case json::parse_event_t::object_start:
+        RequireDepth(depth);
+        fields_.emplace_back();
+        break;
+      case json::parse_event_t::object_end:
+        fields_.pop_back();
+        break;
+      case json::parse_event_t::array_start:
+        RequireDepth(depth);
+        break;
+      case json::parse_event_t::key:
+        AddField(parsed.get_ref<const std::string&>());
+        break;
+      default:
+        break;
+    }
+    return true;
+  }
+
+ private:
+  static void RequireDepth(int depth) {
+    if (depth >= kMaxDocumentDepth)
+      throw std::length_error("nesting of at most " +
+                              std::to_string(kMaxDocumentDepth) + " levels");
+  }
+
+  void AddField(const std::string& name) {
+    if (!fields_.back().insert(name).second)
+      errors_.push_back({std::string(source_), name, "a field only once"});
+  }
+
+  std::string_view source_;
+  ConfigErrors& errors_;
+  // Names seen in each JSON object that is still open.
+  std::vector<std::set<std::string>> fields_;
+};
+
+// Text of a library message without its identifier in brackets.
+std::string WithoutIdentifier(std::string_view message) {
+  std::size_t end = message.find("] ");
+  return std::string(end == std::string_view::npos ? message
+                                                   : message.substr(end + 2));
+}
+
+}  // namespace
+
+std::optional<json> ParseDocument(std::string_view text,
+                                  std::string_view source,
+                                  ConfigErrors& errors) {
+  std::string name(source);
+  if (text.size() > kMaxDocumentBytes) {
+    errors.push_back({name, "",
+                      "a document of at most " +
+                          std::to_string(kMaxDocumentBytes) + " bytes, found " +
+                          std::to_string(text.size())});
+    return std::nullopt;
+  }
+  std::size_t before = errors.size();
+  DocumentCheck check(source, errors);
+  try {
+    json value = json::parse(text, std::ref(check));
+    if (errors.size() == before)
+      return value;
+  } catch (const json::exception& e) {
+    errors.push_back({name, "", "JSON, found " + WithoutIdentifier(e.what())});
+  } catch (const std::length_error& e) {
+    errors.push_back({name, "", e.what()});
+  }
+  return std::nullopt;
+}
+
+json ParseMessage(std::string_view text, std::string_view source) {
+  ConfigErrors errors;
+  std::optional<json> value = ParseDocument(text, source, errors);
+  if (!value)
+    throw base::NotRun(base::ErrorCode::kInvalidRequest, base::Step::kParse,
+                       Describe(errors.front()));
+  return *std::move(value);
+}
+
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string Found(const json& value) {
+  std::string text = Dump(value);
+  if (text.size() > kMaxQuote)
+    text = text.substr(0, kMaxQuote) + "...";
+  return std::string(value.type_name()) + " " + text;
+}
+
+}  // namespace vanillalever::config
--- /dev/null
+++ b/packages/config/src/message_reader.cc
@@ -0,0 +1,181 @@
+#include "message_reader.h"
+
+#include <optional>
+#include <utility>
+
+#include "object_json.h"
+
+namespace vanillalever::config {
+namespace {
+
+json ValueOrNull(const std::string& text) {
+  return text.empty() ? json() : json::parse(text);
+}
+
+std::string TextOrEmpty(const json& value) {
+  return value.is_null() ? std::string() : Dump(value);
+}
+
+json WriteObjectDiff(const ObjectDiff& difference) {
+  json fields = json::array();
+  for (const FieldChange& change : difference.fields) {
+    fields.push_back({{"path", change.path},
+                      {"before", ValueOrNull(change.before)},
+                      {"after", ValueOrNull(change.after)}});
+  }
+  return {{"object", difference.id.text()},
+          {"action", kDiffActionNames.name(difference.action)},
+          {"fields", std::move(fields)}};
+}
+
+ObjectDiff ReadObjectDiff(const json& value, const std::string& source) {
+  MessageReader reader(value, source);
+  std::optional<ObjectId> id = ParseObjectId(reader.Text("object"));
+  if (!id)
+    reader.Fail("object", "kind/name");
+  std::optional<DiffAction> action =
+      kDiffActionNames.value(reader.Text("action"));
+  if (!action)
+    reader.Fail("action", "one of " + kDiffActionNames.joined());
+  ObjectDiff difference{*id, *action, {}};
+  for (const json& item : reader.List("fields")) {
+    MessageReader field(item, source);
+    difference.fields.push_back({field.Text("path"),
+                                 TextOrEmpty(field.Field("before")),
+                                 TextOrEmpty(field.Field("after"))});
+  }
+  return difference;
+}
+
+}  // namespace
+
+MessageReader::MessageReader(const json& value, std::string source)
+    : value_(value), source_(std::move(source)) {
+  if (!value_.is_object())
+    Fail("", "a JSON object, found " + Found(value_));
+}
+
+const json& MessageReader::Field(const char* field) const {
+  auto found = value_.find(field);
+  if (found == value_.end())
+    Fail(field, "this field, found none");
+  return *found;
+}
+
+std::string MessageReader::Text(const char* field) const {
+  const json& value = Field(field);
+  if (!value.is_string())
+    Fail(field, "a text, found " + Found(value));
+  return value.get<std::string>();
+}
+
+std::string MessageReader::OptionalText(const char* field) const {
+  return Has(field) ? Text(field) : std::string();
+}
+
+std::int64_t MessageReader::Integer(const char* field) const {
+  const json& value = Field(field);
+  if (!value.is_number_integer() ||
+      (value.is_number_unsigned() &&
+       value.get<std::uint64_t>() > std::uint64_t{INT64_MAX}))
+    Fail(field, "an integer, found " + Found(value));
+  return value.get<std::int64_t>();
+}
+
+double MessageReader::Number(const char* field) const {
+  const json& value = Field(field);
+  if (!value.is_number())
+    Fail(field, "a number, found " + Found(value));
+  return value.get<double>();
+}
+
+bool MessageReader::Flag(const char* field) const {
+  const json& value = Field(field);
+  if (!value.is_boolean())
+    Fail(field, "true or false, found " + Found(value));
+  return value.get<bool>();
+}
+
+std::chrono::milliseconds MessageReader::Milliseconds(const char* field) const {
+  return std::chrono::milliseconds(Integer(field));
+}
+
+const json& MessageReader::List(const char* field) const {
+  const json& value = Field(field);
+  if (!value.is_array())
+    Fail(field, "a list, found " + Found(value));
+  return value;
+}
+
+void MessageReader::Fail(const std::string& field,
+                         const std::string& expected) const {
+  throw base::NotRun(base::ErrorCode::kInvalidRequest, base::Step::kParse,
+                     Describe(ConfigError{source_, field, expected}));
+}
+
+json WriteDiff(const Diff& diff) {
+  json array = json::array();
+  for (const ObjectDiff& difference : diff)
+    array.push_back(WriteObjectDiff(difference));
+  return array;
+}
+
+Diff ReadDiff(const json& value, const std::string& source) {
+  Diff diff;
+  for (const json& item : value)
+    diff.push_back(ReadObjectDiff(item, source));
+  return diff;
+}
+
+json WriteVersion(const ConfigVersion& version) {
+  return {{"version", version.number},      {"author", version.author},
+          {"time", version.time},           {"reason", version.reason},
+          {"token", version.token},         {"body_hash", version.body_hash},
+          {"diff", WriteDiff(version.diff)}};
+}
+
+ConfigVersion ReadVersion(const json& value, const std::string& source) {
+  MessageReader reader(value, source);
+  ConfigVersion version;
+  version.number = reader.Integer("version");
+  version.author = reader.Text("author");
+  version.time = reader.Text("time");
+  version.reason = reader.Text("reason");
+  version.token = reader.Text("token");
+  version.body_hash = reader.OptionalText("body_hash");
+  version.diff = ReadDiff(reader.List("diff"), source);
+  return version;
+}
+
+json WriteErrors(const ConfigErrors& errors) {
+  json array = json::array();
+  for (const ConfigError& error : errors) {
+    array.push_back({{"object", error.object},
+                     {"field", error.field},
+                     {"expected", error.expected}});
+  }
+  return array;
+}
+
+ConfigErrors ReadErrors(const json& value, const std::string& source) {
+  ConfigErrors errors;
+  for (const json& item : value) {
+    MessageReader reader(item, source);
+    errors.push_back(
+        {reader.Text("object"), reader.Text("field"), reader.Text("expected")});
+  }
+  return errors;
+}
+
+std::vector<Object> ReadMessageObjects(const json& value,
+                                       const std::string& source) {
+  std::vector<Object> objects;
+  ConfigErrors errors;
+  ReadObjects(value, source, objects, errors);
+  if (!errors.empty())
+    throw base::NotRun(base::ErrorCode::kInvalidRequest, base::Step::kParse,
+                       Describe(errors.front()));
+  return objects;
+}
+
+}  // namespace vanillalever::config
--- /dev/null
+++ b/packages/config/src/message_reader.h
@@ -0,0 +1,58 @@
+#ifndef VANILLALEVER_CONFIG_MESSAGE_READER_H_
+#define VANILLALEVER_CONFIG_MESSAGE_READER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "json_document.h"
+#include "vanillalever/base/error.h"
+#include "vanillalever/config/config_version.h"
+
+namespace vanillalever::config {
+
+// Reads fields of a message written by another process of the system; throws
+// base::Error for a missing field or a wrong type. Unknown fields are ignored.
+class MessageReader {
+ public:
+  // `value` must outlive the reader; `source` names the message in errors.
+  MessageReader(const json& value, std::string source);
+
+  std::string Text(const char* field) const;
+  // Empty text if the field is absent.
+  std::string OptionalText(const char* field) const;
+  std::int64_t Integer(const char* field) const;
+  double Number(const char* field) const;
+  bool Flag(const char* field) const;
+  std::chrono::milliseconds Milliseconds(const char* field) const;
+  // Array field.
+  const json& List(const char* field) const;
+  bool Has(const char* field) const { return value_.contains(field); }
+  // Value of a field of any type.
+  const json& Field(const char* field) const;
+
+  // Throws the error of a message that is not as expected.
+  [[noreturn]] void Fail(const std::string& field,
+                         const std::string& expected) const;
+
+ private:
+  const json& value_;
+  std::string source_;
+};
+
+// JSON forms that rows and admin messages share.
+json WriteDiff(const Diff& diff);
+Diff ReadDiff(const json& value, const std::string& source);
+json WriteVersion(const ConfigVersion& version);
+ConfigVersion ReadVersion(const json& value, const std::string& source);
+json WriteErrors(const ConfigErrors& errors);
+ConfigErrors ReadErrors(const json& value, const std::string& source);
+
+// Objects of a message; throws base::Error for the first faulty one.
+std::vector<Object> ReadMessageObjects(const json& value,
+                                       const std::string& source);
+
+}  // namespace vanillalever::config
+
+#endif  // VANILLALEVER_CONFIG_MESSAGE_READER_H_
--- /dev/null
+++ b/packages/config/src/object_json.h
@@ -0,0 +1,30 @@
+#ifndef VANILLALEVER_CONFIG_OBJECT_JSON_H_
+#define VANILLALEVER_CONFIG_OBJECT_JSON_H_
+
+#include <string>
+#include <vector>
+
+#include "json_document.h"
+#include "vanillalever/config/object.h"
+
+namespace vanillalever::config {
+
+// Reads one object; adds faults to `errors` and the object to `objects` if it
+// has none. `position` names it in errors while its own name is not readable.
+void ReadObject(const json& value,
+                const std::string& position,
+                std::vector<Object>& objects,
+                ConfigErrors& errors);
+
+// Reads an array of objects.
+void ReadObjects(const json& value,
+                 const std::string& position,
+                 std::vector<Object>& objects,
+                 ConfigErrors& errors);
+
+// Canonical JSON form.
+json WriteObject(const Object& object);
+
+}  // namespace vanillalever::config
+
+#endif  // VANILLALEVER_CONFIG_OBJECT_JSON_H_
