Add the HTTP server and client

Cause: callers, operators, the platform and backend servers are reached over HTTP/1.1. Change: packages/http wraps Boost.Beast: router, server with body, head, time and connection limits and graceful stop, streamed server-sent events, asynchronous and blocking clients with kept connections. Ruled out: stackful coroutines, because ThreadSanitizer does not follow their stack switches; the stream's own expiry for slow requests, because it closes the connection before a 408 can be sent. Conclusion: the daemons and the test doubles can be built on it.

--- /dev/null
+++ b/packages/http/include/vanillalever/http/exchange.h
@@ -0,0 +1,58 @@
+#ifndef VANILLALEVER_HTTP_EXCHANGE_H_
+#define VANILLALEVER_HTTP_EXCHANGE_H_
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "vanillalever/http/message.h"
+
+namespace vanillalever::http {
+
+// Writes the response of one request; implemented by the server's session.
+// Calls arrive on any thread.
+class ResponseSink {
+ public:
+  virtual ~ResponseSink() = default;
+  virtual void Send(Response response) = 0;
+  virtual void StartStream(Response head) = 0;
+  virtual void Write(std::string data) = 0;
+  virtual void Finish() = 0;
+};
+
+// One request and its response. A handler keeps the shared pointer until it has
+// answered, on any thread. If the last pointer goes away without an answer, the
+// caller gets an internal error, so that no request is dropped silently.
+class Exchange {
+ public:
+  Exchange(Request request, std::shared_ptr<ResponseSink> sink);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  const Request& request() const { return request_; }
+
+  // Sends a complete response. Only the first answer counts.
+  void Send(Response response);
+  // Sends an error response, or ends a started stream with an `error` event.
+  void SendError(const base::ErrorInfo& info);
+
+  // Starts a stream of server-sent events.
+  void StartEvents();
+  // Sends one event; `data` must not contain line breaks (JSON text does not).
+  void SendEvent(const std::string& event, const std::string& data);
+  // Ends the stream.
+  void Finish();
+
+  bool streaming() const { return streaming_; }
+
+ private:
+  Request request_;
+  std::shared_ptr<ResponseSink> sink_;
+  std::atomic<bool> streaming_ = false;
+  std::atomic<bool> answered_ = false;
+};
+
+}  // namespace vanillalever::http
+
+#endif  // VANILLALEVER_HTTP_EXCHANGE_H_
--- /dev/null
+++ b/packages/http/src/call.cc
@@ -0,0 +1,242 @@
+#include "call.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+
+namespace vanillalever::http {
+
+namespace bhttp = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+std::optional<tcp::endpoint> ParseAddress(const std::string& address) {
+  std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos)
+    return std::nullopt;
+  boost::system::error_code error;
+  auto host = boost::asio::ip::make_address(address.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  auto [rest, parse_error] =
+      std::from_chars(address.data() + colon + 1, end, port);
+  if (error || parse_error != std::errc() || rest != end)
+    return std::nullopt;
+  return tcp::endpoint(host, port);
+}
+
+}  // namespace
+
+Call::Call(boost::asio::io_context& context,
+           const ClientSettings& settings,
+           std::shared_ptr<ConnectionPool> pool,
+           ClientRequest request,
+           DoneCallback on_done,
+           DataCallback on_data)
+    : context_(context),
+      strand_(boost::asio::make_strand(context)),
+      settings_(settings),
+      pool_(std::move(pool)),
+      request_(std::move(request)),
+      on_done_(std::move(on_done)),
+      on_data_(std::move(on_data)),
+      deadline_(context) {}
+
+void Call::Start() {
+  boost::asio::post(strand_, [self = shared_from_this()] { self->Begin(); });
+}
+
+void Call::Cancel() {
+  boost::asio::post(strand_, [self = shared_from_this()] {
+    self->Abort(base::ErrorCode::kUnavailable, "the request was cancelled");
+  });
+}
+
+void Call::Begin() {
+  deadline_.expires_after(request_.timeout);
+  deadline_.async_wait(boost::asio::bind_executor(
+      strand_, [weak = weak_from_this()](boost::system::error_code error) {
+        auto self = weak.lock();
+        if (!error && self)
+          self->Abort(base::ErrorCode::kTimeout, "no answer in time");
+      }));
+  if (!request_.new_connection)
+    stream_ = pool_->Take(request_.address);
+  reused_ = stream_ != nullptr;
+  if (reused_)
+    WriteRequest();
+  else
+    Connect();
+}
+
+void Call::Connect() {
+  auto endpoint = ParseAddress(request_.address);
+  if (!endpoint)
+    return Fail(base::ErrorCode::kInvalidRequest,
+                "'" + request_.address + "' is not an address ip:port");
+  if (abort_)
+    return OnFailure(boost::asio::error::operation_aborted);
+  stream_ = std::make_unique<Stream>(context_);
+  stream_->expires_after(settings_.connect_timeout);
+  stream_->async_connect(
+      *endpoint,
+      boost::asio::bind_executor(strand_, [self = shared_from_this()](
+                                              boost::system::error_code error) {
+        self->OnConnect(error);
+      }));
+}
+
+void Call::OnConnect(boost::system::error_code error) {
+  if (error || abort_)
+    return OnFailure(error);
+  boost::system::error_code ignored;
+  stream_->socket().set_option(tcp::no_delay(true), ignored);
+  WriteRequest();
+}
+
+void Call::WriteRequest() {
+  stream_->expires_never();
+  message_ = {};
+  message_.version(11);
+  message_.method_string(request_.method);
+  message_.target(request_.target);
+  message_.set(bhttp::field::host, request_.address);
+  for (const auto& [name, value] : request_.headers)
+    message_.set(name, value);
+  if (!request_.body.empty())
+    message_.set(bhttp::field::content_type, request_.content_type);
+  message_.body() = request_.body;
+  message_.prepare_payload();
+  sent_ = true;
+  bhttp::async_write(
+      *stream_, message_,
+      boost::asio::bind_executor(
+          strand_, [self = shared_from_this()](boost::system::error_code error,
+                                               std::size_t) {
+            self->OnWritten(error);
+          }));
+}
+
+void Call::OnWritten(boost::system::error_code error) {
+  // A server that rejects a large body answers before it has read all of it, so
+  // a failed write is followed by an attempt to read the answer.
+  if (error && reused_)
+    return OnFailure(error);
+  ReadHead();
+}
+
+void Call::ReadHead() {
+  parser_.emplace();
+  parser_->body_limit(settings_.max_body_bytes);
+  bhttp::async_read_header(
+      *stream_, buffer_, *parser_,
+      boost::asio::bind_executor(
+          strand_,
+          [self = shared_from_this()](boost::system::error_code error,
+                                      std::size_t) { self->OnHead(error); }));
+}
+
+void Call::OnHead(boost::system::error_code error) {
+  if (error)
+    return OnFailure(error);
+  ReadSome();
+}
+
+void Call::ReadSome() {
+  DeliverData();
+  if (parser_->is_done())
+    return Succeed();
+  bhttp::async_read_some(
+      *stream_, buffer_, *parser_,
+      boost::asio::bind_executor(
+          strand_,
+          [self = shared_from_this()](boost::system::error_code error,
+                                      std::size_t) { self->OnSome(error); }));
+}
+
+void Call::OnSome(boost::system::error_code error) {
+  if (error)
+    return OnFailure(error);
+  ReadSome();
+}
+
+void Call::DeliverData() {
+  auto& message = parser_->get();
+  bool streamed = on_data_ && message.result_int() / 100 == 2;
+  if (!streamed || message.body().empty() || abort_)
+    return;
+  std::string data;
+  data.swap(message.body());
+  on_data_(data);
+}
+
+void Call::Abort(base::ErrorCode code, const std::string& message) {
+  if (done_ || abort_)
+    return;
+  abort_.emplace();
+  abort_->code = code;
+  abort_->message = message;
+  if (stream_)
+    stream_->close();
+}
+
+void Call::OnFailure(const boost::system::error_code& error) {
+  // The server closed a kept connection between requests: nothing of this
+  // request was answered, and callers of requests that must not be repeated ask
+  // for a new connection.
+  bool stale = reused_ && !abort_ && (!parser_ || !parser_->got_some());
+  if (stale) {
+    reused_ = false;
+    buffer_.clear();
+    parser_.reset();
+    return Connect();
+  }
+  if (abort_)
+    return Fail(abort_->code, abort_->message);
+  Fail(base::ErrorCode::kUnavailable, error.message());
+}
+
+void Call::Succeed() {
+  auto message = parser_->release();
+  ClientResult result;
+  result.status = static_cast<int>(message.result_int());
+  for (const auto& field : message) {
+    std::string name(field.name_string());
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    result.headers[name] = std::string(field.value());
+  }
+  result.body = std::move(message.body());
+  if (message.keep_alive() && buffer_.size() == 0 && !abort_)
+    pool_->Give(request_.address, std::move(stream_));
+  Done(std::move(result));
+}
+
+void Call::Fail(base::ErrorCode code, const std::string& message) {
+  ClientResult result;
+  base::ErrorInfo info;
+  info.code = code;
+  info.message = message;
+  info.peer = request_.address;
+  info.step = sent_ ? base::Step::kRun : base::Step::kConnect;
+  info.ran = sent_ ? base::Ran::kUnknown : base::Ran::kNotRun;
+  result.error = std::move(info);
+  Done(std::move(result));
+}
+
+void Call::Done(ClientResult result) {
+  if (std::exchange(done_, true))
+    return;
+  deadline_.cancel();
+  stream_.reset();
+  auto on_done = std::move(on_done_);
+  on_data_ = nullptr;
+  on_done(std::move(result));
+}
+
+}  // namespace vanillalever::http
--- /dev/null
+++ b/packages/http/src/call.h
@@ -0,0 +1,73 @@
+#ifndef VANILLALEVER_HTTP_SRC_CALL_H_
+#define VANILLALEVER_HTTP_SRC_CALL_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "connection_pool.h"
+#include "vanillalever/http/client.h"
+
+namespace vanillalever::http {
+
+// One request of a Client; its members are used on its strand only.
+class Call : public ClientCall, public std::enable_shared_from_this<Call> {
+ public:
+  Call(boost::asio::io_context& context,
+       const ClientSettings& settings,
+       std::shared_ptr<ConnectionPool> pool,
+       ClientRequest request,
+       DoneCallback on_done,
+       DataCallback on_data);
+
+  void Start();
+  void Cancel() override;
+
+ private:
+  void Begin();
+  void Connect();
+  void OnConnect(boost::system::error_code error);
+  void WriteRequest();
+  void OnWritten(boost::system::error_code error);
+  void ReadHead();
+  void OnHead(boost::system::error_code error);
+  void ReadSome();
+  void OnSome(boost::system::error_code error);
+  void Abort(base::ErrorCode code, const std::string& message);
+  void OnFailure(const boost::system::error_code& error);
+  void DeliverData();
+  void Succeed();
+  void Fail(base::ErrorCode code, const std::string& message);
+  void Done(ClientResult result);
+
+  boost::asio::io_context& context_;
+  boost::asio::strand<boost::asio::io_context::executor_type> strand_;
+  ClientSettings settings_;
+  std::shared_ptr<ConnectionPool> pool_;
+  ClientRequest request_;
+  DoneCallback on_done_;
+  DataCallback on_data_;
+
+  boost::asio::steady_timer deadline_;
+  std::unique_ptr<Stream> stream_;
+  boost::beast::flat_buffer buffer_;
+  boost::beast::http::request<boost::beast::http::string_body> message_;
+  std::optional<
+      boost::beast::http::response_parser<boost::beast::http::string_body>>
+      parser_;
+  bool reused_ = false;
+  // Whether a byte of the request may have reached the peer.
+  bool sent_ = false;
+  bool done_ = false;
+  // Error that caused the connection to be closed on this side.
+  std::optional<base::ErrorInfo> abort_;
+};
+
+}  // namespace vanillalever::http
+
+#endif  // VANILLALEVER_HTTP_SRC_CALL_H_
--- /dev/null
+++ b/packages/http/src/exchange.cc
@@ -0,0 +1,53 @@
+#include "vanillalever/http/exchange.h"
+
+#include <utility>
+
+namespace vanillalever::http {
+
+Exchange::Exchange(Request request, std::shared_ptr<ResponseSink> sink)
+    : request_(std::move(request)), sink_(std::move(sink)) {}
+
+Exchange::~Exchange() {
+  if (answered_)
+    return;
+  base::ErrorInfo info;
+  info.message = "the request was dropped before it was answered";
+  info.step = base::Step::kAnswer;
+  info.ran = base::Ran::kUnknown;
+  SendError(info);
+}
+
+void Exchange::Send(Response response) {
+  if (!answered_.exchange(true))
+    sink_->Send(std::move(response));
+}
+
+void Exchange::SendError(const base::ErrorInfo& info) {
+  if (!streaming_) {
+    Send(ErrorResponse(info));
+    return;
+  }
+  SendEvent("error", ErrorBody(info));
+  Finish();
+}
+
+void Exchange::StartEvents() {
+  if (answered_ || streaming_.exchange(true))
+    return;
+  Response head;
+  head.content_type = "text/event-stream";
+  head.headers.emplace_back("Cache-Control", "no-store");
+  sink_->StartStream(std::move(head));
+}
+
+void Exchange::SendEvent(const std::string& event, const std::string& data) {
+  if (!answered_)
+    sink_->Write("event: " + event + "\ndata: " + data + "\n\n");
+}
+
+void Exchange::Finish() {
+  if (!answered_.exchange(true))
+    sink_->Finish();
+}
+
+}  // namespace vanillalever::http
--- /dev/null
+++ b/packages/http/src/session.cc
@@ -0,0 +1,391 @@
+#include "session.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace vanillalever::http {
+
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+
+namespace {
+
+// Time and amount of input that a rejected request may still send.
+constexpr base::Duration kLingerTime = base::seconds(2);
+constexpr std::size_t kLingerBytes = 16 << 20;
+constexpr std::size_t kDiscardBytes = 64 << 10;
+
+std::string Lower(beast::string_view text) {
+  std::string result(text);
+  std::transform(result.begin(), result.end(), result.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return result;
+}
+
+void ParseTarget(const std::string& target, Request& request) {
+  std::size_t mark = target.find('?');
+  request.path = target.substr(0, mark);
+  while (mark != std::string::npos) {
+    std::size_t next = target.find('&', mark + 1);
+    std::string pair = target.substr(
+        mark + 1, next == std::string::npos ? next : next - mark - 1);
+    if (std::size_t equals = pair.find('='); equals != std::string::npos)
+      request.query[pair.substr(0, equals)] = pair.substr(equals + 1);
+    mark = next;
+  }
+}
+
+std::string EncodeChunk(const std::string& data) {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::string size;
+  for (std::size_t rest = data.size(); rest > 0; rest /= 16)
+    size.insert(size.begin(), kDigits[rest % 16]);
+  return size + "\r\n" + data + "\r\n";
+}
+
+}  // namespace
+
+Session::Session(std::shared_ptr<ServerState> server,
+                 boost::asio::ip::tcp::socket socket)
+    : server_(std::move(server)),
+      stream_(std::move(socket)),
+      request_timer_(stream_.get_executor()) {
+  boost::system::error_code error;
+  stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), error);
+  if (auto remote = stream_.socket().remote_endpoint(error); !error)
+    peer_ = remote.address().to_string() + ":" + std::to_string(remote.port());
+}
+
+Session::~Session() {
+  if (request_open_)
+    server_->RequestEnded();
+  server_->SessionEnded(this);
+}
+
+template <typename Function>
+void Session::Post(Function function) {
+  boost::asio::post(
+      stream_.get_executor(),
+      [self = shared_from_this(), function = std::move(function)]() mutable {
+        function(*self);
+      });
+}
+
+void Session::Start() {
+  Post([](Session& self) { self.ReadHead(); });
+}
+
+void Session::CloseWhenIdle() {
+  Post([](Session& self) {
+    self.keep_alive_ = false;
+    if (self.waiting_for_request_)
+      self.Close();
+  });
+}
+
+void Session::ReadHead() {
+  waiting_for_request_ = true;
+  parser_.emplace();
+  parser_->header_limit(server_->settings().max_header_bytes);
+  parser_->body_limit(server_->settings().max_body_bytes);
+  if (buffer_.size() == 0) {
+    // The request timeout starts with the request's first byte.
+    stream_.expires_after(server_->settings().idle_timeout);
+    stream_.async_read_some(buffer_.prepare(4096),
+                            [self = shared_from_this()](beast::error_code error,
+                                                        std::size_t bytes) {
+                              if (error)
+                                return self->Close();
+                              self->buffer_.commit(bytes);
+                              self->ReadHead();
+                            });
+    return;
+  }
+  waiting_for_request_ = false;
+  StartRequestTimer();
+  bhttp::async_read_header(
+      stream_, buffer_, *parser_,
+      [self = shared_from_this()](beast::error_code error, std::size_t) {
+        self->OnHead(error);
+      });
+}
+
+// A timer of its own instead of the stream's expiry, which would close the
+// connection before the 408 could be sent.
+void Session::StartRequestTimer() {
+  stream_.expires_never();
+  timed_out_ = false;
+  request_timer_.expires_after(server_->settings().request_timeout);
+  request_timer_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code error) {
+        auto self = weak.lock();
+        if (error || !self)
+          return;
+        self->timed_out_ = true;
+        self->stream_.cancel();
+      });
+}
+
+// Rejects input that could not be read, or closes the connection where the
+// client is gone.
+void Session::OnInputError(beast::error_code error) {
+  if (timed_out_)
+    return RejectInput(408, "the request did not arrive in time");
+  if (error == bhttp::error::header_limit)
+    return RejectInput(431, "request head exceeds its limit");
+  if (error == bhttp::error::body_limit)
+    return RejectInput(413, "request body exceeds its limit");
+  if (error == bhttp::error::partial_message)
+    return RejectInput(400, "the request ended early");
+  if (error == bhttp::error::end_of_stream)
+    return Close();
+  static const auto& parse_errors =
+      bhttp::make_error_code(bhttp::error::bad_method).category();
+  if (error.category() == parse_errors)
+    return RejectInput(400, "malformed HTTP: " + error.message());
+  Close();
+}
+
+void Session::OnHead(beast::error_code error) {
+  if (error)
+    return OnInputError(error);
+  if (Lower(parser_->get()[bhttp::field::expect]) == "100-continue") {
+    static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+    boost::asio::async_write(
+        stream_, boost::asio::buffer(kContinue, sizeof(kContinue) - 1),
+        [self = shared_from_this()](beast::error_code failed, std::size_t) {
+          if (failed)
+            return self->Close();
+          self->ReadBody();
+        });
+    return;
+  }
+  ReadBody();
+}
+
+void Session::ReadBody() {
+  bhttp::async_read(
+      stream_, buffer_, *parser_,
+      [self = shared_from_this()](beast::error_code error, std::size_t) {
+        self->OnBody(error);
+      });
+}
+
+void Session::OnBody(beast::error_code error) {
+  if (error)
+    return OnInputError(error);
+  Dispatch();
+}
+
+void Session::Dispatch() {
+  request_timer_.cancel();
+  keep_alive_ = parser_->get().keep_alive() && !server_->stopping();
+  request_open_ = true;
+  server_->RequestStarted();
+  Request request = TakeRequest();
+  std::shared_ptr<Exchange> exchange;
+  try {
+    const Handler& handler = server_->router().Match(request);
+    exchange =
+        std::make_shared<Exchange>(std::move(request), shared_from_this());
+    handler(exchange);
+  } catch (const base::Error& error) {
+    Fail(exchange, error.info());
+  } catch (const std::exception& error) {
+    base::ErrorInfo info;
+    info.message = error.what();
+    info.step = base::Step::kAdmit;
+    info.ran = base::Ran::kUnknown;
+    Fail(exchange, info);
+  }
+}
+
+void Session::Fail(const std::shared_ptr<Exchange>& exchange,
+                   const base::ErrorInfo& info) {
+  if (exchange)
+    exchange->SendError(info);
+  else
+    WriteMessage(ErrorResponse(info));
+}
+
+Request Session::TakeRequest() {
+  auto message = parser_->release();
+  Request request;
+  request.method = std::string(message.method_string());
+  ParseTarget(std::string(message.target()), request);
+  for (const auto& field : message)
+    request.headers[Lower(field.name_string())] = std::string(field.value());
+  request.body = std::move(message.body());
+  request.peer = peer_;
+  return request;
+}
+
+void Session::RejectInput(int status, const std::string& message) {
+  base::ErrorInfo info;
+  info.code = status == 413 || status == 431 ? base::ErrorCode::kTooLarge
+                                             : base::ErrorCode::kInvalidRequest;
+  info.message = message;
+  Response response = ErrorResponse(info);
+  response.status = status;
+  request_timer_.cancel();
+  keep_alive_ = false;
+  linger_ = true;
+  WriteMessage(std::move(response));
+}
+
+void Session::Send(Response response) {
+  Post([response = std::move(response)](Session& self) mutable {
+    self.WriteMessage(std::move(response));
+  });
+}
+
+void Session::StartStream(Response head) {
+  Post([head = std::move(head)](Session& self) { self.WriteHead(head); });
+}
+
+void Session::Write(std::string data) {
+  if (data.empty())
+    return;
+  Post([data = std::move(data)](Session& self) {
+    self.Enqueue(EncodeChunk(data), false);
+  });
+}
+
+void Session::Finish() {
+  Post([](Session& self) { self.Enqueue("0\r\n\r\n", true); });
+}
+
+template <typename Body>
+void Session::FillHead(bhttp::response<Body>& message,
+                       const Response& response) {
+  message.version(11);
+  message.result(static_cast<unsigned>(response.status));
+  message.set(bhttp::field::content_type, response.content_type);
+  for (const auto& [name, value] : response.headers)
+    message.set(name, value);
+  message.keep_alive(keep_alive_);
+}
+
+void Session::WriteMessage(Response response) {
+  auto message = std::make_shared<Message>();
+  FillHead(*message, response);
+  message->body() = std::move(response.body);
+  message->prepare_payload();
+  stream_.expires_after(server_->settings().write_timeout);
+  bhttp::async_write(stream_, *message,
+                     [self = shared_from_this(), message](
+                         beast::error_code error, std::size_t) {
+                       if (error)
+                         self->keep_alive_ = false;
+                       self->ResponseDone();
+                     });
+}
+
+void Session::WriteHead(const Response& response) {
+  auto message = std::make_shared<Head>();
+  FillHead(*message, response);
+  message->chunked(true);
+  auto serializer =
+      std::make_shared<bhttp::response_serializer<bhttp::empty_body>>(*message);
+  writing_ = true;
+  stream_.expires_after(server_->settings().write_timeout);
+  bhttp::async_write_header(
+      stream_, *serializer,
+      [self = shared_from_this(), message, serializer](
+          beast::error_code error, std::size_t) { self->OnWritten(error); });
+}
+
+void Session::Enqueue(std::string data, bool last) {
+  last_queued_ = last_queued_ || last;
+  if (!broken_) {
+    unsent_bytes_ += data.size();
+    unsent_.push_back(std::move(data));
+  }
+  if (unsent_bytes_ > server_->settings().max_unsent_bytes) {
+    broken_ = true;
+    boost::system::error_code ignored;
+    stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both,
+                              ignored);
+  }
+  if (!writing_)
+    WriteNext();
+}
+
+void Session::WriteNext() {
+  if (broken_) {
+    unsent_.clear();
+    unsent_bytes_ = 0;
+  }
+  if (unsent_.empty()) {
+    if (last_queued_)
+      ResponseDone();
+    return;
+  }
+  auto data = std::make_shared<std::string>();
+  for (std::string& piece : unsent_)
+    data->append(piece);
+  unsent_.clear();
+  unsent_bytes_ = 0;
+  writing_ = true;
+  stream_.expires_after(server_->settings().write_timeout);
+  boost::asio::async_write(
+      stream_, boost::asio::buffer(*data),
+      [self = shared_from_this(), data](beast::error_code error, std::size_t) {
+        self->OnWritten(error);
+      });
+}
+
+void Session::OnWritten(beast::error_code error) {
+  writing_ = false;
+  stream_.expires_never();
+  if (error) {
+    broken_ = true;
+    keep_alive_ = false;
+  }
+  WriteNext();
+}
+
+void Session::ResponseDone() {
+  last_queued_ = false;
+  if (std::exchange(request_open_, false))
+    server_->RequestEnded();
+  if (linger_)
+    return Linger();
+  if (!keep_alive_ || server_->stopping())
+    return Close();
+  ReadHead();
+}
+
+// Closing with unread input would reset the connection and could discard the
+// response on its way.
+void Session::Linger() {
+  boost::system::error_code ignored;
+  stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                            ignored);
+  stream_.expires_after(kLingerTime);
+  Discard(kLingerBytes);
+}
+
+void Session::Discard(std::size_t limit) {
+  buffer_.clear();
+  stream_.async_read_some(buffer_.prepare(kDiscardBytes),
+                          [self = shared_from_this(), limit](
+                              beast::error_code error, std::size_t bytes) {
+                            if (error || bytes >= limit)
+                              return self->Close();
+                            self->Discard(limit - bytes);
+                          });
+}
+
+void Session::Close() {
+  waiting_for_request_ = false;
+  boost::system::error_code ignored;
+  stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                            ignored);
+  stream_.close();
+}
+
+}  // namespace vanillalever::http
--- /dev/null
+++ b/packages/http/src/session.h
@@ -0,0 +1,98 @@
+#ifndef VANILLALEVER_HTTP_SRC_SESSION_H_
+#define VANILLALEVER_HTTP_SRC_SESSION_H_
+
+#include <utility>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "server_state.h"
+#include "vanillalever/http/exchange.h"
+
+namespace vanillalever::http {
+
+// One connection of the server. All members are used on the connection's
+// strand only; the ResponseSink calls may come from any thread and are posted
+// to it.
+class Session : public ResponseSink,
+                public std::enable_shared_from_this<Session> {
+ public:
+  Session(std::shared_ptr<ServerState> server,
+          boost::asio::ip::tcp::socket socket);
+  ~Session() override;
+
+  void Start();
+  // Closes the connection now if it waits for a request, else after the
+  // response.
+  void CloseWhenIdle();
+
+  // ResponseSink:
+  void Send(Response response) override;
+  void StartStream(Response head) override;
+  void Write(std::string data) override;
+  void Finish() override;
+
+ private:
+  using Message = boost::beast::http::response<boost::beast::http::string_body>;
+  using Head = boost::beast::http::response<boost::beast::http::empty_body>;
+
+  template <typename Function>
+  void Post(Function function);
+
+  void ReadHead();
+  void StartRequestTimer();
+  void OnInputError(boost::beast::error_code error);
+  void OnHead(boost::beast::error_code error);
+  void ReadBody();
+  void OnBody(boost::beast::error_code error);
+  void Dispatch();
+  Request TakeRequest();
+  void Fail(const std::shared_ptr<Exchange>& exchange,
+            const base::ErrorInfo& info);
+  void RejectInput(int status, const std::string& message);
+  void WriteMessage(Response response);
+  void WriteHead(const Response& response);
+  void Enqueue(std::string data, bool last);
+  void WriteNext();
+  void OnWritten(boost::beast::error_code error);
+  void ResponseDone();
+  void Linger();
+  void Discard(std::size_t limit);
+  void Close();
+  template <typename Body>
+  void FillHead(boost::beast::http::response<Body>& message,
+                const Response& response);
+
+  std::shared_ptr<ServerState> server_;
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<
+      boost::beast::http::request_parser<boost::beast::http::string_body>>
+      parser_;
+  std::string peer_;
+  boost::asio::steady_timer request_timer_;
+  bool timed_out_ = false;
+  // Set when input may be unread after the response.
+  bool linger_ = false;
+  bool keep_alive_ = false;
+  bool waiting_for_request_ = true;
+  bool request_open_ = false;
+  bool writing_ = false;
+  // Set when the peer is gone: further pieces are dropped.
+  bool broken_ = false;
+  // Encoded chunks not yet written.
+  std::deque<std::string> unsent_;
+  std::size_t unsent_bytes_ = 0;
+  bool last_queued_ = false;
+};
+
+}  // namespace vanillalever::http
+
+#endif  // VANILLALEVER_HTTP_SRC_SESSION_H_
