Add vanillaleverctl, the operators' tool

Cause: operators need to check, publish and read object files, and scripts need exit codes that tell a refusal, a conflict and an outage apart. Change: packages/ctl has the commands validate, diff, apply, get, history, status and program show; apps/vanillaleverctl parses the flags. Ruled out: gflags::ParseCommandLineFlags, because it ends the process with exit code 1 for a wrong flag where the documented code is 2; the flags are still gflags flags. Conclusion: the tool works against a stand-in entry; it has not run against a real one.

--- /dev/null
+++ b/apps/vanillaleverctl/flag_parser.h
@@ -0,0 +1,42 @@
+#ifndef VANILLALEVER_APPS_VANILLALEVERCTL_FLAG_PARSER_H_
+#define VANILLALEVER_APPS_VANILLALEVERCTL_FLAG_PARSER_H_
+
+#include <string>
+#include <vector>
+
+namespace vanillalever::ctl {
+
+// Sets gflags flags from a command line. gflags::ParseCommandLineFlags is not
+// used because it ends the process with exit code 1 for a wrong flag, and
+// because it offers flags that the tool does not document.
+class FlagParser {
+ public:
+  // Only the flags that `file` defines are accepted, and "help".
+  explicit FlagParser(std::string file);
+
+  // Accepts --name=value, --name value, --name and --noname (boolean flags),
+  // and "--" before operands that start with a dash.
+  void Parse(const std::vector<std::string>& arguments);
+
+  // Arguments that are not flags.
+  const std::vector<std::string>& operands() const { return operands_; }
+
+  // One message per unknown flag, missing or wrong value.
+  const std::vector<std::string>& messages() const { return messages_; }
+
+  // Description of every accepted flag, for the help text.
+  std::string Describe() const;
+
+ private:
+  bool Accepts(const std::string& name) const;
+  bool IsBoolean(const std::string& name) const;
+  void Set(const std::string& name, const std::string& value);
+
+  std::string file_;
+  std::vector<std::string> operands_;
+  std::vector<std::string> messages_;
+};
+
+}  // namespace vanillalever::ctl
+
+#endif  // VANILLALEVER_APPS_VANILLALEVERCTL_FLAG_PARSER_H_
--- /dev/null
+++ b/apps/vanillaleverctl/tests/exit_codes.cmake
@@ -0,0 +1,40 @@
+# Checks the exit codes of the binary: wrong usage or a lost entry must not look like success to a script.
+# Variables: TOOL (binary), SAMPLES (folder of sample objects), FOLDER (scratch folder).
+
+file(REMOVE_RECURSE ${FOLDER})
+file(MAKE_DIRECTORY ${FOLDER})
+file(WRITE ${FOLDER}/broken.json "{\"kind\":\"budget\",\"name\":\"b\",\"scope\":\"program\",\"tokens\":0}")
+file(WRITE ${FOLDER}/text.json "not JSON")
+file(WRITE ${FOLDER}/empty.token "")
+
+# expect(CODE PATTERN arg...): runs the tool and compares its exit code and its output.
+function(expect code pattern)
+  execute_process(COMMAND ${TOOL} ${ARGN} RESULT_VARIABLE result OUTPUT_VARIABLE output ERROR_VARIABLE output)
+  if(NOT result STREQUAL code OR NOT output MATCHES "${pattern}")
+    message(SEND_ERROR "${ARGN}: exit code ${result}, expected ${code} and a match of '${pattern}' in: ${output}")
+  endif()
+endfunction()
+
+expect(0 "program show.*Exit codes.*--token_file" --help)
+expect(0 "valid" validate ${SAMPLES}/casca)
+expect(0 "\"diff\":\\[\\]" validate --output=json ${SAMPLES}/tan)
+expect(0 "" diff --base=${SAMPLES}/tan ${SAMPLES}/tan)
+expect(1 "budget/b: tokens: expected an integer from 1" validate ${FOLDER}/broken.json)
+expect(1 "text.json: expected JSON" validate ${FOLDER}/text.json)
+expect(2 "no command")
+expect(2 "unknown command 'frobnicate'" frobnicate)
+expect(2 "flag --frobnicate: unknown flag" validate --frobnicate=1 ${SAMPLES}/tan)
+expect(2 "flag --timeout_ms: invalid value 'soon'" validate --timeout_ms=soon ${SAMPLES}/tan)
+expect(2 "flag --output: expected one of table, json" validate --output=xml ${SAMPLES}/tan)
+expect(2 "flag --output: needs a value" validate ${SAMPLES}/tan --output)
+expect(2 "flag --token_file: the file is empty" validate --token_file=${FOLDER}/empty.token ${SAMPLES}/tan)
+expect(2 "flag --delete: expected kind/name" validate --delete=pool ${SAMPLES}/tan)
+expect(2 "cannot read file" validate ${FOLDER}/missing.json)
+expect(2 "wrong number of operands" validate)
+expect(2 "flag --entry: required by get" get)
+expect(2 "flag --base_version: required" apply --entry=127.0.0.1:1 --author=a --reason=r ${SAMPLES}/tan)
+# Nothing listens on port 1 of the loopback interface.
+expect(4 "unavailable at connect" get --entry=127.0.0.1:1)
+expect(4 "unavailable at connect" apply --entry=127.0.0.1:1 --author=a --reason=r --base_version=0 ${SAMPLES}/tan)
+set(ENV{VANILLALEVER_OUTPUT} xml)
+expect(2 "flag --output" validate ${SAMPLES}/tan)
--- /dev/null
+++ b/packages/ctl/include/vanillalever/ctl/tool.h
@@ -0,0 +1,40 @@
+#ifndef VANILLALEVER_CTL_TOOL_H_
+#define VANILLALEVER_CTL_TOOL_H_
+
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "vanillalever/ctl/admin_channel.h"
+#include "vanillalever/ctl/ctl_settings.h"
+#include "vanillalever/ctl/exit_code.h"
+
+namespace vanillalever::ctl {
+
+// Runs one command of vanillaleverctl.
+class Tool {
+ public:
+  // `channel` reaches the entry; nullptr to work on files only. Results go to
+  // `out`, faults to `err`.
+  Tool(CtlSettings settings,
+       std::unique_ptr<AdminChannel> channel,
+       std::ostream& out,
+       std::ostream& err);
+
+  // `arguments` are the command's words and its operands.
+  ExitCode Run(const std::vector<std::string>& arguments);
+
+ private:
+  // Prints a message about wrong usage.
+  ExitCode Usage(const std::string& message);
+
+  CtlSettings settings_;
+  std::unique_ptr<AdminChannel> channel_;
+  std::ostream& out_;
+  std::ostream& err_;
+};
+
+}  // namespace vanillalever::ctl
+
+#endif  // VANILLALEVER_CTL_TOOL_H_
--- /dev/null
+++ b/packages/ctl/src/entry_client.cc
@@ -0,0 +1,107 @@
+#include "entry_client.h"
+
+#include <string_view>
+#include <utility>
+
+#include "vanillalever/http/message.h"
+
+namespace vanillalever::ctl {
+namespace {
+
+constexpr int kStatusOk = 200;
+
+// Decodes the body of a successful answer. A body that is no such answer was
+// not written by the entry, so the entry counts as unavailable.
+template <typename T>
+T Decode(T (*decode)(std::string_view), const std::string& body) {
+  try {
+    return decode(body);
+  } catch (const base::Error& error) {
+    base::ErrorInfo info = error.info();
+    info.code = base::ErrorCode::kUnavailable;
+    throw base::Error(std::move(info));
+  }
+}
+
+}  // namespace
+
+config::ConfigAnswer EntryClient::Config(std::optional<std::int64_t> version) {
+  std::string target = "/admin/v1/config";
+  if (version)
+    target += "?version=" + std::to_string(*version);
+  return Decode(&config::AdminCodec::DecodeConfig, Get(target));
+}
+
+std::vector<config::ConfigVersion> EntryClient::History() {
+  return Decode(&config::AdminCodec::DecodeHistory, Get("/admin/v1/history"));
+}
+
+config::AdminStatus EntryClient::Status() {
+  return Decode(&config::AdminCodec::DecodeStatus, Get("/admin/v1/status"));
+}
+
+std::string EntryClient::Program(const std::string& id) {
+  return Get("/admin/v1/programs/" + id);
+}
+
+ChangeOutcome EntryClient::Validate(const config::ChangeSet& change) {
+  return Post("/admin/v1/validate", change);
+}
+
+ChangeOutcome EntryClient::Apply(const config::ChangeSet& change) {
+  return Post("/admin/v1/apply", change);
+}
+
+std::string EntryClient::Get(const std::string& target) {
+  http::ClientResult result = channel_.Send("GET", target, "");
+  if (result.error)
+    throw base::Error(*result.error);
+  if (result.status != kStatusOk)
+    throw base::Error(
+        http::ParseErrorBody(result.body, base::ErrorCode::kUnavailable));
+  return std::move(result.body);
+}
+
+ChangeOutcome EntryClient::Post(const std::string& target,
+                                const config::ChangeSet& change) {
+  http::ClientResult result =
+      channel_.Send("POST", target, config::AdminCodec::EncodeChange(change));
+  ChangeOutcome outcome;
+  if (result.error) {
+    outcome.failure = result.error;
+    return outcome;
+  }
+  try {
+    outcome.answer = config::AdminCodec::DecodeChangeAnswer(result.body);
+  } catch (const base::Error&) {
+    // Handled below, as an answer that the admin API did not write.
+  }
+  if (!outcome.answer ||
+      (result.status != kStatusOk && !outcome.answer->error)) {
+    outcome.answer.reset();
+    outcome.failure =
+        http::ParseErrorBody(result.body, base::ErrorCode::kUnavailable);
+    outcome.failure->ran = base::Ran::kUnknown;
+    return outcome;
+  }
+  if (outcome.answer->error && outcome.answer->error->ran != base::Ran::kNotRun)
+    outcome.failure = outcome.answer->error;
+  return outcome;
+}
+
+ExitCode ExitCodeOf(const base::ErrorInfo& error) {
+  switch (error.code) {
+    case base::ErrorCode::kConflict:
+      return ExitCode::kConflict;
+    case base::ErrorCode::kUnavailable:
+    case base::ErrorCode::kTimeout:
+    case base::ErrorCode::kOverloaded:
+    case base::ErrorCode::kOutcomeUnknown:
+    case base::ErrorCode::kInternal:
+      return ExitCode::kUnknown;
+    default:
+      return ExitCode::kRefused;
+  }
+}
+
+}  // namespace vanillalever::ctl
--- /dev/null
+++ b/packages/ctl/src/outcome_reader.cc
@@ -0,0 +1,40 @@
+#include "outcome_reader.h"
+
+#include <algorithm>
+#include <thread>
+#include <vector>
+
+#include "entry_client.h"
+#include "vanillalever/base/clock.h"
+
+namespace vanillalever::ctl {
+
+std::optional<config::ConfigVersion> OutcomeReader::Find(
+    const std::string& change_token) {
+  base::SteadyClock clock;
+  base::TimePoint end = clock.now() + settings_.timeout;
+  for (;;) {
+    if (auto version = Read(change_token))
+      return version;
+    if (clock.now() + settings_.recheck >= end)
+      return std::nullopt;
+    std::this_thread::sleep_for(settings_.recheck);
+  }
+}
+
+std::optional<config::ConfigVersion> OutcomeReader::Read(
+    const std::string& change_token) {
+  std::vector<config::ConfigVersion> versions;
+  try {
+    versions = EntryClient(channel_).History();
+  } catch (const base::Error&) {
+    return std::nullopt;
+  }
+  auto found =
+      std::ranges::find(versions, change_token, &config::ConfigVersion::token);
+  if (found == versions.end())
+    return std::nullopt;
+  return *found;
+}
+
+}  // namespace vanillalever::ctl
