--- /dev/null
+++ b/tests/fakes/tests/engine_test.cc
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
