--- a/tests/fakes/src/call.cc
+++ b/tests/fakes/src/call.cc
@@ -49,12 +49,9 @@
       "Connection: close\r\n\r\n");
 }
 
-void Call::SendEvent(const std::string& data) {
-  WriteText("data: " + data + "\n\n");
-}
-
-void Call::FinishEvents() {
-  SendEvent("[DONE]");
+void Call::SendEvent(const std::string& data, const std::string& name) {
+  std::string head = name.empty() ? "" : "event: " + name + "\n";
+  WriteText(head + "data: " + data + "\n\n");
 }
 
 bool Call::PeerClosed() {
--- a/tests/fakes/src/call.h
+++ b/tests/fakes/src/call.h
@@ -52,10 +52,10 @@
   // Sends {"error":{"message":...}}.
   void Fail(int status, const std::string& message);
 
-  // Server-sent events: the head, events of one data line, the end.
+  // Server-sent events: the head, then events of one data line. The stream ends
+  // with the connection.
   void StartEvents();
-  void SendEvent(const std::string& data);
-  void FinishEvents();
+  void SendEvent(const std::string& data, const std::string& name = "");
 
   // Closes the connection without an answer, or without the rest of it.
   void Drop() { keep_alive_ = false; }
--- a/tests/fakes/src/fake_engine.cc
+++ b/tests/fakes/src/fake_engine.cc
@@ -179,7 +179,7 @@
         {"choices", Json::array()},
         {"usage",
          Usage(*job)}}.dump());
-    return call.FinishEvents();
+    return call.SendEvent("[DONE]");
   }
   Json message = {{"role", "assistant"},
                   {"content", AnswerText(request, job->output_tokens)}};
