Add the scheduling package

Change: packages/scheduling holds the decision classes, the baselines as strategy objects, the load table and the cache index. Time and randomness are arguments; nothing performs I/O. Ruled out: ageing by re-sorting the queue. All waiting calls age at the same rate, so a rank fixed at arrival gives the same order in O(log n). Conclusion: the interfaces are stable enough to write callers against.

--- /dev/null
+++ b/packages/scheduling/include/vanillalever/scheduling/least_connections_picker.h
@@ -0,0 +1,19 @@
+#ifndef VANILLALEVER_SCHEDULING_LEAST_CONNECTIONS_PICKER_H_
+#define VANILLALEVER_SCHEDULING_LEAST_CONNECTIONS_PICKER_H_
+
+#include "vanillalever/scheduling/server_picker.h"
+
+namespace vanillalever::scheduling {
+
+// Baseline: the eligible server with the fewest open calls of this process;
+// ties are broken at random.
+class LeastConnectionsPicker final : public ServerPicker {
+ public:
+  std::optional<std::size_t> Pick(std::span<const Candidate> candidates,
+                                  const CallProfile& call,
+                                  base::Random& random) override;
+};
+
+}  // namespace vanillalever::scheduling
+
+#endif  // VANILLALEVER_SCHEDULING_LEAST_CONNECTIONS_PICKER_H_
--- /dev/null
+++ b/packages/scheduling/include/vanillalever/scheduling/load_table.h
@@ -0,0 +1,81 @@
+#ifndef VANILLALEVER_SCHEDULING_LOAD_TABLE_H_
+#define VANILLALEVER_SCHEDULING_LOAD_TABLE_H_
+
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "vanillalever/scheduling/candidate.h"
+
+namespace vanillalever::scheduling {
+
+// Settings of LoadTable.
+struct LoadTableSettings {
+  // Delay between a report's measurement and its arrival. Sends younger than
+  // this at arrival are not in the report.
+  base::Duration report_delay = base::milliseconds(10);
+  // Service rate assumed before the first report (work tokens per second).
+  double initial_rate = 10000;
+};
+
+// One load report of a sidecar.
+struct LoadReport {
+  // Work queued and running (work tokens).
+  double backlog_tokens = 0;
+  // Rate at which the server works off its backlog (work tokens per second).
+  double service_rate = 0;
+  // Output of the server's SlownessDetector.
+  double slowness = 1;
+  bool leaving = false;
+};
+
+// Latest report of each backend server of a pool, and this process's own sends
+// since. Thread-safe: each server has its own lock.
+class LoadTable {
+ public:
+  LoadTable(std::size_t servers,
+            base::TimePoint now,
+            LoadTableSettings settings = LoadTableSettings());
+
+  void OnReport(ServerIndex server,
+                const LoadReport& report,
+                base::TimePoint now);
+
+  // A call of `work` tokens was sent; OnEnd follows exactly once.
+  void OnSend(ServerIndex server, double work, base::TimePoint now);
+  void OnEnd(ServerIndex server);
+
+  void SetDistance(ServerIndex server, base::Duration distance);
+  // A quarantined server receives no call.
+  void SetQuarantined(ServerIndex server, bool quarantined);
+  // Sets the leaving state at once, ahead of the next report.
+  void SetLeaving(ServerIndex server, bool leaving);
+
+  // Candidates in order of their index, appended to a cleared `out`.
+  void Candidates(base::TimePoint now, std::vector<Candidate>* out) const;
+
+  std::size_t size() const { return servers_.size(); }
+
+ private:
+  struct Send {
+    base::TimePoint time{};
+    double work = 0;
+  };
+
+  struct Server {
+    mutable std::mutex mutex;
+    Candidate candidate;
+    base::TimePoint reported{};
+    // Sends that the latest report does not contain, oldest first.
+    std::deque<Send> sends;
+  };
+
+  LoadTableSettings settings_;
+  std::vector<std::unique_ptr<Server>> servers_;
+};
+
+}  // namespace vanillalever::scheduling
+
+#endif  // VANILLALEVER_SCHEDULING_LOAD_TABLE_H_
--- /dev/null
+++ b/packages/scheduling/src/admission_control.cc
@@ -0,0 +1,33 @@
+#include "vanillalever/scheduling/admission_control.h"
+
+#include <algorithm>
+
+namespace vanillalever::scheduling {
+
+AdmissionControl::AdmissionControl(AdmissionSettings settings)
+    : settings_(settings) {}
+
+AdmissionDecision AdmissionControl::Decide(base::TimePoint now,
+                                           const AdmissionRequest& request,
+                                           base::Duration expected_wait,
+                                           base::Random& random) const {
+  base::Duration left = request.deadline - now - request.expected_run;
+  auto usable = std::chrono::duration_cast<base::Duration>(
+      left * settings_.deadline_share);
+  base::Duration allowed = usable;
+  if (!request.in_progress) {
+    auto level = static_cast<std::size_t>(request.priority);
+    allowed = std::min(usable, settings_.max_wait[level]);
+  }
+  if (allowed > base::Duration(0) && expected_wait <= allowed)
+    return {.admitted = true, .retry_after = base::Duration(0)};
+  base::Duration excess = expected_wait - std::max(allowed, base::Duration(0));
+  base::Duration bound =
+      std::clamp(excess, settings_.min_retry_after, settings_.max_retry_after);
+  auto delay = std::chrono::duration_cast<base::Duration>(
+      bound * (0.5 + random.Uniform()));
+  return {.admitted = false,
+          .retry_after = std::max(delay, settings_.min_retry_after)};
+}
+
+}  // namespace vanillalever::scheduling
--- /dev/null
+++ b/packages/scheduling/tests/control_test.cc
@@ -0,0 +1,212 @@
+#include <optional>
+
+#include <catch2/catch.hpp>
+
+#include "vanillalever/scheduling/admission_control.h"
+#include "vanillalever/scheduling/cache_index.h"
+#include "vanillalever/scheduling/concurrency_limiter.h"
+#include "vanillalever/scheduling/hedge_policy.h"
+#include "vanillalever/scheduling/length_estimator.h"
+#include "vanillalever/scheduling/retry_budget.h"
+#include "vanillalever/scheduling/slowness_detector.h"
+
+namespace vanillalever::scheduling {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+
+constexpr base::TimePoint kStart{std::chrono::hours(1)};
+
+// Guards against a limit that ignores latency, or that never recovers.
+TEST_CASE("the concurrency limit follows latency") {
+  ConcurrencyLimiter limiter;
+  base::TimePoint now = kStart;
+  for (int i = 0; i < 200; ++i)
+    limiter.OnCompletion(now, 0.01, 64);
+  std::size_t grown = limiter.limit();
+  CHECK(grown > 16);
+  for (int i = 0; i < 200; ++i) {
+    now += milliseconds(100);
+    limiter.OnCompletion(now, 0.1, 64);
+  }
+  CHECK(limiter.limit() < grown / 2);
+  CHECK(limiter.limit() >= 2);
+  std::size_t low = limiter.limit();
+  for (int i = 0; i < 200; ++i)
+    limiter.OnCompletion(now, 0.01, 64);
+  CHECK(limiter.limit() > low);
+}
+
+// Guards against a slow server that is noticed only after several report
+// intervals, or whose recovery is not noticed.
+TEST_CASE("slowness shows within one report interval") {
+  SlownessDetector detector;
+  base::TimePoint now = kStart;
+  for (int i = 0; i < 300; ++i)
+    detector.OnSample(now, 1000, milliseconds(100));
+  CHECK(detector.slowness() == 1);
+  for (int i = 0; i < 10; ++i)
+    detector.OnSample(now, 250, milliseconds(100));
+  CHECK(detector.slowness() > 2);
+  for (int i = 0; i < 30; ++i)
+    detector.OnSample(now, 1000, milliseconds(100));
+  CHECK(detector.slowness() == 1);
+}
+
+// Guards against a server that has been slow since its start and therefore
+// looks normal to itself.
+TEST_CASE("the pool's median shows a server that is always slow") {
+  SlownessDetector detector;
+  for (int i = 0; i < 100; ++i)
+    detector.OnSample(kStart, 250, milliseconds(100));
+  CHECK(detector.slowness() == 1);
+  CHECK(detector.slowness(10000) == Approx(4));
+}
+
+// Guards against retries that multiply load during an outage.
+TEST_CASE("retries are bounded by successes") {
+  RetryBudget budget;
+  base::Random random(1);
+  int retries = 0;
+  while (budget.TryRetry(kStart, kStart + seconds(60), 1, random))
+    ++retries;
+  CHECK(retries == 5);
+  for (int i = 0; i < 100; ++i)
+    budget.OnSuccess();
+  while (budget.TryRetry(kStart, kStart + seconds(60), 1, random))
+    ++retries;
+  CHECK(retries <= 15);
+  CHECK(retries >= 14);
+}
+
+// Guards against retries that are sent after the caller has given up, and
+// against a budget that such refusals use up.
+TEST_CASE("retry delays keep to the deadline") {
+  RetryBudget budget;
+  base::Random random(1);
+  CHECK_FALSE(budget.TryRetry(kStart, kStart, 3, random).has_value());
+  CHECK(budget.tokens() == 5);
+  for (int attempt = 1; attempt < 40; ++attempt) {
+    budget.OnSuccess();
+    auto delay = budget.TryRetry(kStart, kStart + seconds(60), attempt, random);
+    if (delay)
+      CHECK(*delay <= seconds(2));
+  }
+}
+
+// Guards against hedges that exceed their share of the work.
+TEST_CASE("hedged work stays within its budget") {
+  HedgePolicy policy;
+  CHECK_FALSE(policy.Delay(1, 100).has_value());
+  for (int i = 1; i <= 100; ++i)
+    policy.OnLatency(1, milliseconds(i));
+  REQUIRE(policy.Delay(1, 100).has_value());
+  CHECK(*policy.Delay(1, 100) >= milliseconds(90));
+  CHECK_FALSE(policy.Delay(1, 1e6).has_value());
+  double sent = 0;
+  for (int i = 0; i < 10000; ++i) {
+    policy.OnDispatch(1000);
+    sent += 1000;
+    policy.TryHedge(1000);
+  }
+  CHECK(policy.hedged_work() < 0.05 * sent);
+  CHECK(policy.hedged_work() > 0.03 * sent);
+}
+
+// Guards against admitting work that will miss its deadline, and against
+// refusing a program's later calls although its earlier ones were paid for.
+TEST_CASE("admission weighs priority, deadline and progress") {
+  AdmissionControl admission;
+  base::Random random(1);
+  AdmissionRequest request{.priority = Priority::kLow,
+                           .deadline = kStart + seconds(100)};
+  CHECK(admission.Decide(kStart, request, seconds(1), random).admitted);
+  auto refused = admission.Decide(kStart, request, seconds(8), random);
+  CHECK_FALSE(refused.admitted);
+  CHECK(refused.retry_after >= milliseconds(500));
+  CHECK(refused.retry_after <= seconds(45));
+  request.priority = Priority::kHigh;
+  CHECK(admission.Decide(kStart, request, seconds(8), random).admitted);
+  request.deadline = kStart + seconds(5);
+  CHECK_FALSE(admission.Decide(kStart, request, seconds(8), random).admitted);
+  request.priority = Priority::kLow;
+  request.deadline = kStart + seconds(100);
+  request.in_progress = true;
+  CHECK(admission.Decide(kStart, request, seconds(8), random).admitted);
+}
+
+// Guards against estimates that ignore history or attained service.
+TEST_CASE("expected length follows history and attained service") {
+  LengthEstimator estimator;
+  CHECK(estimator.Expected(1) == Approx(200));
+  for (int i = 0; i < 1000; ++i)
+    estimator.OnLength(1, i % 10 == 9 ? 5000 : 20);
+  CHECK(estimator.Expected(1) == Approx(518).margin(60));
+  CHECK(estimator.ExpectedRemaining(1, 100) > 3000);
+  CHECK(estimator.ExpectedRemaining(1, 1e6) >= 1);
+  CHECK(estimator.Expected(2) == Approx(200));
+}
+
+// Guards against holders that were evicted, and against late events that
+// overwrite what a later call has shown.
+TEST_CASE("cache events update holders in the order they took place") {
+  CacheIndex index;
+  index.OnDispatch(7, 1, kStart);
+  CHECK(index.Holders(7, kStart).empty());
+  index.OnResult(7, 1, 500, kStart + seconds(2));
+  index.OnEvent({.server = 1,
+                 .sequence = 1,
+                 .program = 7,
+                 .tokens = 0,
+                 .time = kStart + seconds(1)});
+  REQUIRE(index.Holders(7, kStart + seconds(2)).size() == 1);
+  CHECK(index.Holders(7, kStart + seconds(2))[0].tokens == 500);
+  index.OnEvent({.server = 1,
+                 .sequence = 2,
+                 .program = 7,
+                 .tokens = 0,
+                 .time = kStart + seconds(3)});
+  CHECK(index.Holders(7, kStart + seconds(4)).empty());
+}
+
+// Guards against trusting a holder as before when events were lost.
+TEST_CASE("lost events lower the confidence") {
+  CacheIndex index;
+  index.OnDispatch(7, 1, kStart);
+  index.OnEvent(
+      {.server = 1, .sequence = 1, .program = 9, .tokens = 10, .time = kStart});
+  index.OnResult(7, 1, 500, kStart);
+  double before = index.Holders(7, kStart)[0].confidence;
+  index.OnEvent({.server = 1,
+                 .sequence = 12,
+                 .program = 9,
+                 .tokens = 10,
+                 .time = kStart});
+  CHECK(index.Holders(7, kStart)[0].confidence < 0.9 * before);
+  CHECK(index.size() == 1);
+}
+
+// Guards against KV that stays allocated after a program has ended because a
+// server was forgotten.
+TEST_CASE("an ended program is released wherever it ran") {
+  CacheIndex index;
+  index.OnDispatch(7, 1, kStart);
+  index.OnDispatch(7, 2, kStart);
+  index.OnResult(7, 1, 500, kStart);
+  index.OnEvent({.server = 1,
+                 .sequence = 1,
+                 .program = 7,
+                 .tokens = 0,
+                 .time = kStart + seconds(1)});
+  CHECK(index.EndProgram(7).size() == 2);
+  CHECK(index.EndProgram(7).empty());
+  index.OnResult(7, 1, 500, kStart + seconds(2));
+  CHECK(index.size() == 0);
+  index.OnDispatch(8, 3, kStart);
+  index.OnServerReset(3);
+  CHECK(index.EndProgram(8).empty());
+}
+
+}  // namespace
+}  // namespace vanillalever::scheduling
--- /dev/null
+++ b/packages/scheduling/tests/queue_test.cc
@@ -0,0 +1,122 @@
+#include <optional>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "vanillalever/scheduling/fifo_queue.h"
+#include "vanillalever/scheduling/remaining_work_queue.h"
+
+namespace vanillalever::scheduling {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+
+constexpr base::TimePoint kStart{std::chrono::hours(1)};
+constexpr SlotState kIdle{.limit = 8, .running = 0, .running_long = 0};
+
+QueuedCall Call(std::uint64_t id, double work, base::TimePoint at = kStart) {
+  return {.id = id,
+          .expected_work = work,
+          .enqueued = at,
+          .program_start = at,
+          .deadline = at + seconds(1000)};
+}
+
+std::uint64_t PopId(RequestQueue& queue,
+                    base::TimePoint now = kStart,
+                    SlotState slots = kIdle) {
+  std::optional<QueuedCall> call = queue.Pop(now, slots);
+  return call ? call->id : 0;
+}
+
+// Guards against a queue that returns, loses or duplicates an expired call.
+TEST_CASE("expired calls are reported once and never run") {
+  QueueKind kind = GENERATE(QueueKind::kFifo, QueueKind::kRemainingWork);
+  auto queue = MakeRequestQueue(kind);
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    QueuedCall call = Call(id, 10);
+    call.deadline = kStart + seconds(static_cast<int>(id));
+    queue->Push(call);
+  }
+  CHECK(queue->Remove(3));
+  CHECK_FALSE(queue->Remove(3));
+  CHECK(PopId(*queue, kStart + milliseconds(2500)) == 4);
+  std::vector<QueuedCall> expired;
+  queue->Expire(kStart + milliseconds(2500), &expired);
+  CHECK(expired.size() == 2);
+  CHECK(queue->size() == 0);
+  CHECK(queue->queued_work() == 0);
+  queue->Expire(kStart + seconds(100), &expired);
+  CHECK(expired.size() == 2);
+}
+
+// Guards against a queue that starts more calls than the limit.
+TEST_CASE("a full server starts nothing") {
+  QueueKind kind = GENERATE(QueueKind::kFifo, QueueKind::kRemainingWork);
+  auto queue = MakeRequestQueue(kind);
+  queue->Push(Call(1, 10));
+  CHECK(PopId(*queue, kStart, {.limit = 4, .running = 4}) == 0);
+  CHECK(PopId(*queue) == 1);
+}
+
+// Guards against long calls that delay short or more important ones.
+TEST_CASE("priority comes first, then remaining work") {
+  RemainingWorkQueue queue;
+  queue.Push(Call(1, 50000));
+  queue.Push(Call(2, 100));
+  QueuedCall important = Call(3, 90000);
+  important.priority = Priority::kHigh;
+  queue.Push(important);
+  CHECK(PopId(queue) == 3);
+  CHECK(PopId(queue) == 2);
+  CHECK(PopId(queue) == 1);
+}
+
+// Guards against long calls that starve behind a stream of short ones.
+TEST_CASE("waiting makes up for length") {
+  RemainingWorkSettings settings;
+  settings.seconds_per_token = 0.001;
+  RemainingWorkQueue queue(settings);
+  queue.Push(Call(1, 10000));
+  queue.Push(Call(2, 100, kStart + seconds(9)));
+  queue.Push(Call(3, 100, kStart + seconds(11)));
+  CHECK(PopId(queue) == 2);
+  CHECK(PopId(queue) == 1);
+  CHECK(PopId(queue) == 3);
+}
+
+// Guards against a server filled with long calls when short work arrives.
+TEST_CASE("long calls leave the reserved slots free") {
+  RemainingWorkSettings settings;
+  settings.reserved_share = 0.25;
+  RemainingWorkQueue queue(settings);
+  CHECK(queue.ReservedSlots(8) == 2);
+  CHECK(queue.ReservedSlots(1) == 0);
+  queue.Push(Call(1, 50000));
+  SlotState slots{.limit = 8, .running = 6, .running_long = 6};
+  CHECK(PopId(queue, kStart, slots) == 0);
+  queue.Push(Call(2, 100));
+  CHECK(PopId(queue, kStart, slots) == 2);
+  slots.running_long = 5;
+  CHECK(PopId(queue, kStart, slots) == 1);
+}
+
+// Guards against old programs, and parents, that wait behind new ones.
+TEST_CASE("among equals the older program and the blocked parent go first") {
+  RemainingWorkQueue queue;
+  QueuedCall fresh = Call(1, 1000);
+  QueuedCall old = Call(2, 1000);
+  old.program_start = kStart - seconds(30);
+  QueuedCall child = Call(3, 1000);
+  child.blocks_parent = true;
+  queue.Push(fresh);
+  queue.Push(child);
+  queue.Push(old);
+  CHECK(PopId(queue) == 2);
+  CHECK(PopId(queue) == 3);
+  CHECK(PopId(queue) == 1);
+}
+
+}  // namespace
+}  // namespace vanillalever::scheduling
