Add the program package

The entry role needs the owner's view of a program as code that can be stepped through a fault without I/O.

The stored head row holds one sum, held, for open reservations and the allowance for the next call; recovery counts it as spent except for the part of an open intent. Storing each open repeatable attempt was ruled out because it would cost a commit per call.

--- /dev/null
+++ b/packages/program/src/program.cc
@@ -0,0 +1,413 @@
+#include "vanillalever/program/program.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace vanillalever::program {
+
+namespace {
+
+using base::ErrorCode;
+using base::NotRun;
+using base::Step;
+
+[[noreturn]] void Misuse(std::string message) {
+  throw NotRun(ErrorCode::kInternal, Step::kAdmit, std::move(message));
+}
+
+base::Error Conflict(std::string message) {
+  return NotRun(ErrorCode::kTurnConflict, Step::kAdmit, std::move(message));
+}
+
+std::string TurnText(std::uint32_t turn) {
+  return "turn " + std::to_string(turn);
+}
+
+}  // namespace
+
+Program::Program(ProgramSpec spec,
+                 base::TimePoint now,
+                 std::int64_t first_allowance)
+    : spec_(std::move(spec)),
+      budget_(spec_.budget),
+      allowance_(first_allowance),
+      started_(now),
+      revision_(1) {}
+
+base::milliseconds Program::elapsed(base::TimePoint now) const {
+  return std::chrono::duration_cast<base::milliseconds>(now - started_);
+}
+
+// --- Calls -------------------------------------------------------------------
+
+Admission Program::Admit(const CallRequest& call,
+                         const LoopGuard& guard,
+                         base::TimePoint now) {
+  if (call.turn == 0) {
+    throw NotRun(ErrorCode::kInvalidRequest, Step::kAdmit,
+                 "turns are numbered from 1");
+  }
+  if (open_ && call.turn == open_->turn) {
+    if (call.fingerprint != open_->fingerprint)
+      throw Conflict(TurnText(call.turn) + " is open with another request");
+    return {AdmitAction::kJoin, std::nullopt};
+  }
+  if (call.turn <= last_turn_)
+    return AdmitRepeat(call);
+  AdmitNew(call, guard, now);
+  return {AdmitAction::kRun, std::nullopt};
+}
+
+Admission Program::AdmitRepeat(const CallRequest& call) const {
+  const TurnRecord* record = FindTurn(call.turn);
+  if (record == nullptr)
+    return {AdmitAction::kReadHistory, std::nullopt};
+  CheckRepeat(call, *record);
+  if (!turn_durable(call.turn))
+    return {AdmitAction::kJoin, std::nullopt};
+  return {AdmitAction::kAnswer, *record};
+}
+
+void Program::AdmitNew(const CallRequest& call,
+                       const LoopGuard& guard,
+                       base::TimePoint now) {
+  if (state_ != ProgramState::kRunning)
+    throw StateError();
+  if (open_)
+    throw Conflict(TurnText(open_->turn) + " has not ended");
+  if (call.turn != last_turn_ + 1) {
+    throw Conflict("expected " + TurnText(last_turn_ + 1) + ", got " +
+                   TurnText(call.turn));
+  }
+  if (last_turn_ > 0 && !turn_durable(last_turn_))
+    throw Conflict(TurnText(last_turn_) + " is not durable yet");
+  LoopUsage usage{last_turn_, elapsed(now), budget_.spent()};
+  if (auto reached = guard.Check(usage)) {
+    Finish(ProgramState::kLimitReached);
+    throw base::Error(*reached);
+  }
+  if (call.worst_case_cost < 0) {
+    throw NotRun(ErrorCode::kInvalidRequest, Step::kAdmit,
+                 "the worst-case cost is negative");
+  }
+  // Checks that it fits; StartAttempt() reserves it for each attempt.
+  budget_.Reserve(call.worst_case_cost);
+  budget_.Release(call.worst_case_cost);
+  open_ = call;
+  attempts_started_ = 0;
+}
+
+bool Program::CheckLimits(const LoopGuard& guard, base::TimePoint now) {
+  if (state_ != ProgramState::kRunning)
+    return false;
+  if (!guard.Check({last_turn_, elapsed(now), budget_.spent()}))
+    return false;
+  Finish(ProgramState::kLimitReached);
+  return true;
+}
+
+AttemptKey Program::StartAttempt(std::uint32_t turn, AttemptTarget target) {
+  if (!open_ || open_->turn != turn)
+    Misuse(TurnText(turn) + " is not open");
+  if (state_ != ProgramState::kRunning)
+    throw StateError();
+  if (!open_->repeatable && HasAttempts(turn))
+    Misuse(TurnText(turn) + " has an open attempt that may not be repeated");
+  budget_.Reserve(open_->worst_case_cost);
+  allowance_ = open_->worst_case_cost;
+  if (!open_->repeatable || !budget_.covered())
+    Changed();
+  Attempt attempt;
+  attempt.turn = turn;
+  attempt.attempt = ++attempts_started_;
+  attempt.target = std::move(target);
+  attempt.reservation = open_->worst_case_cost;
+  attempt.repeatable = open_->repeatable;
+  attempt.revision = revision_;
+  attempts_.push_back(std::move(attempt));
+  return attempts_.back().key();
+}
+
+DispatchState Program::dispatch_state(const AttemptKey& key) const {
+  auto attempt = Find(key);
+  if (attempt == attempts_.end() || attempt->dispatched)
+    return DispatchState::kGone;
+  bool intent_durable =
+      attempt->repeatable || durable_revision_ >= attempt->revision;
+  return intent_durable && budget_.covered() ? DispatchState::kReady
+                                             : DispatchState::kAwaitCommit;
+}
+
+void Program::MarkDispatched(const AttemptKey& key) {
+  if (dispatch_state(key) != DispatchState::kReady)
+    Misuse("an attempt of " + TurnText(key.turn) + " may not be sent");
+  auto attempt = Find(key);
+  attempt->dispatched = true;
+  if (attempt->target.holds_cache) {
+    holders_.insert(
+        {attempt->target.server, attempt->target.sidecar_incarnation});
+  }
+}
+
+AnswerMatch Program::Accept(const AttemptKey& key, Answer answer) {
+  auto attempt = Find(key);
+  if (attempt == attempts_.end() || !attempt->dispatched) {
+    ++dropped_answers_;
+    return AnswerMatch::kDropped;
+  }
+  if (answer.input_tokens < 0 || answer.output_tokens < 0 || answer.cost < 0) {
+    throw NotRun(ErrorCode::kInvalidRequest, Step::kAnswer,
+                 "the answer has a negative amount", attempt->target.server);
+  }
+  if (answer.body.size() > kMaxInlineBody && answer.object.empty()) {
+    throw NotRun(ErrorCode::kTooLarge, Step::kAnswer,
+                 "the answer's body needs an object", attempt->target.server);
+  }
+  Attempt settled = std::move(*attempt);
+  attempts_.erase(attempt);
+  if (answer.outcome == TurnOutcome::kUnknown) {
+    answer.cost = settled.reservation;
+    budget_.KeepAsSpent(settled.reservation);
+  } else {
+    budget_.Settle(settled.reservation, answer.cost);
+  }
+  if (settled.superseded) {
+    // The row already counts the reservation, so the lower cost only has to
+    // become durable when the program is closed.
+    if (state_ != ProgramState::kRunning)
+      Changed();
+    return AnswerMatch::kSettledCost;
+  }
+  EndTurn(std::move(answer));
+  return AnswerMatch::kEndedTurn;
+}
+
+bool Program::AttemptNotRun(const AttemptKey& key) {
+  auto attempt = Find(key);
+  if (attempt == attempts_.end())
+    return false;
+  budget_.Release(attempt->reservation);
+  if (!attempt->repeatable || state_ != ProgramState::kRunning)
+    Changed();
+  attempts_.erase(attempt);
+  CloseIfAbandoned();
+  return true;
+}
+
+bool Program::AttemptLost(const AttemptKey& key) {
+  auto attempt = Find(key);
+  if (attempt == attempts_.end())
+    return false;
+  Attempt lost = std::move(*attempt);
+  attempts_.erase(attempt);
+  budget_.KeepAsSpent(lost.reservation);
+  if (!lost.repeatable && !lost.superseded) {
+    Answer answer;
+    answer.outcome = TurnOutcome::kUnknown;
+    answer.cost = lost.reservation;
+    EndTurn(std::move(answer));
+    return true;
+  }
+  if (state_ != ProgramState::kRunning)
+    Changed();
+  CloseIfAbandoned();
+  return true;
+}
+
+void Program::Withdraw(std::uint32_t turn) {
+  RequireClosable(turn);
+  Changed();
+  CloseTurn();
+}
+
+void Program::FailTurn(std::uint32_t turn, Answer answer) {
+  RequireClosable(turn);
+  answer.outcome = TurnOutcome::kFailed;
+  EndTurn(std::move(answer));
+}
+
+bool Program::turn_durable(std::uint32_t turn) const {
+  return turn > 0 && turn <= durable_turn_;
+}
+
+std::vector<Attempt> Program::open_intents() const {
+  std::vector<Attempt> intents;
+  std::copy_if(attempts_.begin(), attempts_.end(), std::back_inserter(intents),
+               [](const Attempt& attempt) {
+                 return !attempt.repeatable && attempt.dispatched;
+               });
+  return intents;
+}
+
+// --- End ---------------------------------------------------------------------
+
+void Program::End() {
+  if (state_ != ProgramState::kRunning)
+    return;
+  if (open_)
+    throw Conflict(TurnText(open_->turn) + " has not ended");
+  if (!children_.empty()) {
+    throw Conflict(std::to_string(children_.size()) +
+                   " sub-agents have not ended, first " +
+                   children_.begin()->first.text());
+  }
+  Finish(ProgramState::kEnded);
+}
+
+std::vector<Attempt> Program::Cancel() {
+  if (state_ == ProgramState::kRunning)
+    Finish(ProgramState::kCancelled);
+  return attempts_;
+}
+
+bool Program::settled() const {
+  return state_ != ProgramState::kRunning && !open_ && attempts_.empty() &&
+         children_.empty();
+}
+
+std::vector<CacheHolder> Program::pending_releases() const {
+  if (state_ == ProgramState::kRunning)
+    return {};
+  std::vector<CacheHolder> pending;
+  for (const CacheHolder& holder : holders_) {
+    bool busy = std::any_of(attempts_.begin(), attempts_.end(),
+                            [&holder](const Attempt& attempt) {
+                              return attempt.target.server == holder.server &&
+                                     attempt.target.sidecar_incarnation ==
+                                         holder.sidecar_incarnation;
+                            });
+    if (!busy)
+      pending.push_back(holder);
+  }
+  return pending;
+}
+
+void Program::ReleaseAcknowledged(const CacheHolder& holder) {
+  if (holders_.erase(holder) > 0 && state_ != ProgramState::kRunning)
+    Changed();
+}
+
+bool Program::removable() const {
+  bool returned = spec_.parent.empty() || share_returned_;
+  return settled() && returned && holders_.empty() && !committing() && !dirty();
+}
+
+// --- Children ----------------------------------------------------------------
+
+void Program::AddChild(const ProgramId& child, std::int64_t share) {
+  if (state_ != ProgramState::kRunning)
+    throw StateError();
+  if (children_.contains(child))
+    Misuse("child " + child.text() + " exists");
+  budget_.AllocateShare(share);
+  children_.emplace(child, share);
+  Changed();
+}
+
+void Program::ChildSettled(const ProgramId& child, std::int64_t child_spent) {
+  auto entry = children_.find(child);
+  if (entry == children_.end())
+    Misuse("no child " + child.text());
+  budget_.ReturnShare(entry->second, child_spent);
+  children_.erase(entry);
+  Changed();
+}
+
+void Program::MarkShareReturned() {
+  if (!settled() || share_returned_)
+    Misuse("the budget share cannot be returned now");
+  share_returned_ = true;
+  Changed();
+}
+
+// --- Internals ---------------------------------------------------------------
+
+std::vector<Attempt>::iterator Program::Find(const AttemptKey& key) {
+  return std::find_if(
+      attempts_.begin(), attempts_.end(), [&key](const Attempt& attempt) {
+        return attempt.turn == key.turn && attempt.attempt == key.attempt &&
+               attempt.target.work_token == key.work_token;
+      });
+}
+
+std::vector<Attempt>::const_iterator Program::Find(
+    const AttemptKey& key) const {
+  return const_cast<Program*>(this)->Find(key);
+}
+
+const TurnRecord* Program::FindTurn(std::uint32_t turn) const {
+  auto record = std::lower_bound(
+      history_.begin(), history_.end(), turn,
+      [](const TurnRecord& entry, std::uint32_t n) { return entry.turn < n; });
+  return record != history_.end() && record->turn == turn ? &*record : nullptr;
+}
+
+base::Error Program::StateError() const {
+  bool limit = state_ == ProgramState::kLimitReached;
+  return NotRun(
+      limit ? ErrorCode::kLimitReached : ErrorCode::kProgramEnded, Step::kAdmit,
+      "the program is " + std::string(kProgramStateNames.name(state_)) +
+          " after " + std::to_string(last_turn_) + " turns");
+}
+
+void Program::RequireClosable(std::uint32_t turn) const {
+  if (!open_ || open_->turn != turn)
+    Misuse(TurnText(turn) + " is not open");
+  if (!open_->repeatable && HasAttempts(turn))
+    Misuse(TurnText(turn) + " has an attempt that may not be repeated");
+}
+
+void Program::EndTurn(Answer answer) {
+  TurnRecord record;
+  record.turn = open_->turn;
+  record.fingerprint = open_->fingerprint;
+  record.pool = open_->pool;
+  record.operation = open_->operation;
+  record.answer = std::move(answer);
+  history_.push_back(std::move(record));
+  last_turn_ = open_->turn;
+  Changed();
+  CloseTurn();
+}
+
+void Program::CloseTurn() {
+  std::uint32_t turn = open_->turn;
+  open_.reset();
+  std::vector<Attempt> kept;
+  for (Attempt& attempt : attempts_) {
+    if (attempt.turn == turn && !attempt.dispatched) {
+      budget_.Release(attempt.reservation);
+      continue;
+    }
+    attempt.superseded = true;
+    kept.push_back(std::move(attempt));
+  }
+  attempts_ = std::move(kept);
+}
+
+void Program::Finish(ProgramState state) {
+  state_ = state;
+  Changed();
+  std::vector<Attempt> kept;
+  for (Attempt& attempt : attempts_) {
+    if (attempt.dispatched)
+      kept.push_back(std::move(attempt));
+    else
+      budget_.Release(attempt.reservation);
+  }
+  attempts_ = std::move(kept);
+  CloseIfAbandoned();
+}
+
+void Program::CloseIfAbandoned() {
+  if (state_ != ProgramState::kRunning && open_ && !HasAttempts(open_->turn))
+    open_.reset();
+}
+
+bool Program::HasAttempts(std::uint32_t turn) const {
+  return std::any_of(
+      attempts_.begin(), attempts_.end(),
+      [turn](const Attempt& attempt) { return attempt.turn == turn; });
+}
+
+}  // namespace vanillalever::program
