--- a/packages/program/include/vanillalever/program/program.h
+++ b/packages/program/include/vanillalever/program/program.h
@@ -118,14 +118,20 @@
 
   // Closes the open turn without a record, so that its number may be used
   // again. Throws kInternal while a non-repeatable attempt is open; other
-  // attempts only settle their cost. Tell the caller "not run" only if no
-  // attempt was lost, and once the withdrawal is durable.
-  void Withdraw(std::uint32_t turn);
+  // attempts only settle their cost. Returns what the caller may be told once
+  // the withdrawal is durable: kNotRun if every attempt provably did not run,
+  // else kUnknown.
+  base::Ran Withdraw(std::uint32_t turn);
 
   // Ends the open turn as failed, for example at its deadline. The same
   // condition holds as for Withdraw().
   void FailTurn(std::uint32_t turn, Answer answer);
 
+  // Whether a sidecar must keep the answer of this attempt: the attempt is
+  // open, or its turn has ended and is not durable yet. Otherwise the sidecar
+  // may be told to drop it.
+  bool answer_needed(const AttemptKey& key) const;
+
   // Whether the turn has ended and its record is durable.
   bool turn_durable(std::uint32_t turn) const;
 
@@ -220,6 +226,7 @@
   void Finish(ProgramState state);
   // Closes the open turn of an ended program once no attempt of it is left.
   void CloseIfAbandoned();
+  // Whether an attempt of the turn can still end it.
   bool HasAttempts(std::uint32_t turn) const;
 
   // See the accessors.
@@ -229,6 +236,8 @@
   std::optional<CallRequest> open_;
   // Attempts started for the open turn.
   std::uint32_t attempts_started_ = 0;
+  // Whether an attempt of the open turn was lost, so that it may have run.
+  bool lost_attempt_ = false;
   std::vector<Attempt> attempts_;
   std::vector<TurnRecord> history_;
   BudgetLedger budget_;
--- a/packages/program/include/vanillalever/program/program_shard.h
+++ b/packages/program/include/vanillalever/program/program_shard.h
@@ -41,6 +41,9 @@
   std::string key;
   // Budget in tokens, above zero; for a child its share of the parent's budget.
   std::int64_t budget = 0;
+  // Whether the caller stated no budget, so that a repeated create is not
+  // compared with it: the class's default may have been revised since.
+  bool default_budget = false;
   // Program of which the new one is a sub-agent; empty for none.
   ProgramId parent;
   // Random incarnation for the program if it is new.
@@ -115,8 +118,10 @@
   // The batch did not take effect: its changes are collected again.
   void Rejected(const RecordBatch& batch);
 
-  // Whether Collect() would find something.
-  bool dirty() const;
+  // Programs with changes that are not durable, including those of commits in
+  // progress that have changed again; a bound on it limits what a platform
+  // outage may accumulate.
+  std::size_t changed() const;
   // Programs in memory, in order of their ids.
   std::vector<ProgramId> ids() const;
   std::size_t size() const;
--- a/packages/program/src/program.cc
+++ b/packages/program/src/program.cc
@@ -95,6 +95,7 @@
   budget_.Release(call.worst_case_cost);
   open_ = call;
   attempts_started_ = 0;
+  lost_attempt_ = false;
 }
 
 bool Program::CheckLimits(const LoopGuard& guard, base::TimePoint now) {
@@ -208,16 +209,24 @@
     EndTurn(std::move(answer));
     return true;
   }
+  if (!lost.superseded)
+    lost_attempt_ = true;
   if (state_ != ProgramState::kRunning)
     Changed();
   CloseIfAbandoned();
   return true;
 }
 
-void Program::Withdraw(std::uint32_t turn) {
+base::Ran Program::Withdraw(std::uint32_t turn) {
   RequireClosable(turn);
   Changed();
   CloseTurn();
+  bool may_have_run =
+      lost_attempt_ || std::any_of(attempts_.begin(), attempts_.end(),
+                                   [turn](const Attempt& attempt) {
+                                     return attempt.turn == turn;
+                                   });
+  return may_have_run ? base::Ran::kUnknown : base::Ran::kNotRun;
 }
 
 void Program::FailTurn(std::uint32_t turn, Answer answer) {
@@ -226,6 +235,12 @@
   EndTurn(std::move(answer));
 }
 
+bool Program::answer_needed(const AttemptKey& key) const {
+  if (Find(key) != attempts_.end())
+    return true;
+  return key.turn <= last_turn_ && !turn_durable(key.turn);
+}
+
 bool Program::turn_durable(std::uint32_t turn) const {
   return turn > 0 && turn <= durable_turn_;
 }
@@ -405,9 +420,10 @@
 }
 
 bool Program::HasAttempts(std::uint32_t turn) const {
-  return std::any_of(
-      attempts_.begin(), attempts_.end(),
-      [turn](const Attempt& attempt) { return attempt.turn == turn; });
+  return std::any_of(attempts_.begin(), attempts_.end(),
+                     [turn](const Attempt& attempt) {
+                       return attempt.turn == turn && !attempt.superseded;
+                     });
 }
 
 }  // namespace vanillalever::program
--- a/packages/program/src/program_shard.cc
+++ b/packages/program/src/program_shard.cc
@@ -79,7 +79,8 @@
                                   const CreateRequest& request) const {
   const ProgramSpec& spec = program.spec();
   bool same = spec.program_class == request.program_class &&
-              spec.parent == request.parent && spec.budget == request.budget &&
+              spec.parent == request.parent &&
+              (request.default_budget || spec.budget == request.budget) &&
               spec.organisation == request.organisation &&
               spec.key == request.key;
   if (!same) {
@@ -267,9 +268,9 @@
   }
 }
 
-bool ProgramShard::dirty() const {
+std::size_t ProgramShard::changed() const {
   std::lock_guard lock(mutex_);
-  return !queue_.empty();
+  return queue_.size();
 }
 
 std::vector<ProgramId> ProgramShard::ids() const {
