Test the program, its ledger, rows and batches

The decisions of the program package had no tests.

Adds step tests for turn order, answers, intents, hedging, limits, cancel and release, a randomised comparison of BudgetLedger with a simple model (200 seeds), strict-parse tests and 20,000 seeded mutations of rows and keys. Program::Accept reported a malformed answer as not run; the call did run, and the error now says so.

--- a/packages/program/src/program.cc
+++ b/packages/program/src/program.cc
@@ -19,6 +19,24 @@
   return NotRun(ErrorCode::kTurnConflict, Step::kAdmit, std::move(message));
 }
 
+// Refuses an answer that cannot be recorded; its call did run.
+void CheckAnswer(const Answer& answer, const std::string& server) {
+  base::ErrorInfo info;
+  info.step = Step::kAnswer;
+  info.peer = server;
+  info.ran = base::Ran::kRan;
+  if (answer.input_tokens < 0 || answer.output_tokens < 0 || answer.cost < 0) {
+    info.code = ErrorCode::kInvalidRequest;
+    info.message = "the answer has a negative amount";
+    throw base::Error(std::move(info));
+  }
+  if (answer.body.size() > kMaxInlineBody && answer.object.empty()) {
+    info.code = ErrorCode::kTooLarge;
+    info.message = "the answer's body needs an object";
+    throw base::Error(std::move(info));
+  }
+}
+
 std::string TurnText(std::uint32_t turn) {
   return "turn " + std::to_string(turn);
 }
@@ -156,14 +174,7 @@
     ++dropped_answers_;
     return AnswerMatch::kDropped;
   }
-  if (answer.input_tokens < 0 || answer.output_tokens < 0 || answer.cost < 0) {
-    throw NotRun(ErrorCode::kInvalidRequest, Step::kAnswer,
-                 "the answer has a negative amount", attempt->target.server);
-  }
-  if (answer.body.size() > kMaxInlineBody && answer.object.empty()) {
-    throw NotRun(ErrorCode::kTooLarge, Step::kAnswer,
-                 "the answer's body needs an object", attempt->target.server);
-  }
+  CheckAnswer(answer, attempt->target.server);
   Attempt settled = std::move(*attempt);
   attempts_.erase(attempt);
   if (answer.outcome == TurnOutcome::kUnknown) {
--- /dev/null
+++ b/packages/program/tests/budget_ledger_test.cc
@@ -0,0 +1,175 @@
+#include "vanillalever/program/budget_ledger.h"
+
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "vanillalever/base/error.h"
+#include "vanillalever/base/random.h"
+
+namespace vanillalever::program {
+namespace {
+
+// Guards against a call that is admitted although its worst case does not fit.
+TEST_CASE("a reservation above what is left is refused and changes nothing") {
+  BudgetLedger ledger(100);
+  ledger.Reserve(60);
+  CHECK_THROWS_AS(ledger.Reserve(41), base::Error);
+  CHECK_THROWS_AS(ledger.AllocateShare(41), base::Error);
+  CHECK(ledger.available() == 40);
+  ledger.Settle(60, 10);
+  CHECK(ledger.spent() == 10);
+  CHECK(ledger.available() == 90);
+}
+
+// Guards against spending above the limit when an engine exceeds max_tokens.
+TEST_CASE("a cost above the limit is clamped and counted") {
+  BudgetLedger ledger(100);
+  ledger.Reserve(50);
+  ledger.Settle(50, 130);
+  CHECK(ledger.spent() == 100);
+  CHECK(ledger.overrun() == 30);
+  CHECK(ledger.available() == 0);
+}
+
+// Guards against a dispatch that a crash would leave uncounted.
+TEST_CASE("only what both results of a commit cover may be dispatched") {
+  BudgetLedger ledger(1000);
+  ledger.Reserve(100);
+  CHECK_FALSE(ledger.covered());
+  BudgetImage image = ledger.BeginCommit(100);
+  CHECK(image == BudgetImage{1000, 0, 200, 0});
+  CHECK_FALSE(ledger.covered());
+  ledger.CommitApplied();
+  CHECK(ledger.covered());
+  CHECK(ledger.covers(100));
+  CHECK_FALSE(ledger.covers(101));
+  // A commit in progress that lowers the ceiling already counts.
+  ledger.Settle(100, 10);
+  ledger.BeginCommit(20);
+  CHECK(ledger.covers(20));
+  CHECK_FALSE(ledger.covers(21));
+  ledger.CommitRejected();
+  CHECK(ledger.covers(190));
+}
+
+// Guards against an allowance that is lost from the account after a crash.
+TEST_CASE("recovery counts the allowance as spent, but not an open intent") {
+  BudgetLedger ledger = BudgetLedger::Recover({1000, 50, 300, 200}, 100);
+  CHECK(ledger.spent() == 250);
+  CHECK(ledger.reserved() == 100);
+  CHECK(ledger.available() == 450);
+  CHECK(ledger.covered());
+  CHECK_FALSE(ledger.covers(1));
+  ledger.Release(100);
+  CHECK(ledger.covers(100));
+  CHECK_THROWS_AS(BudgetLedger::Recover({100, 50, 51, 0}, 0), base::Error);
+  CHECK_THROWS_AS(BudgetLedger::Recover({100, 0, 50, 0}, 51), base::Error);
+  CHECK_THROWS_AS(BudgetLedger::Recover({100, -1, 0, 0}, 0), base::Error);
+  CHECK_THROWS_AS(
+      BudgetLedger::Recover({INT64_MAX, INT64_MAX, INT64_MAX, 1}, 0),
+      base::Error);
+}
+
+// Simple model of a ledger and of what its stored row promises.
+struct Model {
+  std::int64_t spent = 0;
+  std::vector<std::int64_t> reservations;
+  std::vector<std::int64_t> shares;
+
+  std::int64_t used() const {
+    std::int64_t sum = spent;
+    for (std::int64_t amount : reservations)
+      sum += amount;
+    for (std::int64_t amount : shares)
+      sum += amount;
+    return sum;
+  }
+};
+
+std::int64_t Take(std::vector<std::int64_t>& amounts, base::Random& random) {
+  std::size_t index = random.Below(amounts.size());
+  std::int64_t amount = amounts[index];
+  amounts.erase(amounts.begin() + static_cast<std::ptrdiff_t>(index));
+  return amount;
+}
+
+void Step(BudgetLedger& ledger, Model& model, base::Random& random) {
+  auto amount = static_cast<std::int64_t>(random.Below(300));
+  bool fits = model.used() + amount <= ledger.limit();
+  switch (random.Below(6)) {
+    case 0:
+      CHECK(fits == [&] {
+        try {
+          ledger.Reserve(amount);
+          model.reservations.push_back(amount);
+          return true;
+        } catch (const base::Error&) {
+          return false;
+        }
+      }());
+      break;
+    case 1:
+      if (!model.reservations.empty()) {
+        std::int64_t reserved = Take(model.reservations, random);
+        std::int64_t actual = std::min(reserved, amount);
+        ledger.Settle(reserved, actual);
+        model.spent += actual;
+      }
+      break;
+    case 2:
+      if (!model.reservations.empty()) {
+        std::int64_t reserved = Take(model.reservations, random);
+        ledger.KeepAsSpent(reserved);
+        model.spent += reserved;
+      }
+      break;
+    case 3:
+      if (!model.reservations.empty())
+        ledger.Release(Take(model.reservations, random));
+      break;
+    case 4:
+      if (fits) {
+        ledger.AllocateShare(amount);
+        model.shares.push_back(amount);
+      }
+      break;
+    default:
+      if (!model.shares.empty()) {
+        std::int64_t share = Take(model.shares, random);
+        std::int64_t cost = std::min(share, amount);
+        ledger.ReturnShare(share, cost);
+        model.spent += cost;
+      }
+  }
+}
+
+// Guards against amounts that drift from the sum of the operations, and against
+// a stored row that promises more than the limit.
+TEST_CASE("random operations agree with a simple model") {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    CAPTURE(seed);
+    base::Random random(seed);
+    BudgetLedger ledger(1000);
+    Model model;
+    for (int step = 0; step < 200; ++step) {
+      Step(ledger, model, random);
+      REQUIRE(ledger.spent() == model.spent);
+      REQUIRE(ledger.available() == ledger.limit() - model.used());
+      REQUIRE(ledger.available() >= 0);
+      if (random.Below(4) == 0) {
+        auto allowance = static_cast<std::int64_t>(random.Below(400));
+        BudgetImage image = ledger.BeginCommit(allowance);
+        REQUIRE(image.spent + image.held + image.shared <= image.limit);
+        REQUIRE(image.spent + image.held >= ledger.spent() + ledger.reserved());
+        if (random.Below(2) == 0)
+          ledger.CommitApplied();
+        else
+          ledger.CommitRejected();
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace vanillalever::program
--- /dev/null
+++ b/packages/program/tests/program_codec_test.cc
@@ -0,0 +1,255 @@
+#include "vanillalever/program/program_codec.h"
+
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "program_fixture.h"
+#include "vanillalever/base/random.h"
+
+namespace vanillalever::program {
+namespace {
+
+using nlohmann::json;
+
+ProgramHead MakeHead() {
+  ProgramHead head;
+  head.spec = MakeSpec(1000);
+  head.last_turn = 2;
+  head.elapsed = base::milliseconds(1234);
+  head.budget = {1000, 80, 300, 200};
+  head.open = OpenTurn{MakeCall(3, false), {2, MakeTarget("t3"), 100}};
+  head.holders = {{"10.0.0.1:7000", "s1"}, {"10.0.0.2:7000", "s2"}};
+  head.children = {{ProgramId::ForChild(head.spec.id, "casca", "child"), 200}};
+  return head;
+}
+
+std::string HeadKey() {
+  return ProgramCodec::HeadKey(MakeSpec().id);
+}
+
+TurnRecord MakeRecord(std::string body) {
+  return {2, "fingerprint-2", "models", "chat", MakeAnswer(std::move(body))};
+}
+
+// Guards against ids that are read differently than they were written.
+TEST_CASE("program ids and row keys are parsed strictly") {
+  ProgramId id = ProgramId::ForRoot("casca", "lot-7");
+  CHECK(ProgramId::Parse(id.text()) == id);
+  CHECK(id.shard() < kShardCount);
+  CHECK(ProgramId::ForRoot("cascal", "ot-7") != id);
+  ProgramId child = ProgramId::ForChild(id, "casca", "child");
+  CHECK(child.shard() == id.shard());
+  std::string hash(32, 'a');
+  for (const std::string& text :
+       {std::string(), std::string("."), "64." + hash, "01." + hash,
+        "-1." + hash, "+1." + hash, "1." + hash + "a", "1." + hash.substr(1),
+        "1." + std::string(32, 'A'), "1 ." + hash, hash})
+    CHECK(CodeOf([&] { ProgramId::Parse(text); }) == "invalid_request/not_run");
+  CHECK(ProgramCodec::ParseKey(ProgramCodec::TurnKey(id, 12)).turn == 12);
+  CHECK_FALSE(ProgramCodec::ParseKey(HeadKey()).turn);
+  std::string prefix = ProgramCodec::ShardPrefix(id.shard()) + id.text();
+  for (const std::string& key :
+       {std::string("prog/"), prefix, prefix + "/t/0", prefix + "/t/01",
+        prefix + "/t/4294967296", prefix + "/t/1/", prefix + "/head/",
+        prefix + "/x/1", "prog/65/" + id.text() + "/head"})
+    CHECK(CodeOf([&] { ProgramCodec::ParseKey(key); }) ==
+          "invalid_request/not_run");
+}
+
+// Guards against state that is lost between two owners.
+TEST_CASE("rows are read back as they were written") {
+  ProgramHead head = MakeHead();
+  std::string text = ProgramCodec::EncodeHead(head);
+  ProgramHead read = ProgramCodec::DecodeHead(HeadKey(), text);
+  CHECK(ProgramCodec::EncodeHead(read) == text);
+  CHECK(read.spec == head.spec);
+  CHECK(read.budget == head.budget);
+  CHECK(read.open->intent == head.open->intent);
+  CHECK(read.children == head.children);
+  std::string key = ProgramCodec::TurnKey(head.spec.id, 2);
+  for (const std::string& body :
+       {std::string(), std::string("S\xc3\xa3o \"x\"\n"),
+        std::string("\x00\xff\xfe", 3), std::string(kMaxInlineBody, '\xff')}) {
+    TurnRecord record = MakeRecord(body);
+    std::string row = ProgramCodec::EncodeTurn(record, "i1");
+    CHECK(ProgramCodec::DecodeTurn(key, row, "i1") == record);
+  }
+  TurnRecord large = MakeRecord(std::string(100'000, 'x'));
+  large.answer.object = ProgramCodec::ObjectName(head.spec.id, "i1", 2);
+  std::string row = ProgramCodec::EncodeTurn(large, "i1");
+  CHECK(row.size() < 1000);
+  CHECK(ProgramCodec::DecodeTurn(key, row, "i1").answer.object ==
+        large.answer.object);
+}
+
+// Guards against a row of another program, life or turn that is mixed in.
+TEST_CASE("rows that belong elsewhere are refused") {
+  std::string text = ProgramCodec::EncodeHead(MakeHead());
+  ProgramId other = ProgramId::ForRoot("casca", "lot-8");
+  CHECK_THROWS_AS(ProgramCodec::DecodeHead(ProgramCodec::HeadKey(other), text),
+                  base::Error);
+  std::string turn = ProgramCodec::EncodeTurn(MakeRecord("a"), "i1");
+  ProgramId id = MakeSpec().id;
+  CHECK_THROWS_AS(
+      ProgramCodec::DecodeTurn(ProgramCodec::TurnKey(id, 2), turn, "i2"),
+      base::Error);
+  CHECK_THROWS_AS(
+      ProgramCodec::DecodeTurn(ProgramCodec::TurnKey(id, 3), turn, "i1"),
+      base::Error);
+}
+
+// Guards against half-read rows: every field is required, typed and known.
+TEST_CASE("a missing, mistyped or unknown field is refused") {
+  json head = json::parse(ProgramCodec::EncodeHead(MakeHead()));
+  json turn = json::parse(ProgramCodec::EncodeTurn(MakeRecord("a"), "i1"));
+  auto check = [](const json& row, bool is_head) {
+    ProgramId id = MakeSpec().id;
+    std::string text = row.dump();
+    CAPTURE(text);
+    if (is_head) {
+      CHECK_THROWS_AS(ProgramCodec::DecodeHead(HeadKey(), text), base::Error);
+    } else {
+      CHECK_THROWS_AS(
+          ProgramCodec::DecodeTurn(ProgramCodec::TurnKey(id, 2), text, "i1"),
+          base::Error);
+    }
+  };
+  for (const json& row : {head, turn}) {
+    bool is_head = row.contains("budget");
+    for (const auto& [name, value] : row.items()) {
+      json changed = row;
+      // The open turn is optional.
+      if (name != "open") {
+        changed.erase(name);
+        check(changed, is_head);
+      }
+      changed[name] = -1.5;
+      check(changed, is_head);
+      changed[name] = nullptr;
+      check(changed, is_head);
+    }
+    json extended = row;
+    extended["more"] = 1;
+    check(extended, is_head);
+  }
+  for (const auto& [pointer, value] :
+       std::vector<std::pair<std::string, json>>{{"/budget/limit", 300},
+                                                 {"/budget/spent", -1},
+                                                 {"/budget/shared", 199},
+                                                 {"/budget/held", UINT64_MAX},
+                                                 {"/open/turn", 4},
+                                                 {"/open/attempt", 0},
+                                                 {"/open/reservation", 301},
+                                                 {"/elapsed_ms", UINT64_MAX},
+                                                 {"/last_turn", 1},
+                                                 {"/state", "resting"},
+                                                 {"/format", 2},
+                                                 {"/key", "lot-8"},
+                                                 {"/share_returned", true}}) {
+    json changed = head;
+    changed[json::json_pointer(pointer)] = value;
+    check(changed, true);
+  }
+}
+
+// Guards against a recovered history with a gap, a double or a stranger.
+TEST_CASE("recovery refuses row sets that contradict one another") {
+  ProgramHead head = MakeHead();
+  ProgramId id = head.spec.id;
+  StoredRow head_row{HeadKey(), ProgramCodec::EncodeHead(head), 7};
+  auto turn_row = [&](std::uint32_t turn) {
+    TurnRecord record = MakeRecord("a");
+    record.turn = turn;
+    return StoredRow{ProgramCodec::TurnKey(id, turn),
+                     ProgramCodec::EncodeTurn(record, head.spec.incarnation),
+                     5};
+  };
+  Program program =
+      ProgramCodec::Recover({turn_row(2), head_row, turn_row(1)}, kStart);
+  CHECK(program.last_turn() == 2);
+  CHECK(program.history().size() == 2);
+  CHECK(program.head_version() == 7);
+  CHECK(program.budget().spent() == 280);
+  CHECK(program.open_intents().size() == 1);
+  CHECK(program.elapsed(kStart).count() == 1234);
+  CHECK_FALSE(program.dirty());
+  CHECK(ProgramCodec::Recover({head_row}, kStart).history().empty());
+  CHECK_THROWS_AS(ProgramCodec::Recover({}, kStart), base::Error);
+  CHECK_THROWS_AS(ProgramCodec::Recover({turn_row(1)}, kStart), base::Error);
+  CHECK_THROWS_AS(ProgramCodec::Recover({head_row, head_row}, kStart),
+                  base::Error);
+  CHECK_THROWS_AS(
+      ProgramCodec::Recover({head_row, turn_row(1), turn_row(1)}, kStart),
+      base::Error);
+  CHECK_THROWS_AS(ProgramCodec::Recover({head_row, turn_row(3)}, kStart),
+                  base::Error);
+}
+
+// Changes a few bytes, or splices two parts, of a valid row.
+std::string Mutate(std::string text, base::Random& random) {
+  static const std::string kBytes = "{}[]\":,-+.0123456789eEntfu\\\xff\x00 ";
+  for (std::uint64_t n = 1 + random.Below(4); n > 0 && !text.empty(); --n) {
+    std::size_t at = random.Below(text.size());
+    switch (random.Below(4)) {
+      case 0:
+        text[at] = kBytes[random.Below(kBytes.size())];
+        break;
+      case 1:
+        text.erase(at, 1 + random.Below(8));
+        break;
+      case 2:
+        text.insert(
+            at, text.substr(random.Below(text.size()), 1 + random.Below(16)));
+        break;
+      default:
+        text[at] = static_cast<char>(random.Below(256));
+    }
+  }
+  return text;
+}
+
+// Guards against a crash, a foreign exception or an inconsistent program when a
+// row is damaged: decoding throws base::Error or gives a program that holds
+// the budget's invariant and encodes to an equal row.
+TEST_CASE("mutated rows are refused or consistent") {
+  std::string head = ProgramCodec::EncodeHead(MakeHead());
+  std::string turn = ProgramCodec::EncodeTurn(MakeRecord("answer"), "i1");
+  std::string turn_key = ProgramCodec::TurnKey(MakeSpec().id, 2);
+  for (std::uint64_t seed = 1; seed <= 20'000; ++seed) {
+    base::Random random(seed);
+    std::string text = Mutate(head, random);
+    try {
+      Program program = ProgramCodec::Recover({{HeadKey(), text, 1}}, kStart);
+      CAPTURE(seed, text);
+      REQUIRE(program.budget().available() >= 0);
+      ProgramImage image = program.BeginCommit(kStart);
+      ProgramChange change = ProgramCodec::EncodeChange(image);
+      ProgramHead again =
+          ProgramCodec::DecodeHead(HeadKey(), *change.writes.front().value);
+      REQUIRE(again.budget == image.head.budget);
+    } catch (const base::Error&) {
+    }
+    text = Mutate(turn, random);
+    try {
+      TurnRecord record = ProgramCodec::DecodeTurn(turn_key, text, "i1");
+      CAPTURE(seed, text);
+      REQUIRE(ProgramCodec::DecodeTurn(turn_key,
+                                       ProgramCodec::EncodeTurn(record, "i1"),
+                                       "i1") == record);
+    } catch (const base::Error&) {
+    }
+    text = Mutate(turn_key, random);
+    try {
+      ProgramRowKey key = ProgramCodec::ParseKey(text);
+      REQUIRE((key.turn ? ProgramCodec::TurnKey(key.id, *key.turn)
+                        : ProgramCodec::HeadKey(key.id)) == text);
+    } catch (const base::Error&) {
+    }
+  }
+}
+
+}  // namespace
+}  // namespace vanillalever::program
--- /dev/null
+++ b/packages/program/tests/program_fixture.h
@@ -0,0 +1,78 @@
+#ifndef VANILLALEVER_PROGRAM_TESTS_PROGRAM_FIXTURE_H_
+#define VANILLALEVER_PROGRAM_TESTS_PROGRAM_FIXTURE_H_
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "vanillalever/base/clock.h"
+#include "vanillalever/base/error.h"
+#include "vanillalever/program/program.h"
+
+namespace vanillalever::program {
+
+inline const base::TimePoint kStart{std::chrono::hours(1)};
+inline const LoopGuard kNoLimits{LoopLimits{}};
+
+inline ProgramSpec MakeSpec(std::int64_t budget = 10'000) {
+  return {ProgramId::ForRoot("casca", "lot-7"),
+          "incarnation-1",
+          "casca",
+          "quality-review",
+          ProgramId(),
+          "lot-7",
+          budget};
+}
+
+inline CallRequest MakeCall(std::uint32_t turn,
+                            bool repeatable = true,
+                            std::string fingerprint = "") {
+  if (fingerprint.empty())
+    fingerprint = "fingerprint-" + std::to_string(turn);
+  return {turn, std::move(fingerprint), "models", "chat", repeatable, 100};
+}
+
+inline AttemptTarget MakeTarget(std::string token,
+                                std::string server = "10.0.0.1:7000") {
+  return {std::move(server), "sidecar-1", 3, std::move(token), true};
+}
+
+inline Answer MakeAnswer(std::string body, std::int64_t cost = 40) {
+  return {TurnOutcome::kDone, std::move(body), "", 30, 10, cost};
+}
+
+// Commits what is due; returns the image.
+inline ProgramImage Commit(Program& program) {
+  ProgramImage image = program.BeginCommit(kStart);
+  program.CommitApplied(program.head_version() + 1);
+  return image;
+}
+
+// Runs one whole turn.
+inline void RunTurn(Program& program, std::uint32_t turn) {
+  program.Admit(MakeCall(turn), kNoLimits, kStart);
+  AttemptKey key =
+      program.StartAttempt(turn, MakeTarget("token-" + std::to_string(turn)));
+  if (program.dispatch_state(key) == DispatchState::kAwaitCommit)
+    Commit(program);
+  program.MarkDispatched(key);
+  program.Accept(key, MakeAnswer("answer-" + std::to_string(turn)));
+  Commit(program);
+}
+
+// Error code and ran state that `function` throws, as "code/ran"; "no error" if
+// it throws nothing.
+template <typename Function>
+std::string CodeOf(Function&& function) {
+  try {
+    function();
+  } catch (const base::Error& error) {
+    return std::string(base::kErrorCodeNames.name(error.info().code)) + "/" +
+           std::string(base::kRanNames.name(error.info().ran));
+  }
+  return "no error";
+}
+
+}  // namespace vanillalever::program
+
+#endif  // VANILLALEVER_PROGRAM_TESTS_PROGRAM_FIXTURE_H_
--- /dev/null
+++ b/packages/program/tests/program_test.cc
@@ -0,0 +1,273 @@
+#include "vanillalever/program/program.h"
+
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "program_fixture.h"
+#include "vanillalever/base/random.h"
+
+namespace vanillalever::program {
+namespace {
+
+AdmitAction Admit(Program& program, const CallRequest& call) {
+  return program.Admit(call, kNoLimits, kStart).action;
+}
+
+// Guards against calls that run out of order, twice, or under a used number.
+TEST_CASE("turns are admitted in order and repeats are answered") {
+  Program program(MakeSpec(), kStart, 100);
+  Commit(program);
+  CHECK(CodeOf([&] { Admit(program, MakeCall(0)); }) ==
+        "invalid_request/not_run");
+  CHECK(CodeOf([&] { Admit(program, MakeCall(2)); }) ==
+        "turn_conflict/not_run");
+  CHECK(Admit(program, MakeCall(1)) == AdmitAction::kRun);
+  CHECK(Admit(program, MakeCall(1)) == AdmitAction::kJoin);
+  CHECK(CodeOf([&] { Admit(program, MakeCall(1, true, "other")); }) ==
+        "turn_conflict/not_run");
+  CHECK(CodeOf([&] { Admit(program, MakeCall(2)); }) ==
+        "turn_conflict/not_run");
+  AttemptKey key = program.StartAttempt(1, MakeTarget("t1"));
+  program.MarkDispatched(key);
+  CHECK(program.Accept(key, MakeAnswer("a")) == AnswerMatch::kEndedTurn);
+  // Ended but not durable: nobody may be answered or go on.
+  CHECK(Admit(program, MakeCall(1)) == AdmitAction::kJoin);
+  CHECK(CodeOf([&] { Admit(program, MakeCall(2)); }) ==
+        "turn_conflict/not_run");
+  CHECK(program.answer_needed(key));
+  Commit(program);
+  CHECK_FALSE(program.answer_needed(key));
+  Admission repeat = program.Admit(MakeCall(1), kNoLimits, kStart);
+  CHECK(repeat.action == AdmitAction::kAnswer);
+  CHECK(repeat.record->answer.body == "a");
+  CHECK(CodeOf([&] { Admit(program, MakeCall(1, true, "other")); }) ==
+        "turn_conflict/not_run");
+  CHECK(Admit(program, MakeCall(2)) == AdmitAction::kRun);
+}
+
+// Guards against an answer that reaches a request it does not belong to.
+TEST_CASE("late, doubled and crossed answers are counted and dropped") {
+  Program program(MakeSpec(), kStart, 100);
+  Commit(program);
+  Admit(program, MakeCall(1));
+  AttemptKey first = program.StartAttempt(1, MakeTarget("t1"));
+  CHECK(program.Accept(first, MakeAnswer("early")) == AnswerMatch::kDropped);
+  program.MarkDispatched(first);
+  CHECK(program.Accept({1, 1, "t2"}, MakeAnswer("x")) == AnswerMatch::kDropped);
+  CHECK(program.Accept({1, 2, "t1"}, MakeAnswer("x")) == AnswerMatch::kDropped);
+  CHECK(program.Accept({2, 1, "t1"}, MakeAnswer("x")) == AnswerMatch::kDropped);
+  CHECK(program.AttemptLost(first));
+  CHECK(program.Accept(first, MakeAnswer("late")) == AnswerMatch::kDropped);
+  AttemptKey second = program.StartAttempt(1, MakeTarget("t2"));
+  Commit(program);
+  program.MarkDispatched(second);
+  CHECK(program.Accept(second, MakeAnswer("good")) == AnswerMatch::kEndedTurn);
+  CHECK(program.Accept(second, MakeAnswer("twice")) == AnswerMatch::kDropped);
+  CHECK(program.dropped_answers() == 6);
+  CHECK(program.history().back().answer.body == "good");
+  // The lost attempt keeps its reservation.
+  CHECK(program.budget().spent() == 140);
+  CHECK(program.budget().reserved() == 0);
+}
+
+// Guards against a hedged request whose loser is forgotten in the budget.
+TEST_CASE("the first of two hedged attempts ends the turn") {
+  Program program(MakeSpec(), kStart, 200);
+  Commit(program);
+  Admit(program, MakeCall(1));
+  AttemptKey slow = program.StartAttempt(1, MakeTarget("t1"));
+  AttemptKey fast = program.StartAttempt(1, MakeTarget("t2", "10.0.0.2:7000"));
+  program.MarkDispatched(slow);
+  program.MarkDispatched(fast);
+  CHECK(program.Accept(fast, MakeAnswer("f")) == AnswerMatch::kEndedTurn);
+  CHECK(program.budget().reserved() == 100);
+  Commit(program);
+  CHECK(Admit(program, MakeCall(2)) == AdmitAction::kRun);
+  CHECK(program.Accept(slow, MakeAnswer("s", 7)) == AnswerMatch::kSettledCost);
+  CHECK(program.budget().spent() == 47);
+  CHECK(program.history().back().answer.body == "f");
+}
+
+// Guards against a dispatch whose cost or effect a crash would forget.
+TEST_CASE("an attempt waits until intent and reservation are durable") {
+  Program program(MakeSpec(), kStart, 100);
+  Admit(program, MakeCall(1));
+  AttemptKey key = program.StartAttempt(1, MakeTarget("t1"));
+  CHECK(program.dispatch_state(key) == DispatchState::kAwaitCommit);
+  CHECK(CodeOf([&] { program.MarkDispatched(key); }) == "internal/not_run");
+  Commit(program);
+  CHECK(program.dispatch_state(key) == DispatchState::kReady);
+  program.MarkDispatched(key);
+  CHECK(program.dispatch_state(key) == DispatchState::kGone);
+  program.Accept(key, MakeAnswer("a"));
+  Commit(program);
+  // The allowance covers the next repeatable call, but never an intent.
+  Admit(program, MakeCall(2));
+  AttemptKey second = program.StartAttempt(2, MakeTarget("t2"));
+  CHECK(program.dispatch_state(second) == DispatchState::kReady);
+  program.MarkDispatched(second);
+  program.Accept(second, MakeAnswer("b"));
+  Commit(program);
+  Admit(program, MakeCall(3, false));
+  // A commit that began before the intent does not make it durable.
+  program.BeginCommit(kStart);
+  AttemptKey pay = program.StartAttempt(3, MakeTarget("t3"));
+  CHECK(program.dispatch_state(pay) == DispatchState::kAwaitCommit);
+  program.CommitApplied(9);
+  CHECK(program.dispatch_state(pay) == DispatchState::kAwaitCommit);
+  Commit(program);
+  CHECK(program.dispatch_state(pay) == DispatchState::kReady);
+  CHECK(CodeOf([&] { program.StartAttempt(3, MakeTarget("t4")); }) ==
+        "internal/not_run");
+}
+
+// Guards against "not run" told about a call that may have run.
+TEST_CASE("a withdrawn turn is not run only on proof") {
+  Program program(MakeSpec(), kStart, 300);
+  Commit(program);
+  Admit(program, MakeCall(1));
+  AttemptKey key = program.StartAttempt(1, MakeTarget("t1"));
+  CHECK(program.AttemptNotRun(key));
+  CHECK_FALSE(program.AttemptNotRun(key));
+  CHECK(program.Withdraw(1) == base::Ran::kNotRun);
+  CHECK(program.budget().available() == 10'000);
+  Admit(program, MakeCall(1, true, "changed"));
+  key = program.StartAttempt(1, MakeTarget("t2"));
+  program.MarkDispatched(key);
+  program.AttemptLost(key);
+  CHECK(program.Withdraw(1) == base::Ran::kUnknown);
+  Commit(program);
+  Admit(program, MakeCall(1));
+  key = program.StartAttempt(1, MakeTarget("t3"));
+  program.MarkDispatched(key);
+  CHECK(program.Withdraw(1) == base::Ran::kUnknown);
+  CHECK(program.Accept(key, MakeAnswer("x")) == AnswerMatch::kSettledCost);
+  CHECK(program.last_turn() == 0);
+}
+
+// Guards against a payment that is run again after its outcome was lost.
+TEST_CASE("a lost non-repeatable call ends its turn as unknown") {
+  Program program(MakeSpec(), kStart);
+  Admit(program, MakeCall(1, false));
+  AttemptKey key = program.StartAttempt(1, MakeTarget("t1"));
+  Commit(program);
+  program.MarkDispatched(key);
+  CHECK(program.open_intents().size() == 1);
+  CHECK(CodeOf([&] { program.Withdraw(1); }) == "internal/not_run");
+  CHECK(CodeOf([&] { program.FailTurn(1, Answer()); }) == "internal/not_run");
+  CHECK(program.AttemptLost(key));
+  Commit(program);
+  Admission repeat = program.Admit(MakeCall(1, false), kNoLimits, kStart);
+  CHECK(repeat.record->answer.outcome == TurnOutcome::kUnknown);
+  CHECK(program.budget().spent() == 100);
+  CHECK(Admit(program, MakeCall(2)) == AdmitAction::kRun);
+}
+
+// Guards against programs that loop without end.
+TEST_CASE("declared limits end a program with a clear error") {
+  LoopGuard turns({.max_turns = 1});
+  LoopGuard time({.max_elapsed = base::seconds(60)});
+  LoopGuard spend({.max_spend = 40});
+  for (const LoopGuard& guard : {turns, time, spend}) {
+    Program program(MakeSpec(), kStart, 100);
+    RunTurn(program, 1);
+    base::TimePoint later = kStart + base::seconds(61);
+    CHECK(CodeOf([&] { program.Admit(MakeCall(2), guard, later); }) ==
+          "limit_reached/not_run");
+    CHECK(program.state() == ProgramState::kLimitReached);
+    CHECK(program.dirty());
+    Commit(program);
+    CHECK(program.Admit(MakeCall(1), guard, later).action ==
+          AdmitAction::kAnswer);
+    CHECK(CodeOf([&] { Admit(program, MakeCall(2)); }) ==
+          "limit_reached/not_run");
+  }
+  Program program(MakeSpec(), kStart);
+  CHECK_FALSE(program.CheckLimits(time, kStart + base::seconds(59)));
+  CHECK(program.CheckLimits(time, kStart + base::seconds(60)));
+  auto error = LoopGuard({.max_turns = 1}).Check({.turns = 1});
+  CHECK(error->message ==
+        "the program reached its declared limit on turns: 1 of 1 turns");
+}
+
+// Guards against engine memory that stays allocated for an ended program.
+TEST_CASE("releases stay due until every holder has acknowledged") {
+  Program program(MakeSpec(), kStart, 100);
+  RunTurn(program, 1);
+  CHECK(program.pending_releases().empty());
+  program.End();
+  CHECK(program.pending_releases().size() == 1);
+  CHECK_FALSE(program.removable());
+  Commit(program);
+  CHECK_FALSE(program.removable());
+  program.ReleaseAcknowledged({"10.0.0.1:7000", "another incarnation"});
+  CHECK(program.pending_releases().size() == 1);
+  program.ReleaseAcknowledged({"10.0.0.1:7000", "sidecar-1"});
+  CHECK(program.pending_releases().empty());
+  CHECK_FALSE(program.removable());
+  Commit(program);
+  CHECK(program.removable());
+  CHECK(CodeOf([&] { Admit(program, MakeCall(2)); }) ==
+        "program_ended/not_run");
+}
+
+// Guards against a cancel that forgets running work, or lets unsent work out.
+TEST_CASE("cancel withdraws unsent attempts and awaits the others") {
+  Program program(MakeSpec(), kStart, 100);
+  Commit(program);
+  Admit(program, MakeCall(1));
+  AttemptKey unsent = program.StartAttempt(1, MakeTarget("t1"));
+  CHECK(program.Cancel().empty());
+  CHECK(program.dispatch_state(unsent) == DispatchState::kGone);
+  CHECK(program.settled());
+  CHECK(program.budget().available() == 10'000);
+
+  Program paying(MakeSpec(), kStart);
+  Admit(paying, MakeCall(1, false));
+  AttemptKey sent = paying.StartAttempt(1, MakeTarget("t1"));
+  Commit(paying);
+  paying.MarkDispatched(sent);
+  CHECK(CodeOf([&] { paying.End(); }) == "turn_conflict/not_run");
+  CHECK(paying.Cancel().size() == 1);
+  CHECK_FALSE(paying.settled());
+  CHECK(paying.pending_releases().empty());
+  CHECK(paying.Accept(sent, MakeAnswer("paid")) == AnswerMatch::kEndedTurn);
+  CHECK(paying.settled());
+  CHECK(paying.pending_releases().size() == 1);
+  Commit(paying);
+  CHECK(Admit(paying, MakeCall(1, false)) == AdmitAction::kAnswer);
+}
+
+// Guards against a memory that grows with the length of the history.
+TEST_CASE("trimmed turns are reported as stored") {
+  Program program(MakeSpec(), kStart, 100);
+  for (std::uint32_t turn = 1; turn <= 5; ++turn)
+    RunTurn(program, turn);
+  program.TrimHistory(2);
+  CHECK(program.history().size() == 2);
+  CHECK(Admit(program, MakeCall(3)) == AdmitAction::kReadHistory);
+  CHECK(Admit(program, MakeCall(4)) == AdmitAction::kAnswer);
+  TurnRecord stored{3, "fingerprint-3", "models", "chat", Answer()};
+  CheckRepeat(MakeCall(3), stored);
+  CHECK(CodeOf([&] { CheckRepeat(MakeCall(3, true, "other"), stored); }) ==
+        "turn_conflict/not_run");
+}
+
+// Guards against an answer that is lost or charged because it was malformed.
+TEST_CASE("a malformed answer is refused without a change") {
+  Program program(MakeSpec(), kStart, 100);
+  Commit(program);
+  Admit(program, MakeCall(1));
+  AttemptKey key = program.StartAttempt(1, MakeTarget("t1"));
+  program.MarkDispatched(key);
+  Answer large = MakeAnswer(std::string(kMaxInlineBody + 1, 'x'));
+  CHECK(CodeOf([&] { program.Accept(key, large); }) == "too_large/ran");
+  CHECK(CodeOf([&] { program.Accept(key, MakeAnswer("", -1)); }) ==
+        "invalid_request/ran");
+  large.object = "object-1";
+  CHECK(program.Accept(key, large) == AnswerMatch::kEndedTurn);
+}
+
+}  // namespace
+}  // namespace vanillalever::program
