Add the membership package

Cause: the entry and sidecar roles need one set of rules for leases, shard ownership, fencing and the merged instance view, testable without I/O.

Change: LeaseTerm (owner's view), LeaseObserver (others' view), ShardMap, FenceTable, InstanceView and SubsetPicker, with time as an argument.

Ruled out: resetting an observation at every failed read, because a platform that fails one read in two would then keep an expired lease alive for ever; a failed read only leaves its interval out, and a gap longer than max_read_gap restarts the observation. Rendezvous hashing for shards, because it is only balanced on average; the plan keeps equal shares with the fewest moves.

--- /dev/null
+++ b/packages/membership/tests/instance_view_test.cc
@@ -0,0 +1,137 @@
+#include <map>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "vanillalever/membership/instance_view.h"
+#include "vanillalever/membership/subset_picker.h"
+
+namespace vanillalever::membership {
+namespace {
+
+using base::seconds;
+using base::TimePoint;
+
+constexpr TimePoint kStart(std::chrono::hours(1));
+
+ListedInstance Listed(const std::string& address, bool leaving = false) {
+  return {address, "dc", "models", leaving};
+}
+
+// Guards against new work for a server that said itself that it leaves, while
+// the lagging list still calls it live (P8).
+TEST_CASE("a sidecar that leaves is believed at once and for good") {
+  InstanceView view{InstanceViewSettings()};
+  view.ListRead({Listed("s1")}, kStart, kStart);
+  CHECK(view.AcceptsWork("s1", kStart));
+  view.Reported({"s1", "i1", true}, kStart, kStart);
+  view.ListRead({Listed("s1")}, kStart + seconds(1), kStart + seconds(1));
+  CHECK(view.state("s1", kStart + seconds(1)) == InstanceState::kLeaving);
+  // A report that overtook the one that said "leaving".
+  view.Reported({"s1", "i1", false}, kStart + seconds(2), kStart + seconds(2));
+  CHECK_FALSE(view.AcceptsWork("s1", kStart + seconds(2)));
+  view.Reported({"s1", "i2", false}, kStart + seconds(3), kStart + seconds(3));
+  CHECK(view.AcceptsWork("s1", kStart + seconds(3)));
+  // A late answer of the earlier run.
+  view.Reported({"s1", "i1", true}, kStart + seconds(4), kStart + seconds(4));
+  CHECK(view.AcceptsWork("s1", kStart + seconds(4)));
+}
+
+// Guards against a list that speaks of a predecessor and keeps a new server
+// out, and against ignoring the list before the sidecar has learned of it.
+TEST_CASE("the list counts until the sidecar has had time to learn") {
+  InstanceView view{InstanceViewSettings()};
+  view.Reported({"s1", "i1", false}, kStart, kStart);
+  TimePoint now = kStart + seconds(1);
+  view.ListRead({Listed("s1", true)}, now, now);
+  view.Reported({"s1", "i1", false}, now + seconds(1), now + seconds(1));
+  CHECK_FALSE(view.AcceptsWork("s1", now + seconds(1)));
+  view.Reported({"s1", "i1", false}, now + seconds(3), now + seconds(3));
+  CHECK(view.AcceptsWork("s1", now + seconds(3)));
+  InstanceView fresh{InstanceViewSettings()};
+  fresh.ListRead({Listed("s1", true)}, kStart, kStart);
+  CHECK_FALSE(fresh.AcceptsWork("s1", kStart));
+  fresh.Reported({"s1", "i2", false}, now, now);
+  CHECK(fresh.AcceptsWork("s1", now));
+}
+
+// Guards against `unknown` being told for work of a sidecar that is only
+// paused or that one list has left out.
+TEST_CASE("silence alone does not prove that a sidecar is gone") {
+  InstanceView view{InstanceViewSettings()};
+  view.ListRead({Listed("s1"), Listed("s2")}, kStart, kStart);
+  view.Reported({"s1", "i1", false}, kStart, kStart);
+  TimePoint late = kStart + seconds(300);
+  CHECK(view.state("s1", late) == InstanceState::kDead);
+  CHECK_FALSE(view.Gone("s1", "i1", late));
+  view.ListRead({}, late - seconds(290), late - seconds(290));
+  CHECK_FALSE(view.Gone("s1", "i1", kStart + seconds(20)));
+  CHECK(view.Gone("s1", "i1", late));
+  CHECK_FALSE(view.Gone("unheard of", "i1", late));
+  view.Reported({"s1", "i2", false}, late, late);
+  CHECK(view.Gone("s1", "i1", late));
+  CHECK_FALSE(view.Gone("s1", "i2", late));
+  CHECK(view.incarnation("s1") == "i2");
+  CHECK(view.live("models", late).size() == 1);
+  view.Prune(late + seconds(400));
+  CHECK_FALSE(view.incarnation("s1").has_value());
+}
+
+// Guards against an out-of-date list response that undoes a newer one.
+TEST_CASE("list responses are used in the order of their reads") {
+  InstanceView view{InstanceViewSettings()};
+  view.ListRead({Listed("s1", true)}, kStart + seconds(2), kStart + seconds(2));
+  view.ListRead({Listed("s1")}, kStart, kStart + seconds(3));
+  CHECK(view.state("s1", kStart + seconds(3)) == InstanceState::kLeaving);
+}
+
+std::vector<PlacedPeer> Peers(const std::string& prefix, int count) {
+  std::vector<PlacedPeer> peers;
+  peers.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i)
+    peers.push_back({prefix + std::to_string(i), "dc" + std::to_string(i % 3)});
+  return peers;
+}
+
+// Guards against sidecars that no entry or too many entries report with, and
+// against subsets that differ between processes.
+TEST_CASE("subsets are bounded, balanced and cover every sidecar") {
+  SubsetSettings settings;
+  SubsetPicker picker(settings);
+  std::vector<PlacedPeer> entries = Peers("e", 60);
+  std::vector<PlacedPeer> sidecars = Peers("s", 240);
+  std::map<std::string, int> uses;
+  for (const PlacedPeer& entry : entries) {
+    std::vector<std::string> subset =
+        picker.Pick(entry.name, entries, sidecars);
+    CHECK(subset.size() == settings.size);
+    CHECK(std::set<std::string>(subset.begin(), subset.end()).size() ==
+          subset.size());
+    for (const std::string& name : subset)
+      ++uses[name];
+  }
+  CHECK(uses.size() == sidecars.size());
+  for (const auto& [name, count] : uses)
+    CHECK((count >= 3 && count <= 10));  // the mean is 6
+  std::vector<PlacedPeer> reversed(sidecars.rbegin(), sidecars.rend());
+  CHECK(picker.Pick("e7", entries, sidecars) ==
+        picker.Pick("e7", entries, reversed));
+}
+
+// Guards against a data centre whose sidecars get no work because no entry
+// runs there.
+TEST_CASE("sidecars of a data centre without entries are covered") {
+  SubsetPicker picker{SubsetSettings()};
+  std::vector<PlacedPeer> entries{{"e1", "dc0"}, {"e2", "dc1"}};
+  std::vector<PlacedPeer> sidecars = Peers("s", 30);
+  std::set<std::string> covered;
+  for (const PlacedPeer& entry : entries) {
+    for (const std::string& name : picker.Pick(entry.name, entries, sidecars))
+      covered.insert(name);
+  }
+  CHECK(covered.size() == 30);
+  CHECK(picker.Pick("stranger", entries, sidecars).empty());
+}
+
+}  // namespace
+}  // namespace vanillalever::membership
--- /dev/null
+++ b/packages/membership/tests/lease_test.cc
@@ -0,0 +1,121 @@
+#include <catch2/catch.hpp>
+
+#include "vanillalever/membership/lease_observer.h"
+#include "vanillalever/membership/lease_term.h"
+
+namespace vanillalever::membership {
+namespace {
+
+using base::seconds;
+using base::TimePoint;
+
+constexpr TimePoint kStart(std::chrono::hours(1));
+
+EntryRow Row(const std::string& incarnation, std::uint64_t version) {
+  EntryRow row;
+  row.incarnation = incarnation;
+  row.version = version;
+  return row;
+}
+
+// Guards against an owner that counts its term from the response and so acts
+// after an observer has taken its shards.
+TEST_CASE("the term counts from before the renewal was sent") {
+  LeaseTerm term{LeaseSettings()};
+  CHECK_FALSE(term.held(kStart));
+  auto first = term.BeginRenewal(kStart);
+  auto second = term.BeginRenewal(kStart + seconds(5));
+  term.Confirm(second);
+  term.Confirm(first);  // late response of the earlier renewal
+  CHECK(term.held(kStart + seconds(19)));
+  CHECK_FALSE(term.held(kStart + seconds(20)));
+  CHECK_FALSE(term.RenewalDue(kStart + seconds(9)));
+  CHECK(term.RenewalDue(kStart + seconds(10)));
+}
+
+// Guards against an entry that serves again after it was fenced, because a
+// late response confirms an earlier renewal.
+TEST_CASE("a lost lease is not restored by a late confirmation") {
+  LeaseTerm term{LeaseSettings()};
+  auto renewal = term.BeginRenewal(kStart);
+  term.Lose();
+  term.Confirm(renewal);
+  CHECK_FALSE(term.held(kStart));
+  CHECK_FALSE(term.RenewalDue(kStart + seconds(60)));
+}
+
+// Guards against two owners: for every timing of the renewal and of the reads
+// the owner's view ends before an observer calls the lease expired.
+TEST_CASE("the owner's view ends before any observer's") {
+  LeaseSettings settings;
+  for (int write_delay = 0; write_delay < 6; ++write_delay) {
+    for (int read_phase = 0; read_phase < 4; ++read_phase) {
+      LeaseTerm term(settings);
+      LeaseObserver observer(settings);
+      term.Confirm(term.BeginRenewal(kStart));
+      TimePoint written = kStart + seconds(write_delay);
+      TimePoint now = kStart - seconds(read_phase);
+      while (observer.status("a") != LeaseStatus::kExpired) {
+        std::uint64_t version = now + seconds(1) >= written ? 2 : 1;
+        observer.ReadSucceeded(now, now + seconds(1), {Row("a", version)});
+        now += seconds(4);
+        REQUIRE(now < kStart + seconds(60));
+      }
+      CHECK(now - seconds(3) >= *term.end() + settings.margin);
+    }
+  }
+}
+
+// Guards against a takeover of every entry after a platform outage in which
+// nobody could renew.
+TEST_CASE("time in which the platform was not read does not count") {
+  LeaseSettings settings;
+  LeaseObserver observer(settings);
+  TimePoint now = kStart;
+  auto read = [&] { observer.ReadSucceeded(now, now, {Row("a", 1)}); };
+  CHECK(observer.status("a") == LeaseStatus::kLive);
+  for (int i = 0; i <= 4; ++i, now += seconds(4))
+    read();  // 16 s unchanged, 1 s short of term and margin
+  observer.ReadFailed();
+  now += seconds(600);
+  read();
+  CHECK(observer.status("a") == LeaseStatus::kLive);
+  for (int i = 0; i < 4; ++i) {
+    now += seconds(4);
+    read();
+  }
+  CHECK(observer.status("a") == LeaseStatus::kLive);
+  now += seconds(4);
+  read();
+  CHECK(observer.expired() == std::vector<std::string>{"a"});
+  CHECK(observer.active().empty());
+}
+
+// Guards against failed reads that keep an expired lease alive for ever: each
+// one only leaves its own interval out.
+TEST_CASE("a short failure only pauses the observation") {
+  LeaseObserver observer{LeaseSettings()};
+  TimePoint now = kStart;
+  for (int i = 0; i < 20; ++i, now += seconds(2)) {
+    observer.ReadSucceeded(now, now, {Row("a", 1)});
+    if (i % 2 == 0)
+      observer.ReadFailed();
+  }
+  CHECK(observer.status("a") == LeaseStatus::kExpired);
+  observer.ReadSucceeded(kStart, now, {Row("a", 9)});
+  CHECK(observer.status("a") == LeaseStatus::kExpired);
+}
+
+// Guards against a fenced or removed row that is treated as a live owner.
+TEST_CASE("fenced and absent rows are told apart") {
+  LeaseObserver observer{LeaseSettings()};
+  EntryRow fenced = Row("a", 3);
+  fenced.state = EntryState::kFenced;
+  observer.ReadSucceeded(kStart, kStart, {fenced});
+  CHECK(observer.status("a") == LeaseStatus::kFenced);
+  CHECK(observer.status("b") == LeaseStatus::kAbsent);
+  CHECK(observer.Find("a")->version == 3);
+}
+
+}  // namespace
+}  // namespace vanillalever::membership
--- /dev/null
+++ b/packages/membership/tests/shard_map_test.cc
@@ -0,0 +1,134 @@
+#include <algorithm>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "vanillalever/membership/fence_table.h"
+#include "vanillalever/membership/shard_map.h"
+
+namespace vanillalever::membership {
+namespace {
+
+using base::seconds;
+
+constexpr base::TimePoint kStart(std::chrono::hours(1));
+
+EntryRow Entry(const std::string& incarnation,
+               EntryState state = EntryState::kActive) {
+  EntryRow row;
+  row.incarnation = incarnation;
+  row.state = state;
+  row.version = 1;
+  return row;
+}
+
+LeaseObserver Observe(const std::vector<EntryRow>& rows) {
+  LeaseObserver observer{LeaseSettings()};
+  observer.ReadSucceeded(kStart, kStart, rows);
+  return observer;
+}
+
+// Applies one plan as the conditional writes would; returns the moves.
+std::size_t Apply(ShardMap& map, const EntryRow& self, const ShardPlan& plan) {
+  for (const ShardTake& take : plan.take) {
+    ShardRow row = take.row;
+    row.owner = self.incarnation;
+    ++row.fence;
+    ++row.version;
+    REQUIRE(map.Update(row));
+  }
+  for (const ShardHandOver& hand_over : plan.hand_over) {
+    ShardRow row = hand_over.row;
+    row.owner = hand_over.to.incarnation;
+    ++row.fence;
+    ++row.version;
+    REQUIRE(map.Update(row));
+  }
+  return plan.take.size() + plan.hand_over.size();
+}
+
+// Guards against shards that nobody or the wrong number of entries takes.
+TEST_CASE("entries share the shards equally and move few") {
+  ShardMap map(64);
+  std::vector<EntryRow> entries{Entry("a"), Entry("b"), Entry("c")};
+  auto round = [&] {
+    std::size_t moves = 0;
+    for (const EntryRow& self : entries)
+      moves += Apply(map, self, map.Plan(self, Observe(entries)));
+    return moves;
+  };
+  CHECK(round() == 64);
+  CHECK(map.owned("a").size() == 22);
+  CHECK(map.owned("c").size() == 21);
+  CHECK(round() == 0);
+  entries.push_back(Entry("d"));
+  CHECK(round() == 16);  // only the newcomer's share moves
+  CHECK(map.owned("d").size() == 16);
+  CHECK(round() == 0);
+  entries[0].state = EntryState::kLeaving;
+  CHECK(round() == 16);
+  CHECK(map.owned("a").empty());
+  CHECK(round() == 0);
+}
+
+// Guards against two entries that take the same shard at the same time.
+TEST_CASE("plans of different entries do not overlap") {
+  ShardMap map(64);
+  std::vector<EntryRow> entries{Entry("a"), Entry("b"), Entry("c")};
+  std::set<ShardId> planned;
+  for (const EntryRow& self : entries) {
+    for (const ShardTake& take : map.Plan(self, Observe(entries)).take)
+      CHECK(planned.insert(take.row.shard).second);
+  }
+  CHECK(planned.size() == 64);
+}
+
+// Guards against taking a shard from a live owner, and against taking one from
+// an expired owner whose row was not fenced.
+TEST_CASE("shards are taken only from owners that ended") {
+  ShardMap map(4);
+  std::string owners[] = {"live", "expired", "fenced", "absent"};
+  for (ShardId shard = 0; shard < 4; ++shard)
+    map.Update({shard, owners[shard], "", 1, 1});
+  LeaseObserver leases{LeaseSettings()};
+  EntryRow fenced = Entry("fenced", EntryState::kFenced);
+  for (int i = 0; i <= 5; ++i) {
+    EntryRow live = Entry("live", EntryState::kLeaving);
+    live.version = 2 + static_cast<std::uint64_t>(i);
+    auto now = kStart + seconds(4 * i);
+    leases.ReadSucceeded(now, now, {live, Entry("expired"), fenced});
+  }
+  ShardPlan plan = map.Plan(Entry("self"), leases);
+  REQUIRE(plan.take.size() == 3);
+  CHECK(plan.take[0].row.owner == "expired");
+  CHECK(plan.take[0].fence_owner_first);
+  CHECK_FALSE(plan.take[1].fence_owner_first);
+  CHECK(plan.take[2].fence_owner_first);
+}
+
+// Guards against a plan that rests on no read, and against a last entry that
+// keeps its shards when it stops.
+TEST_CASE("no read means no plan, and the last entry gives shards back") {
+  ShardMap map(2);
+  CHECK(map.Plan(Entry("a"), LeaseObserver{LeaseSettings()}).take.empty());
+  map.Update({0, "a", "", 1, 1});
+  EntryRow self = Entry("a", EntryState::kLeaving);
+  ShardPlan plan = map.Plan(self, Observe({self}));
+  REQUIRE(plan.hand_over.size() == 1);
+  CHECK(plan.hand_over[0].to.incarnation.empty());
+  CHECK_FALSE(map.Update({0, "late", "", 1, 1}));
+}
+
+// Guards against a stale owner's commands that reach an engine which does not
+// check fencing tokens.
+TEST_CASE("older fencing tokens are rejected") {
+  FenceTable table;
+  CHECK(table.Check(1, 5) == FenceCheck::kRaised);
+  CHECK(table.Check(1, 4) == FenceCheck::kStale);
+  CHECK(table.Check(1, 5) == FenceCheck::kCurrent);
+  CHECK(table.Check(2, 1) == FenceCheck::kRaised);
+  CHECK(table.highest(1) == 5);
+}
+
+}  // namespace
+}  // namespace vanillalever::membership
