Add the execution package

Ruled out: one bound for all closed tokens. Closed tokens of non-repeatable work are never forgotten under the fencing token that they were sent under; once the shard has a newer owner, older commands are refused as a whole, so the tokens go. Closed tokens of repeatable work are forgotten oldest first.

--- /dev/null
+++ b/packages/execution/tests/work_ledger_test.cc
@@ -0,0 +1,139 @@
+#include <catch2/catch.hpp>
+
+#include "vanillalever/execution/work_ledger.h"
+
+namespace vanillalever::execution {
+namespace {
+
+WorkKey Key(const std::string& token,
+            bool repeatable = false,
+            std::uint64_t fence = 1) {
+  return {token, "i1", 0, fence, repeatable};
+}
+
+WorkResult Body(const std::string& body) {
+  return {std::nullopt, body, 1};
+}
+
+// Guards against a doubled payment when a command arrives twice, in any state
+// of the work (P7).
+TEST_CASE("a token runs at most once") {
+  WorkLedger ledger("i1", WorkLedgerSettings());
+  CHECK(ledger.Admit(Key("t")) == Admission::kAccepted);
+  CHECK(ledger.Admit(Key("t")) == Admission::kOpen);
+  CHECK(ledger.Start("t"));
+  CHECK_FALSE(ledger.Start("t"));
+  CHECK(ledger.Admit(Key("t")) == Admission::kOpen);
+  CHECK(ledger.Finish("t", Body("paid")));
+  CHECK_FALSE(ledger.Finish("t", Body("again")));
+  CHECK(ledger.Admit(Key("t")) == Admission::kDone);
+  CHECK(ledger.Result("t")->body == "paid");
+  ledger.Acknowledge("t");
+  ledger.Acknowledge("t");
+  CHECK(ledger.Result("t") == nullptr);
+  CHECK(ledger.Admit(Key("t")) == Admission::kClosed);
+  CHECK(ledger.Settle(Key("t")) == Settlement::kClosed);
+  CHECK(ledger.open() == 0);
+  CHECK(ledger.result_bytes() == 0);
+}
+
+// Guards against a delayed command that runs after its owner was told that the
+// work never ran (P6).
+TEST_CASE("a revoked token never runs") {
+  WorkLedger ledger("i1", WorkLedgerSettings());
+  CHECK(ledger.Settle(Key("t")) == Settlement::kRevoked);
+  CHECK(ledger.Settle(Key("t")) == Settlement::kRevoked);
+  CHECK(ledger.Admit(Key("t")) == Admission::kRevoked);
+  CHECK_FALSE(ledger.Start("t"));
+  CHECK(ledger.Admit(Key("q")) == Admission::kAccepted);
+  CHECK(ledger.Settle(Key("q")) == Settlement::kRunning);
+  CHECK(ledger.Cancel(Key("q")) == Settlement::kRevoked);
+  CHECK_FALSE(ledger.Start("q"));
+  CHECK(ledger.Admit(Key("r")) == Admission::kAccepted);
+  CHECK(ledger.Start("r"));
+  CHECK(ledger.Cancel(Key("r")) == Settlement::kRunning);
+  CHECK_FALSE(ledger.Refuse("r"));
+}
+
+// Guards against a restarted sidecar that revokes, and so lets run elsewhere,
+// what its former run has executed.
+TEST_CASE("tokens of another incarnation are neither run nor settled") {
+  WorkLedger ledger("i2", WorkLedgerSettings());
+  CHECK(ledger.Admit(Key("t")) == Admission::kOtherIncarnation);
+  CHECK(ledger.Settle(Key("t")) == Settlement::kOtherIncarnation);
+}
+
+// Guards against a former owner whose delayed commands run, or revoke work of
+// the present owner.
+TEST_CASE("commands of a former owner are refused") {
+  WorkLedger ledger("i1", WorkLedgerSettings());
+  CHECK(ledger.Admit(Key("t", false, 1)) == Admission::kAccepted);
+  CHECK(ledger.Settle(Key("u", false, 2)) == Settlement::kRevoked);
+  CHECK(ledger.closed() == 1);
+  CHECK(ledger.Admit(Key("v", false, 1)) == Admission::kStaleFence);
+  CHECK(ledger.Settle(Key("t", false, 1)) == Settlement::kStaleFence);
+  CHECK(ledger.Settle(Key("t", false, 2)) == Settlement::kRunning);
+  // A third owner: the revocations of the second need no memory any more.
+  CHECK(ledger.Settle(Key("t", false, 3)) == Settlement::kRunning);
+  CHECK(ledger.closed() == 0);
+  CHECK(ledger.Admit(Key("u", false, 2)) == Admission::kStaleFence);
+}
+
+// Guards against a sidecar that runs out of memory while the platform is down,
+// and against dropping a result that is not durable.
+TEST_CASE("at a bound new work is refused and results stay") {
+  WorkLedgerSettings settings;
+  settings.max_open = 2;
+  settings.max_results = 3;
+  WorkLedger ledger("i1", settings);
+  CHECK(ledger.Admit(Key("a")) == Admission::kAccepted);
+  CHECK(ledger.Admit(Key("b")) == Admission::kAccepted);
+  CHECK(ledger.Admit(Key("c")) == Admission::kFull);
+  for (const char* token : {"a", "b"}) {
+    CHECK(ledger.Start(token));
+    CHECK(ledger.Finish(token, Body("result")));
+  }
+  CHECK(ledger.Admit(Key("c")) == Admission::kAccepted);
+  CHECK(ledger.Admit(Key("d")) == Admission::kFull);
+  CHECK(ledger.unacknowledged() == 2);
+  ledger.Acknowledge("a");
+  CHECK(ledger.Admit(Key("d")) == Admission::kAccepted);
+  CHECK(ledger.Result("b")->body == "result");
+}
+
+// Guards against a large body that exceeds the memory bound many times over.
+TEST_CASE("the bytes of retained results are bounded") {
+  WorkLedgerSettings settings;
+  settings.max_result_bytes = 10;
+  WorkLedger ledger("i1", settings);
+  CHECK(ledger.Admit(Key("a", true)) == Admission::kAccepted);
+  CHECK(ledger.Start("a"));
+  CHECK(ledger.Finish("a", Body(std::string(11, 'x'))));
+  CHECK(ledger.Admit(Key("b", true)) == Admission::kFull);
+  // A new owner does not know the token of repeatable work, so nobody will
+  // acknowledge it: it makes room.
+  CHECK(ledger.Admit(Key("b", true, 2)) == Admission::kAccepted);
+  CHECK(ledger.unacknowledged() == 0);
+  CHECK(ledger.Result("a") == nullptr);
+}
+
+// Guards against forgetting a revocation, and against unbounded memory for
+// closed tokens.
+TEST_CASE("closed tokens are bounded without forgetting a revocation") {
+  WorkLedgerSettings settings;
+  settings.max_closed = 2;
+  settings.max_closed_repeatable = 1;
+  WorkLedger ledger("i1", settings);
+  CHECK(ledger.Settle(Key("a")) == Settlement::kRevoked);
+  CHECK(ledger.Settle(Key("b")) == Settlement::kRevoked);
+  CHECK(ledger.Settle(Key("c")) == Settlement::kFull);
+  CHECK(ledger.Admit(Key("d")) == Admission::kFull);
+  CHECK(ledger.Admit(Key("a")) == Admission::kRevoked);
+  CHECK(ledger.Settle(Key("e", true)) == Settlement::kRevoked);
+  CHECK(ledger.Settle(Key("f", true)) == Settlement::kRevoked);
+  CHECK(ledger.Admit(Key("e", true)) == Admission::kAccepted);
+  CHECK(ledger.Admit(Key("f", true)) == Admission::kRevoked);
+}
+
+}  // namespace
+}  // namespace vanillalever::execution
