Clear results that a former owner left unacknowledged

Cause: an owner that ends between its commit and its acknowledgement leaves a result at the sidecar that no one else acknowledges; it would delay a drain by the whole result wait.

Change: WorkLedger::AcknowledgeFormer, sent by a new owner once it has settled all open intents of the shard.

--- a/packages/execution/include/vanillalever/execution/work_ledger.h
+++ b/packages/execution/include/vanillalever/execution/work_ledger.h
@@ -137,6 +137,11 @@
   // Has no effect on work that is not done. May be repeated.
   void Acknowledge(const std::string& token);
 
+  // A new owner has taken the shard over with this fencing token and settled
+  // all its open intents: drops what former owners left unacknowledged. Has no
+  // effect under a stale token.
+  void AcknowledgeFormer(std::uint32_t shard, std::uint64_t fence);
+
   // Work that is queued or running.
   std::size_t open() const { return open_; }
   // Results whose acknowledgement is still expected. Repeatable work of a
--- a/packages/execution/src/work_ledger.cc
+++ b/packages/execution/src/work_ledger.cc
@@ -1,5 +1,7 @@
 #include "vanillalever/execution/work_ledger.h"
 
+#include <iterator>
+
 #include "vanillalever/base/hash.h"
 
 namespace vanillalever::execution {
@@ -77,6 +79,21 @@
   Erase(it);
 }
 
+void WorkLedger::AcknowledgeFormer(std::uint32_t shard, std::uint64_t fence) {
+  if (shards_[shard].fence > fence)
+    return;
+  for (auto it = works_.begin(); it != works_.end();) {
+    auto next = std::next(it);
+    const Work& work = it->second;
+    if (work.state == State::kDone && work.key.shard == shard &&
+        work.key.fence < fence) {
+      Close(work.key, true);
+      Erase(it);
+    }
+    it = next;
+  }
+}
+
 std::size_t WorkLedger::unacknowledged() const {
   std::size_t count = 0;
   for (const auto& [token, work] : works_) {
--- a/packages/execution/tests/work_ledger_test.cc
+++ b/packages/execution/tests/work_ledger_test.cc
@@ -79,6 +79,20 @@
   CHECK(ledger.Admit(Key("u", false, 2)) == Admission::kStaleFence);
 }
 
+// Guards against results that stay for ever because their owner ended between
+// its commit and its acknowledgement.
+TEST_CASE("a new owner clears what former owners left") {
+  WorkLedger ledger("i1", WorkLedgerSettings());
+  CHECK(ledger.Admit(Key("t", false, 1)) == Admission::kAccepted);
+  CHECK(ledger.Start("t"));
+  CHECK(ledger.Finish("t", Body("paid")));
+  ledger.AcknowledgeFormer(0, 1);
+  CHECK(ledger.unacknowledged() == 1);
+  ledger.AcknowledgeFormer(0, 2);
+  CHECK(ledger.unacknowledged() == 0);
+  CHECK(ledger.Admit(Key("t", false, 1)) == Admission::kClosed);
+}
+
 // Guards against a sidecar that runs out of memory while the platform is down,
 // and against dropping a result that is not durable.
 TEST_CASE("at a bound new work is refused and results stay") {
