Add the sidecar role

Cause: each backend server needs a process that queues, runs, settles and reports its calls. Change: packages/sidecar wires WorkLedger, RemainingWorkQueue, ConcurrencyLimiter, CacheLeases and DrainState to the inner protocol and to engines (chat completions) or plain services; the protocol names crashes and tells sidecars that a shard is settled. Ruled out: counting every lost connection as a crash of the backend server; a probe must find it unreachable. Conclusion: the entry can dispatch to it.

--- a/packages/execution/include/vanillalever/execution/work_ledger.h
+++ b/packages/execution/include/vanillalever/execution/work_ledger.h
@@ -52,6 +52,9 @@
   std::string body;
   // Generated tokens, as counted by the backend.
   std::uint64_t tokens = 0;
+  // Prompt tokens, and those of them found in the engine's prefix cache.
+  std::uint64_t prompt_tokens = 0;
+  std::uint64_t cached_tokens = 0;
 };
 
 // Judgement of work that arrives.
--- a/packages/protocol/include/vanillalever/protocol/messages.h
+++ b/packages/protocol/include/vanillalever/protocol/messages.h
@@ -62,6 +62,8 @@
   bool server_crashed = false;
   // Requests that ran beside it when the server crashed.
   std::uint32_t co_runners = 0;
+  // Identity of the crash, the same for all requests that it hit.
+  std::string crash_id;
   // Time spent in the sidecar's queue, in ms.
   std::uint32_t queued_ms = 0;
 };
--- a/packages/protocol/include/vanillalever/protocol/node_client.h
+++ b/packages/protocol/include/vanillalever/protocol/node_client.h
@@ -62,6 +62,11 @@
              base::Duration timeout,
              ReplyCallback<Empty> on_reply);
 
+  void ShardSettled(std::uint32_t shard,
+                    std::uint64_t fence,
+                    base::Duration timeout,
+                    ReplyCallback<Empty> on_reply);
+
   // Closes the connection; outstanding messages end with an error. For a peer
   // that stopped answering without closing the connection.
   void Reset();
--- a/packages/protocol/include/vanillalever/protocol/node_handler.h
+++ b/packages/protocol/include/vanillalever/protocol/node_handler.h
@@ -40,6 +40,7 @@
   virtual void OnForward(ForwardRequest request,
                          Responder<ForwardResult> responder);
   virtual void OnAdopt(const std::vector<std::uint32_t>& shards);
+  virtual void OnShardSettled(std::uint32_t shard, std::uint64_t fence);
 };
 
 }  // namespace vanillalever::protocol
--- a/packages/protocol/schema/inner.capnp
+++ b/packages/protocol/schema/inner.capnp
@@ -65,6 +65,8 @@
   coRunners @5 :UInt32;
   queuedMs @6 :UInt32;
   error @7 :ErrorInfo;
+  # Identity of the crash, the same for all requests that it hit.
+  crashId @8 :Text;
 }
 
 struct SettleRequest {
@@ -132,4 +134,6 @@
   configure @6 (version :UInt64, body :Data) -> (version :UInt64);
   forward @7 (request :ForwardRequest, sink :TokenSink) -> (result :ForwardResult);
   adopt @8 (shards :List(UInt32)) -> ();
+  # The owner with this fencing token has settled all intents of the shard.
+  shardSettled @9 (shard :UInt32, fence :UInt64) -> ();
 }
--- a/packages/protocol/src/node_client.cc
+++ b/packages/protocol/src/node_client.cc
@@ -208,6 +208,22 @@
   });
 }
 
+void NodeClient::ShardSettled(std::uint32_t shard,
+                              std::uint64_t fence,
+                              base::Duration timeout,
+                              ReplyCallback<Empty> on_reply) {
+  loop_.Post([impl = impl_, shard, fence, timeout,
+              on_reply = std::move(on_reply)]() mutable {
+    impl->Call<Empty>(
+        timeout, std::move(on_reply), [shard, fence](wire::Node::Client node) {
+          auto message = node.shardSettledRequest();
+          message.setShard(shard);
+          message.setFence(fence);
+          return message.send().then([](auto&&) { return Empty(); });
+        });
+  });
+}
+
 void NodeClient::Reset() {
   loop_.Post([impl = impl_] { impl->Reset("the peer stopped answering"); });
 }
--- a/packages/protocol/src/node_handler.cc
+++ b/packages/protocol/src/node_handler.cc
@@ -51,6 +51,9 @@
   responder.done(std::move(result));
 }
 
+void NodeHandler::OnShardSettled(std::uint32_t /*shard*/,
+                                 std::uint64_t /*fence*/) {}
+
 void NodeHandler::OnAdopt(const std::vector<std::uint32_t>& /*shards*/) {}
 
 }  // namespace vanillalever::protocol
--- a/packages/protocol/src/node_service.cc
+++ b/packages/protocol/src/node_service.cc
@@ -147,6 +147,12 @@
       });
 }
 
+kj::Promise<void> NodeService::shardSettled(ShardSettledContext context) {
+  auto params = context.getParams();
+  handler_.OnShardSettled(params.getShard(), params.getFence());
+  return kj::READY_NOW;
+}
+
 kj::Promise<void> NodeService::adopt(AdoptContext context) {
   std::vector<std::uint32_t> shards;
   for (std::uint32_t shard : context.getParams().getShards())
--- a/packages/protocol/src/node_service.h
+++ b/packages/protocol/src/node_service.h
@@ -22,6 +22,7 @@
   kj::Promise<void> configure(ConfigureContext context) override;
   kj::Promise<void> forward(ForwardContext context) override;
   kj::Promise<void> adopt(AdoptContext context) override;
+  kj::Promise<void> shardSettled(ShardSettledContext context) override;
 
  private:
   template <typename Reply, typename Request, typename Start, typename Finish>
--- a/packages/protocol/src/wire_codec.cc
+++ b/packages/protocol/src/wire_codec.cc
@@ -111,6 +111,7 @@
   out.setServerCrashed(result.server_crashed);
   out.setCoRunners(result.co_runners);
   out.setQueuedMs(result.queued_ms);
+  out.setCrashId(result.crash_id);
   if (result.error)
     Encode(*result.error, out.initError());
 }
@@ -124,6 +125,7 @@
   result.server_crashed = in.getServerCrashed();
   result.co_runners = in.getCoRunners();
   result.queued_ms = in.getQueuedMs();
+  result.crash_id = ToString(in.getCrashId());
   if (in.hasError())
     result.error = Decode(in.getError());
   return result;
--- /dev/null
+++ b/packages/sidecar/src/backend.cc
@@ -0,0 +1,41 @@
+#include "backend.h"
+
+#include <utility>
+
+namespace vanillalever::sidecar {
+namespace {
+
+constexpr base::Duration kProbeTimeout = base::seconds(1);
+constexpr std::size_t kExcerptBytes = 300;
+
+}  // namespace
+
+base::ErrorInfo StatusError(int status,
+                            const std::string& body,
+                            const std::string& address) {
+  base::ErrorInfo info;
+  info.code = base::ErrorCode::kBackendFailed;
+  info.step = base::Step::kRun;
+  info.peer = address;
+  info.message =
+      "status " + std::to_string(status) + ": " + body.substr(0, kExcerptBytes);
+  info.ran = status / 100 == 4 ? base::Ran::kRan : base::Ran::kUnknown;
+  return info;
+}
+
+void ProbeServer(http::Client& client,
+                 const std::string& address,
+                 std::function<void(bool reachable)> on_done) {
+  http::ClientRequest request;
+  request.address = address;
+  request.target = "/load";
+  request.timeout = kProbeTimeout;
+  request.new_connection = true;
+  client.Send(std::move(request), [on_done = std::move(on_done)](
+                                      http::ClientResult result) {
+    // A server that is hung, not dead, still accepts connections.
+    on_done(!result.error || result.error->step != base::Step::kConnect);
+  });
+}
+
+}  // namespace vanillalever::sidecar
--- /dev/null
+++ b/packages/sidecar/src/service_backend.cc
@@ -0,0 +1,66 @@
+#include <utility>
+
+#include "backend.h"
+
+namespace vanillalever::sidecar {
+namespace {
+
+class ServiceBackend final : public Backend {
+ public:
+  ServiceBackend(http::Client& client, std::string address)
+      : client_(client), address_(std::move(address)) {}
+
+  std::shared_ptr<http::ClientCall> Run(const protocol::ExecuteRequest& request,
+                                        base::Duration timeout,
+                                        TokenCallback /*on_token*/,
+                                        DoneCallback on_done) override {
+    http::ClientRequest call;
+    call.address = address_;
+    call.method = "POST";
+    call.target = "/" + request.operation;
+    call.body = request.body;
+    call.timeout = timeout;
+    call.new_connection = !request.repeatable;
+    call.headers = {{"Idempotency-Key", request.work_token},
+                    {"X-Program", request.program},
+                    {"X-Turn", std::to_string(request.turn)}};
+    return client_.Send(
+        std::move(call), [address = address_, on_done = std::move(on_done)](
+                             http::ClientResult answer) {
+          BackendResult result;
+          if (answer.error) {
+            result.error = std::move(answer.error);
+            result.connection_lost =
+                result.error->code == base::ErrorCode::kUnavailable &&
+                result.error->step != base::Step::kConnect;
+          } else if (answer.status / 100 != 2) {
+            result.error = StatusError(answer.status, answer.body, address);
+          }
+          result.body = std::move(answer.body);
+          on_done(std::move(result));
+        });
+  }
+
+  // A plain service holds no cache for programs.
+  void Release(const CacheRelease& /*release*/,
+               std::function<void(bool)> on_done) override {
+    on_done(true);
+  }
+
+  void Probe(std::function<void(bool)> on_done) override {
+    ProbeServer(client_, address_, std::move(on_done));
+  }
+
+ private:
+  http::Client& client_;
+  std::string address_;
+};
+
+}  // namespace
+
+std::unique_ptr<Backend> MakeServiceBackend(http::Client& client,
+                                            std::string address) {
+  return std::make_unique<ServiceBackend>(client, std::move(address));
+}
+
+}  // namespace vanillalever::sidecar
--- /dev/null
+++ b/packages/sidecar/src/work_executor.h
@@ -0,0 +1,159 @@
+#ifndef VANILLALEVER_SIDECAR_SRC_WORK_EXECUTOR_H_
+#define VANILLALEVER_SIDECAR_SRC_WORK_EXECUTOR_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "backend.h"
+#include "vanillalever/base/counters.h"
+#include "vanillalever/execution/cache_leases.h"
+#include "vanillalever/execution/drain_state.h"
+#include "vanillalever/execution/work_ledger.h"
+#include "vanillalever/membership/fence_table.h"
+#include "vanillalever/protocol/node_handler.h"
+#include "vanillalever/scheduling/concurrency_limiter.h"
+#include "vanillalever/scheduling/request_queue.h"
+#include "vanillalever/scheduling/slowness_detector.h"
+
+namespace vanillalever::sidecar {
+
+// Load of the backend server at one moment.
+struct ExecutorLoad {
+  std::uint64_t backlog_tokens = 0;
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
+  double tokens_per_second = 0;
+  double slowness = 1;
+  bool leaving = false;
+  std::uint32_t concurrency_limit = 0;
+  bool server_reachable = true;
+};
+
+// Queues calls for one backend server, runs them, and keeps their results
+// until the owner has made them durable. Thread-safe. Responders and the
+// backend are called without the lock.
+class WorkExecutor {
+ public:
+  using Responder = protocol::Responder<protocol::ExecuteResult>;
+  using ReleaseResponder = protocol::Responder<std::optional<base::ErrorInfo>>;
+
+  WorkExecutor(std::string incarnation,
+               Backend& backend,
+               base::CounterRegistry& counters);
+
+  // Runs the request, or answers why not.
+  void Execute(protocol::ExecuteRequest request, Responder responder);
+  // Stops work if it has not ended.
+  void Cancel(const std::string& work_token);
+  protocol::SettleReply Settle(const protocol::SettleRequest& request);
+  void Acknowledge(const std::vector<std::string>& work_tokens);
+  void ShardSettled(std::uint32_t shard, std::uint64_t fence);
+  void Release(const protocol::ReleaseRequest& request,
+               ReleaseResponder responder);
+
+  // Serves calls from now on; until then they are refused, because no
+  // configuration is known.
+  void SetConfigured();
+  // Stops accepting calls; work in flight ends.
+  void BeginDrain();
+  execution::DrainPhase drain_phase() const;
+
+  // Expires waiting calls, sends due release commands, samples rates.
+  void Tick(base::TimePoint now);
+
+  ExecutorLoad load() const;
+
+ private:
+  // What is to be done once the lock is released.
+  using Actions = std::vector<std::function<void()>>;
+
+  // A call that is queued or running.
+  struct Work {
+    protocol::ExecuteRequest request;
+    std::vector<Responder> responders;
+    std::uint64_t queue_id = 0;
+    base::TimePoint arrived;
+    base::TimePoint started;
+    base::TimePoint deadline;
+    bool running = false;
+    bool long_work = false;
+    bool cancelled = false;
+    // Work expected at arrival (work tokens).
+    double expected_work = 0;
+    std::uint32_t generated = 0;
+    std::shared_ptr<http::ClientCall> call;
+  };
+  using WorkPtr = std::shared_ptr<Work>;
+
+  static void RunActions(Actions& actions);
+  static execution::WorkKey KeyOf(const protocol::ExecuteRequest& request);
+  execution::WorkKey KeyOf(const std::string& token,
+                           std::uint32_t shard,
+                           std::uint64_t fence) const;
+  // Error for new work that cannot be accepted now, or nothing.
+  std::optional<base::ErrorInfo> RefusalReason() const;
+  void Enqueue(protocol::ExecuteRequest request,
+               Responder responder,
+               base::TimePoint now);
+  void Pump(base::TimePoint now, Actions& actions);
+  void PumpAlone(base::TimePoint now, Actions& actions);
+  void Start(const WorkPtr& work, base::TimePoint now, Actions& actions);
+  void OnToken(const WorkPtr& work, std::string text);
+  void OnDone(const WorkPtr& work, BackendResult result);
+  void OnProbed(const WorkPtr& work, BackendResult result, bool reachable);
+  void Complete(const WorkPtr& work, BackendResult result, bool crashed);
+  void RecordRates(const Work& work,
+                   const BackendResult& result,
+                   base::TimePoint now);
+  protocol::ExecuteResult CrashDetails(base::TimePoint now);
+  void RefuseQueued(const WorkPtr& work,
+                    const base::ErrorInfo& info,
+                    Actions& actions);
+  protocol::ExecuteResult RetainedResult(const std::string& token) const;
+  void SendReleases(base::TimePoint now, Actions& actions);
+
+  const std::string incarnation_;
+  Backend& backend_;
+  base::Counter& executed_;
+  base::Counter& refused_;
+  base::Counter& crashes_;
+  base::Counter& releases_;
+
+  mutable std::mutex mutex_;
+  execution::WorkLedger ledger_;
+  execution::CacheLeases leases_;
+  execution::DrainState drain_;
+  membership::FenceTable fences_;
+  std::unique_ptr<scheduling::RequestQueue> queue_;
+  scheduling::ConcurrencyLimiter limiter_;
+  scheduling::SlownessDetector slowness_;
+  // Queued and running calls by work token, and queued ones by queue id.
+  std::map<std::string, WorkPtr> works_;
+  std::map<std::uint64_t, WorkPtr> queued_;
+  // Suspect calls that wait until nothing else runs.
+  std::deque<WorkPtr> alone_queue_;
+  std::uint64_t next_queue_id_ = 1;
+  std::size_t running_ = 0;
+  std::size_t running_long_ = 0;
+  bool alone_running_ = false;
+  bool configured_ = false;
+  bool server_reachable_ = true;
+  // Work tokens done since the last rate sample.
+  double sampled_work_ = 0;
+  base::TimePoint last_sample_;
+  // Latest crash of the backend server.
+  std::uint64_t crash_count_ = 0;
+  std::size_t crash_running_ = 0;
+  base::TimePoint crash_time_;
+  base::TimePoint last_probe_;
+};
+
+}  // namespace vanillalever::sidecar
+
+#endif  // VANILLALEVER_SIDECAR_SRC_WORK_EXECUTOR_H_
