--- a/packages/program/tests/program_codec_test.cc
+++ b/packages/program/tests/program_codec_test.cc
@@ -190,7 +190,7 @@
 
 // Changes a few bytes, or splices two parts, of a valid row.
 std::string Mutate(std::string text, base::Random& random) {
-  static const std::string kBytes = "{}[]\":,-+.0123456789eEntfu\\\xff\x00 ";
+  constexpr std::string_view kBytes = "{}[]\":,-+.0123456789eEntfu\\\xff ";
   for (std::uint64_t n = 1 + random.Below(4); n > 0 && !text.empty(); --n) {
     std::size_t at = random.Below(text.size());
     switch (random.Below(4)) {
--- a/packages/program/tests/program_fixture.h
+++ b/packages/program/tests/program_fixture.h
@@ -11,8 +11,10 @@
 
 namespace vanillalever::program {
 
-inline const base::TimePoint kStart{std::chrono::hours(1)};
-inline const LoopGuard kNoLimits{LoopLimits{}};
+inline constexpr base::TimePoint kStart{std::chrono::hours(1)};
+inline LoopGuard NoLimits() {
+  return LoopGuard(LoopLimits());
+}
 
 inline ProgramSpec MakeSpec(std::int64_t budget = 10'000) {
   return {ProgramId::ForRoot("casca", "lot-7"),
@@ -50,7 +52,7 @@
 
 // Runs one whole turn.
 inline void RunTurn(Program& program, std::uint32_t turn) {
-  program.Admit(MakeCall(turn), kNoLimits, kStart);
+  program.Admit(MakeCall(turn), NoLimits(), kStart);
   AttemptKey key =
       program.StartAttempt(turn, MakeTarget("token-" + std::to_string(turn)));
   if (program.dispatch_state(key) == DispatchState::kAwaitCommit)
--- a/packages/program/tests/program_test.cc
+++ b/packages/program/tests/program_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 AdmitAction Admit(Program& program, const CallRequest& call) {
-  return program.Admit(call, kNoLimits, kStart).action;
+  return program.Admit(call, NoLimits(), kStart).action;
 }
 
 // Guards against calls that run out of order, twice, or under a used number.
@@ -38,7 +38,7 @@
   CHECK(program.answer_needed(key));
   Commit(program);
   CHECK_FALSE(program.answer_needed(key));
-  Admission repeat = program.Admit(MakeCall(1), kNoLimits, kStart);
+  Admission repeat = program.Admit(MakeCall(1), NoLimits(), kStart);
   CHECK(repeat.action == AdmitAction::kAnswer);
   CHECK(repeat.record->answer.body == "a");
   CHECK(CodeOf([&] { Admit(program, MakeCall(1, true, "other")); }) ==
@@ -158,7 +158,7 @@
   CHECK(CodeOf([&] { program.FailTurn(1, Answer()); }) == "internal/not_run");
   CHECK(program.AttemptLost(key));
   Commit(program);
-  Admission repeat = program.Admit(MakeCall(1, false), kNoLimits, kStart);
+  Admission repeat = program.Admit(MakeCall(1, false), NoLimits(), kStart);
   CHECK(repeat.record->answer.outcome == TurnOutcome::kUnknown);
   CHECK(program.budget().spent() == 100);
   CHECK(Admit(program, MakeCall(2)) == AdmitAction::kRun);
