--- a/bench/src/entry_model.h
+++ b/bench/src/entry_model.h
@@ -39,6 +39,8 @@
   std::vector<ProgramRun*> children{};
   bool arrived_in_peak = false;
   bool measured = false;
+  // Waits for admission, so that no call has been issued yet.
+  bool admitted = false;
   bool ended = false;
 };
 
@@ -50,8 +52,11 @@
     std::function<void(scheduling::ServerIndex, std::uint64_t id)> cancel;
     std::function<void(scheduling::ServerIndex, scheduling::ProgramKey)>
         release;
-    // A first token reached the caller; `issued` is when the turn began.
-    std::function<void(const ProgramRun&, double wait)> on_first_token;
+    // A turn's first token was produced `wait` seconds after the turn was
+    // issued, less the time to compute its new prompt tokens on an idle
+    // server; also called when the program ends while it still waits.
+    std::function<void(const ProgramRun&, double wait)> on_wait;
+    std::function<void(const TurnShape&)> on_turn_done;
     std::function<void(const ProgramRun&)> on_refused;
     std::function<void(const ProgramRun&, bool finished)> on_end;
     std::function<void()> on_retry;
@@ -67,6 +72,7 @@
   // Starts a program once admission allows it.
   void Start(std::unique_ptr<ProgramRun> program);
 
+  void OnFirstToken(const FirstToken& token);
   void OnResult(const CallResult& result);
   void OnReport(scheduling::ServerIndex server,
                 const scheduling::LoadReport& report);
@@ -86,6 +92,7 @@
     base::TimePoint issued{};
     base::TimePoint sent{};
     int attempts = 0;
+    bool first_token = false;
     std::vector<Attempt> open;
   };
 
@@ -101,6 +108,9 @@
   void NextTurn(ProgramRun* program);
   void EndProgram(ProgramRun* program, bool finished);
   void CancelCalls(ProgramRun* program);
+  void CountWait(const ProgramRun& program,
+                 base::TimePoint issued,
+                 base::TimePoint end);
 
   WorkloadSettings workload_;
   Policy policy_;
--- a/bench/src/run_result.cc
+++ b/bench/src/run_result.cc
@@ -46,6 +46,7 @@
   mean(&ended_kv_mean, other.ended_kv_mean);
   mean(&utilisation, other.utilisation);
   mean(&throughput, other.throughput);
+  mean(&useful_work_rate, other.useful_work_rate);
   AddUp(&finished_at, other.finished_at);
   AddUp(&retries_at, other.retries_at);
   runs += other.runs;
--- a/bench/src/run_result.h
+++ b/bench/src/run_result.h
@@ -18,7 +18,8 @@
   // Latency of finished programs divided by their critical path.
   std::vector<double> path_ratio;
   // Wait of each call of short programs: issue to first token, less the time to
-  // compute its own new prompt tokens on an idle server (seconds).
+  // compute its own new prompt tokens on an idle server (seconds). The wait of
+  // a call that was given up is counted up to that moment.
   std::vector<double> short_wait;
   // Programs by outcome; a refusal is one refused attempt to start.
   std::uint64_t arrived = 0;
@@ -45,6 +46,9 @@
   double utilisation = 0;
   // Programs finished per second over the measured time.
   double throughput = 0;
+  // New prompt tokens and output of the calls that ended, per second (work
+  // tokens). Recomputed prompts do not count.
+  double useful_work_rate = 0;
   // Programs finished, and retries sent, in each second of the run.
   std::vector<double> finished_at;
   std::vector<double> retries_at;
--- a/bench/src/sidecar_model.cc
+++ b/bench/src/sidecar_model.cc
@@ -96,6 +96,10 @@
 void SidecarModel::HandleEngine() {
   base::TimePoint now = events_->now();
   engine_.Advance(now);
+  for (const FirstToken& token : engine_.TakeFirstTokens()) {
+    if (calls_.contains(token.id))
+      hooks_.on_first_token(token);
+  }
   for (const EngineResult& result : engine_.TakeResults()) {
     const CallMessage& message = calls_.at(result.id);
     lengths_.OnLength(message.program_class, message.output_tokens);
--- a/bench/src/sidecar_model.h
+++ b/bench/src/sidecar_model.h
@@ -49,6 +49,7 @@
   // What the sidecar tells the rest of the simulation.
   struct Hooks {
     std::function<void(const CallResult&)> on_result;
+    std::function<void(const FirstToken&)> on_first_token;
     std::function<void(const CacheChange&)> on_cache;
     // A call started; `prefill` prompt tokens must be computed.
     std::function<void(const CallMessage&, double prefill)> on_start;
