--- /dev/null
+++ b/packages/entry/src/committer.cc
@@ -0,0 +1,209 @@
+#include "committer.h"
+
+#include <thread>
+#include <utility>
+
+#include "vanillalever/base/logging.h"
+#include "vanillalever/base/random.h"
+
+namespace vanillalever::entry {
+namespace {
+
+// Commits also without being woken, so that no change waits for ever.
+constexpr base::Duration kIdleInterval = base::milliseconds(50);
+// Time after which a commit in doubt is reported and tried again.
+constexpr base::Duration kCommitRound = base::seconds(5);
+
+platform::Transaction ToTransaction(const program::TransactionPlan& plan) {
+  platform::Transaction transaction;
+  transaction.token = plan.token;
+  for (const auto& condition : plan.conditions)
+    transaction.conditions.push_back({condition.key, condition.version});
+  for (const auto& write : plan.writes)
+    transaction.writes.push_back({write.key, write.value});
+  return transaction;
+}
+
+base::ErrorInfo ShardLost() {
+  base::ErrorInfo info;
+  info.code = base::ErrorCode::kNotOwner;
+  info.step = base::Step::kCommit;
+  info.message = "the program's shard has another owner";
+  info.ran = base::Ran::kUnknown;
+  info.retry_after = base::milliseconds(200);
+  return info;
+}
+
+}  // namespace
+
+Committer::Committer(ShardHost& shards,
+                     platform::PlatformStore& store,
+                     base::Duration group_window,
+                     base::CounterRegistry& counters)
+    : shards_(shards),
+      store_(store),
+      group_window_(group_window),
+      commit_(store,
+              clock_,
+              [](base::Duration pause) { std::this_thread::sleep_for(pause); }),
+      commits_(counters.counter("vl_entry_commits_total",
+                                "Group commits that took effect.")),
+      rows_(counters.counter("vl_entry_commit_rows_total",
+                             "Rows in group commits that took effect.")),
+      conflicts_(counters.counter("vl_entry_commit_conflicts_total",
+                                  "Group commits that were refused.")),
+      doubts_(counters.counter("vl_entry_commit_doubts_total",
+                               "Rounds in which a commit's result stayed "
+                               "open.")),
+      thread_(kIdleInterval, [this] { Run(); }) {}
+
+void Committer::WhenDurable(const ShardPtr& shard,
+                            const program::ProgramId& program,
+                            std::uint64_t revision,
+                            Callback callback) {
+  {
+    std::lock_guard lock(mutex_);
+    waiters_.emplace(program, Waiter{shard, revision, std::move(callback)});
+  }
+  NotifyReady(program);
+  thread_.Wake();
+}
+
+std::size_t Committer::uncommitted() const {
+  std::size_t count = 0;
+  for (const ShardPtr& shard : shards_.all())
+    count += shard->changed();
+  return count;
+}
+
+void Committer::Stop() {
+  stopping_ = true;
+  thread_.Stop();
+  std::multimap<program::ProgramId, Waiter> waiters;
+  {
+    std::lock_guard lock(mutex_);
+    waiters.swap(waiters_);
+  }
+  for (auto& [id, waiter] : waiters)
+    waiter.callback(ShardLost());
+}
+
+void Committer::Run() {
+  while (!stopping_) {
+    if (group_window_ > base::Duration(0))
+      std::this_thread::sleep_for(group_window_);
+    program::RecordBatch batch({}, base::RandomId());
+    std::vector<ShardPtr> shards = shards_.all();
+    base::TimePoint now = clock_.now();
+    for (const ShardPtr& shard : shards) {
+      try {
+        shard->Collect(batch, now);
+      } catch (const base::Error&) {
+        // Dropped since it was listed.
+      }
+    }
+    if (batch.empty())
+      break;
+    CommitBatch(batch, shards);
+  }
+  Notify();
+}
+
+void Committer::CommitBatch(const program::RecordBatch& batch,
+                            const std::vector<ShardPtr>& shards) {
+  platform::Transaction transaction = ToTransaction(batch.plan());
+  while (!stopping_) {
+    auto result = commit_.Run(transaction, clock_.now() + kCommitRound);
+    if (result.outcome == platform::CommitOutcome::kApplied) {
+      commits_.Add();
+      rows_.Add(static_cast<std::int64_t>(batch.rows()));
+      for (const ShardPtr& shard : shards) {
+        try {
+          shard->Applied(batch, result.version);
+        } catch (const base::Error&) {
+          // Dropped meanwhile; its waiters are told below.
+        }
+      }
+      Notify();
+      return;
+    }
+    if (result.outcome == platform::CommitOutcome::kConflict) {
+      conflicts_.Add();
+      OnConflict(batch, shards, result.conflict_key);
+      Notify();
+      return;
+    }
+    doubts_.Add();
+    bool all_dropped = true;
+    for (const ShardPtr& shard : shards)
+      all_dropped = all_dropped && shard->dropped();
+    Notify();
+    if (all_dropped)
+      return;
+  }
+}
+
+void Committer::OnConflict(const program::RecordBatch& batch,
+                           const std::vector<ShardPtr>& shards,
+                           const std::string& conflict_key) {
+  program::ConflictParty party = batch.FindParty(conflict_key);
+  base::LogEvent(base::LogLevel::kWarning, "commit_conflict",
+                 {{"key", conflict_key}});
+  if (party.shard)
+    shards_.Drop(*party.shard);
+  for (const ShardPtr& shard : shards) {
+    try {
+      shard->Rejected(batch);
+      // Somebody else wrote the program's row under the same ownership: the
+      // row wins, and the program is read again at its next use.
+      if (party.program && party.program->shard() == shard->shard())
+        shard->Remove(*party.program);
+    } catch (const base::Error&) {
+      // Dropped.
+    }
+  }
+}
+
+// Calls the callbacks of programs that became durable or were lost.
+void Committer::Notify() {
+  std::vector<program::ProgramId> programs;
+  {
+    std::lock_guard lock(mutex_);
+    for (const auto& [program, waiter] : waiters_) {
+      if (programs.empty() || programs.back() != program)
+        programs.push_back(program);
+    }
+  }
+  for (const program::ProgramId& program : programs)
+    NotifyReady(program);
+}
+
+void Committer::NotifyReady(const program::ProgramId& program) {
+  std::vector<std::pair<Callback, std::optional<base::ErrorInfo>>> ready;
+  {
+    std::lock_guard lock(mutex_);
+    auto [begin, end] = waiters_.equal_range(program);
+    for (auto it = begin; it != end;) {
+      std::optional<base::ErrorInfo> error;
+      bool durable = false;
+      try {
+        durable = it->second.shard->With(program, [&](program::Program& p) {
+          return p.durable_revision() >= it->second.revision;
+        });
+      } catch (const base::Error& lost) {
+        error = ShardLost();
+        error->message = lost.info().message;
+      }
+      if (!durable && !error) {
+        ++it;
+        continue;
+      }
+      ready.emplace_back(std::move(it->second.callback), error);
+      it = waiters_.erase(it);
+    }
+  }
+  for (auto& [callback, error] : ready)
+    callback(error);
+}
+
+}  // namespace vanillalever::entry
--- /dev/null
+++ b/packages/entry/src/program_api.cc
@@ -0,0 +1,568 @@
+#include "program_api.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "turn_answer.h"
+#include "vanillalever/base/hash.h"
+#include "vanillalever/guard/fingerprint.h"
+#include "vanillalever/http/json_body.h"
+#include "vanillalever/http/message.h"
+#include "vanillalever/program/program_codec.h"
+
+namespace vanillalever::entry {
+namespace {
+
+using base::ErrorCode;
+using base::Ran;
+using base::Step;
+using Json = nlohmann::json;
+
+constexpr std::size_t kMaxKeyBytes = 256;
+// Entries that a request may pass on its way to the owner.
+constexpr std::uint32_t kMaxHops = 2;
+// Longest time for which a request is forwarded.
+constexpr base::Duration kForwardTimeout = std::chrono::minutes(30);
+constexpr base::milliseconds kMaxDeadline = std::chrono::minutes(15);
+constexpr base::milliseconds kFallbackDeadline = std::chrono::seconds(60);
+constexpr char kRoot[] = "/v1/programs";
+
+base::Error Invalid(const std::string& message) {
+  return base::NotRun(ErrorCode::kInvalidRequest, Step::kParse, message);
+}
+
+std::string RequiredText(const Json& body, const char* field) {
+  auto found = body.find(field);
+  if (found == body.end() || !found->is_string() ||
+      found->get_ref<const std::string&>().empty())
+    throw Invalid(std::string("field '") + field +
+                  "' must be a non-empty string");
+  return *found;
+}
+
+std::string OptionalText(const Json& body, const char* field) {
+  return body.contains(field) ? RequiredText(body, field) : "";
+}
+
+std::int64_t OptionalNumber(const Json& body,
+                            const char* field,
+                            std::int64_t fallback) {
+  auto found = body.find(field);
+  if (found == body.end())
+    return fallback;
+  if (!found->is_number_integer() || found->get<std::int64_t>() < 1)
+    throw Invalid(std::string("field '") + field +
+                  "' must be a positive integer");
+  return *found;
+}
+
+void CheckFields(const Json& body, std::initializer_list<const char*> known) {
+  for (const auto& [name, value] : body.items()) {
+    bool found = std::any_of(known.begin(), known.end(),
+                             [&](const char* k) { return name == k; });
+    if (!found)
+      throw Invalid("unknown field '" + name + "'");
+  }
+}
+
+base::ErrorInfo ForwardError(const std::string& message, Ran ran) {
+  base::ErrorInfo info;
+  info.code = ErrorCode::kUnavailable;
+  info.step = Step::kForward;
+  info.message = message;
+  info.ran = ran;
+  info.retry_after = base::milliseconds(200);
+  return info;
+}
+
+}  // namespace
+
+Json ProgramJson(const program::Program& program) {
+  const program::ProgramSpec& spec = program.spec();
+  const program::BudgetLedger& budget = program.budget();
+  Json json = {{"id", spec.id.text()},
+               {"organisation", spec.organisation},
+               {"class", spec.program_class},
+               {"key", spec.key},
+               {"parent", spec.parent.text()},
+               {"state", program::kProgramStateNames.name(program.state())},
+               {"next_turn", program.last_turn() + 1},
+               {"turn_open", program.open_call().has_value()},
+               {"children", program.children().size()},
+               {"budget",
+                {{"limit", budget.limit()},
+                 {"spent", budget.spent()},
+                 {"reserved", budget.reserved()},
+                 {"shared", budget.shared()},
+                 {"available", budget.available()}}}};
+  return json;
+}
+
+ProgramApi::ProgramApi(EntryContext& context,
+                       Recovery& recovery,
+                       protocol::RpcLoop& loop)
+    : context_(context),
+      recovery_(recovery),
+      loop_(loop),
+      calls_(context.counters.counter("vl_entry_calls_total",
+                                      "Turns that were opened.")),
+      repeats_(context.counters.counter("vl_entry_repeated_calls_total",
+                                        "Repeated turns that were answered "
+                                        "without running again.")),
+      forwarded_(context.counters.counter("vl_entry_forwarded_total",
+                                          "Requests passed on to the owner.")) {
+}
+
+bool ProgramApi::IsCreate(const CallerRequest& request) {
+  return request.path == kRoot && request.method == "POST";
+}
+
+ProgramApi::Target ProgramApi::ParsePath(const CallerRequest& request) {
+  const std::string prefix = std::string(kRoot) + "/";
+  if (!request.path.starts_with(prefix))
+    throw base::NotRun(ErrorCode::kNotFound, Step::kParse,
+                       "no route for " + request.path);
+  std::string rest = request.path.substr(prefix.size());
+  std::size_t slash = rest.find('/');
+  Target target;
+  target.id = program::ProgramId::Parse(rest.substr(0, slash));
+  if (slash != std::string::npos)
+    target.action = rest.substr(slash + 1);
+  return target;
+}
+
+void ProgramApi::Handle(CallerRequest request, const ReplyPtr& reply) {
+  try {
+    Route(request, reply);
+  } catch (const base::Error& error) {
+    reply->Fail(error.info());
+  }
+}
+
+void ProgramApi::Route(const CallerRequest& request, const ReplyPtr& reply) {
+  std::uint32_t shard = 0;
+  if (IsCreate(request))
+    shard = program::ProgramShard::IdFor(ParseCreate(request)).shard();
+  else
+    shard = ParsePath(request).id.shard();
+  if (context_.shards.Find(shard) && context_.membership.lease_held())
+    return Serve(context_.shards.Admitting(shard), request, reply);
+  Forward(shard, request, reply);
+}
+
+void ProgramApi::Serve(const ShardPtr& shard,
+                       const CallerRequest& request,
+                       const ReplyPtr& reply) {
+  if (IsCreate(request)) {
+    program::CreateRequest create = ParseCreate(request);
+    return Block(
+        reply, [this, shard, create, reply] { Create(shard, create, reply); });
+  }
+  Target target = ParsePath(request);
+  // Programs in memory are served at once; others are read first.
+  auto serve = [this, shard, request, reply, target] {
+    std::string organisation = shard->With(
+        target.id,
+        [](program::Program& program) { return program.spec().organisation; });
+    bool operator_reads =
+        request.organisation == kOperator && request.method == "GET";
+    if (organisation != request.organisation && !operator_reads)
+      throw base::NotRun(ErrorCode::kNotFound, Step::kAuthenticate,
+                         "no program " + target.id.text());
+    if (request.method == "GET" && target.action.empty())
+      return Show(shard, target.id, reply);
+    if (request.method == "GET" && target.action == "history")
+      return Block(reply, [this, shard, target, reply] {
+        History(shard, target.id, reply);
+      });
+    if (request.method == "POST" && target.action == "calls")
+      return Call(shard, target.id, request, reply);
+    if (request.method == "POST" && target.action == "cancel")
+      return Cancel(shard, target.id, reply);
+    if (request.method == "POST" && target.action == "end")
+      return End(shard, target.id, reply);
+    throw base::NotRun(ErrorCode::kNotFound, Step::kParse,
+                       "no route for " + request.method + " " + request.path);
+  };
+  try {
+    serve();
+  } catch (const base::Error& error) {
+    if (error.info().code != ErrorCode::kNotFound ||
+        error.info().step == Step::kAuthenticate)
+      throw;
+    Block(reply, [this, shard, target, serve] {
+      recovery_.LoadProgram(shard, target.id);
+      serve();
+    });
+  }
+}
+
+void ProgramApi::Block(const ReplyPtr& reply, Task task) {
+  context_.workers.Post([reply, task = std::move(task)] {
+    try {
+      task();
+    } catch (const base::Error& error) {
+      reply->Fail(error.info());
+    } catch (const std::exception& error) {
+      base::ErrorInfo info;
+      info.message = error.what();
+      info.step = Step::kAdmit;
+      info.ran = Ran::kUnknown;
+      reply->Fail(info);
+    }
+  });
+}
+
+program::CreateRequest ProgramApi::ParseCreate(const CallerRequest& request) {
+  Json body = http::ParseJsonObject(request.body);
+  CheckFields(body, {"key", "class", "budget", "parent"});
+  program::CreateRequest create;
+  create.organisation = request.organisation;
+  create.key = RequiredText(body, "key");
+  if (create.key.size() > kMaxKeyBytes)
+    throw Invalid("field 'key' is longer than " + std::to_string(kMaxKeyBytes) +
+                  " bytes");
+  create.program_class = RequiredText(body, "class");
+  if (std::string parent = OptionalText(body, "parent"); !parent.empty())
+    create.parent = program::ProgramId::Parse(parent);
+  ConfigView config = context_.config.Current();
+  const config::ConfigSet& set = config.body->set;
+  const auto* organisation =
+      set.Find<config::Organisation>(request.organisation);
+  const auto* program_class =
+      set.Find<config::ProgramClass>(create.program_class);
+  bool allowed =
+      organisation != nullptr && program_class != nullptr &&
+      std::find(organisation->classes.begin(), organisation->classes.end(),
+                create.program_class) != organisation->classes.end();
+  if (!allowed)
+    throw base::NotRun(ErrorCode::kForbidden, Step::kAdmit,
+                       "class '" + create.program_class +
+                           "' is not one of the organisation's");
+  std::int64_t fallback = 0;
+  if (const auto* budget =
+          set.Find<config::Budget>(program_class->default_budget))
+    fallback = budget->tokens;
+  create.default_budget = !body.contains("budget");
+  create.budget = OptionalNumber(body, "budget", fallback);
+  if (create.budget < 1)
+    throw Invalid("field 'budget' is required: the class has no default");
+  return create;
+}
+
+void ProgramApi::CheckCapacity() const {
+  if (context_.committer.uncommitted() < context_.settings.max_uncommitted)
+    return;
+  base::ErrorInfo info;
+  info.code = ErrorCode::kUnavailable;
+  info.step = Step::kAdmit;
+  info.message = "too many changes wait for the platform";
+  info.retry_after = base::seconds(1);
+  throw base::Error(std::move(info));
+}
+
+void ProgramApi::Create(const ShardPtr& shard,
+                        const program::CreateRequest& request,
+                        const ReplyPtr& reply) {
+  CheckCapacity();
+  program::CreateRequest create = request;
+  create.incarnation = base::RandomId();
+  program::ProgramId id = program::ProgramShard::IdFor(create);
+  try {
+    shard->With(id, [](program::Program&) {});
+  } catch (const base::Error& error) {
+    if (error.info().code != ErrorCode::kNotFound)
+      throw;
+    // An ended program leaves the memory; its key still names it.
+    recovery_.LoadProgram(shard, id);
+  }
+  program::CreateResult result =
+      shard->Create(create, std::chrono::steady_clock::now());
+  ReplyWhenDurable(shard, result.id, result.revision,
+                   result.created ? 201 : 200, reply);
+}
+
+void ProgramApi::ReplyWhenDurable(const ShardPtr& shard,
+                                  const program::ProgramId& id,
+                                  std::uint64_t revision,
+                                  int status,
+                                  const ReplyPtr& reply) {
+  context_.committer.WhenDurable(
+      shard, id, revision,
+      [shard, id, status, reply](const std::optional<base::ErrorInfo>& error) {
+        if (error)
+          return reply->Fail(*error);
+        try {
+          reply->Finish(status, shard
+                                    ->With(id,
+                                           [](program::Program& program) {
+                                             return ProgramJson(program);
+                                           })
+                                    .dump());
+        } catch (const base::Error& lost) {
+          reply->Fail(lost.info());
+        }
+      });
+}
+
+void ProgramApi::Call(const ShardPtr& shard,
+                      const program::ProgramId& id,
+                      const CallerRequest& request,
+                      const ReplyPtr& reply) {
+  CheckCapacity();
+  Admit(shard, ParseCall(shard, id, request), reply);
+}
+
+CallPlan ProgramApi::ParseCall(const ShardPtr& shard,
+                               const program::ProgramId& id,
+                               const CallerRequest& request) {
+  Json body = http::ParseJsonObject(request.body);
+  CheckFields(body, {"turn", "pool", "operation", "body", "max_tokens",
+                     "deadline_ms", "stream"});
+  CallPlan plan;
+  plan.id = id;
+  plan.organisation = request.organisation;
+  auto turn = OptionalNumber(body, "turn", 0);
+  if (turn < 1 || turn > INT32_MAX)
+    throw Invalid("field 'turn' must be a positive integer");
+  plan.call.turn = static_cast<std::uint32_t>(turn);
+  plan.call.pool = RequiredText(body, "pool");
+  plan.call.operation = RequiredText(body, "operation");
+  if (body.contains("stream") && !body["stream"].is_boolean())
+    throw Invalid("field 'stream' must be true or false");
+  plan.stream = body.value("stream", false);
+  if (!body.contains("body"))
+    throw Invalid("field 'body' is required");
+  plan.body = body["body"].dump();
+  shard->With(id, [&](program::Program& program) {
+    plan.program_class = program.spec().program_class;
+    plan.program_incarnation = program.spec().incarnation;
+    plan.program_age = program.elapsed(std::chrono::steady_clock::now());
+    plan.in_progress = program.last_turn() > 0;
+  });
+  ConfigView config = context_.config.Current();
+  const auto* program_class =
+      config.body->set.Find<config::ProgramClass>(plan.program_class);
+  if (program_class == nullptr)
+    throw base::NotRun(ErrorCode::kForbidden, Step::kAdmit,
+                       "class '" + plan.program_class + "' was deleted");
+  FillLimits(config.body->set, *program_class, body, plan);
+  plan.call.fingerprint =
+      guard::RequestFingerprint(plan.call.pool, plan.call.operation, plan.body);
+  return plan;
+}
+
+void ProgramApi::FillLimits(const config::ConfigSet& set,
+                            const config::ProgramClass& program_class,
+                            const Json& body,
+                            CallPlan& plan) {
+  const auto& pools = program_class.pools;
+  const auto* pool = set.Find<config::Pool>(plan.call.pool);
+  if (pool == nullptr ||
+      std::find(pools.begin(), pools.end(), plan.call.pool) == pools.end())
+    throw base::NotRun(ErrorCode::kNotFound, Step::kAdmit,
+                       "class '" + plan.program_class + "' has no pool '" +
+                           plan.call.pool + "'");
+  const config::Operation* operation = pool->operation(plan.call.operation);
+  if (operation == nullptr)
+    throw base::NotRun(ErrorCode::kNotFound, Step::kAdmit,
+                       "pool '" + plan.call.pool + "' has no operation '" +
+                           plan.call.operation + "'");
+  plan.engine = pool->kind == config::PoolKind::kEngine;
+  if (plan.engine && !body["body"].is_object())
+    throw Invalid("field 'body' must be an object for a model engine");
+  plan.call.repeatable = operation->repeatable;
+  plan.operation_cost = operation->cost_tokens;
+  if (plan.engine) {
+    std::int64_t max_tokens =
+        OptionalNumber(body, "max_tokens", pool->max_tokens_per_call);
+    plan.max_tokens = static_cast<std::uint32_t>(
+        std::min(max_tokens, pool->max_tokens_per_call));
+  }
+  // A token is at least one byte, so the body's size bounds its tokens.
+  plan.call.worst_case_cost = plan.operation_cost + plan.max_tokens;
+  if (plan.engine)
+    plan.call.worst_case_cost += static_cast<std::int64_t>(plan.body.size());
+  base::milliseconds fallback = operation->deadline.count() > 0
+                                    ? operation->deadline
+                                    : program_class.default_deadline;
+  if (fallback.count() <= 0)
+    fallback = kFallbackDeadline;
+  base::milliseconds deadline(
+      OptionalNumber(body, "deadline_ms", fallback.count()));
+  plan.deadline =
+      std::chrono::steady_clock::now() + std::min(deadline, kMaxDeadline);
+  const auto* priority = set.Find<config::Priority>(program_class.priority);
+  if (priority != nullptr)
+    plan.priority = static_cast<std::uint32_t>(priority->rank);
+  plan.short_work = program_class.short_work;
+  plan.expected_tokens = program_class.expected_tokens;
+  plan.class_key = static_cast<int>(base::Hash64(plan.program_class) >> 33);
+}
+
+void ProgramApi::Admit(const ShardPtr& shard,
+                       CallPlan plan,
+                       const ReplyPtr& reply) {
+  ConfigView config = context_.config.Current();
+  program::LoopLimits limits;
+  if (const auto* program_class =
+          config.body->set.Find<config::ProgramClass>(plan.program_class)) {
+    limits.max_turns = static_cast<std::uint32_t>(program_class->limits.turns);
+    limits.max_elapsed = program_class->limits.elapsed;
+    limits.max_spend = program_class->limits.spend_tokens;
+  }
+  program::LoopGuard guard(limits);
+  // The caller waits from before the admission on, so that a turn which ends at
+  // once still reaches it.
+  program::Admission admission =
+      shard->With(plan.id, [&](program::Program& program) {
+        program::Admission result =
+            program.Admit(plan.call, guard, std::chrono::steady_clock::now());
+        bool waits = result.action == program::AdmitAction::kRun ||
+                     result.action == program::AdmitAction::kJoin;
+        if (waits)
+          context_.waiters.Add(plan.id, plan.call.turn, reply);
+        return result;
+      });
+  switch (admission.action) {
+    case program::AdmitAction::kRun:
+      calls_.Add();
+      std::make_shared<CallRunner>(context_, shard, std::move(plan))->Start();
+      return;
+    case program::AdmitAction::kJoin:
+      repeats_.Add();
+      return;
+    case program::AdmitAction::kAnswer:
+      repeats_.Add();
+      return Block(reply, [this, plan, reply, record = *admission.record] {
+        TurnAnswer answer =
+            MakeTurnAnswer(plan.id, record, LoadBody(context_.store, record));
+        reply->Finish(answer.status, answer.body);
+      });
+    case program::AdmitAction::kReadHistory:
+      repeats_.Add();
+      return Block(reply, [this, shard, plan, reply] {
+        AnswerFromHistory(shard, plan, reply);
+      });
+  }
+}
+
+void ProgramApi::AnswerFromHistory(const ShardPtr& /*shard*/,
+                                   const CallPlan& plan,
+                                   const ReplyPtr& reply) {
+  std::string key = program::ProgramCodec::TurnKey(plan.id, plan.call.turn);
+  auto row = context_.store.Read(key);
+  if (!row)
+    throw base::NotRun(ErrorCode::kInternal, Step::kStore, "missing row", key);
+  program::TurnRecord record = program::ProgramCodec::DecodeTurn(
+      key, row->value, plan.program_incarnation);
+  program::CheckRepeat(plan.call, record);
+  TurnAnswer answer =
+      MakeTurnAnswer(plan.id, record, LoadBody(context_.store, record));
+  reply->Finish(answer.status, answer.body);
+}
+
+void ProgramApi::Show(const ShardPtr& shard,
+                      const program::ProgramId& id,
+                      const ReplyPtr& reply) {
+  Json json = shard->With(
+      id, [](program::Program& program) { return ProgramJson(program); });
+  reply->Finish(200, json.dump());
+}
+
+void ProgramApi::History(const ShardPtr& shard,
+                         const program::ProgramId& id,
+                         const ReplyPtr& reply) {
+  std::string incarnation = shard->With(
+      id, [](program::Program& program) { return program.spec().incarnation; });
+  std::string head = program::ProgramCodec::HeadKey(id);
+  std::string prefix = head.substr(0, head.rfind('/')) + "/t/";
+  std::map<std::uint32_t, Json> turns;
+  for (const platform::Row& row : context_.store.Scan(prefix)) {
+    program::TurnRecord record =
+        program::ProgramCodec::DecodeTurn(row.key, row.value, incarnation);
+    turns[record.turn] = TurnJson(record, LoadBody(context_.store, record));
+  }
+  Json list = Json::array();
+  for (auto& [turn, json] : turns)
+    list.push_back(std::move(json));
+  reply->Finish(200, Json{{"program", id.text()}, {"turns", list}}.dump(
+                         -1, ' ', false, Json::error_handler_t::replace));
+}
+
+void ProgramApi::Cancel(const ShardPtr& shard,
+                        const program::ProgramId& id,
+                        const ReplyPtr& reply) {
+  for (const program::IntentToSettle& intent : shard->Cancel(id)) {
+    if (auto client = context_.servers.Client(intent.attempt.target.server))
+      client->Cancel(intent.attempt.target.work_token);
+  }
+  std::uint64_t revision = shard->With(
+      id, [](program::Program& program) { return program.revision(); });
+  ReplyWhenDurable(shard, id, revision, 200, reply);
+}
+
+void ProgramApi::End(const ShardPtr& shard,
+                     const program::ProgramId& id,
+                     const ReplyPtr& reply) {
+  std::uint64_t revision = shard->With(id, [](program::Program& program) {
+    program.End();
+    return program.revision();
+  });
+  ReplyWhenDurable(shard, id, revision, 200, reply);
+}
+
+void ProgramApi::Forward(std::uint32_t shard,
+                         const CallerRequest& request,
+                         const ReplyPtr& reply) {
+  std::string address = context_.membership.OwnerAddress(shard);
+  if (address.empty() || request.hops >= kMaxHops) {
+    base::ErrorInfo info =
+        ForwardError("shard " + std::to_string(shard) + " has no serving owner",
+                     Ran::kNotRun);
+    info.code = ErrorCode::kNotOwner;
+    return reply->Fail(info);
+  }
+  forwarded_.Add();
+  protocol::ForwardRequest message;
+  message.organisation = request.organisation;
+  message.method = request.method;
+  message.path = request.path;
+  message.body = request.body;
+  message.hops = request.hops + 1;
+  EntryClient(address)->Forward(
+      std::move(message), kForwardTimeout,
+      [reply](const std::string& text) { reply->Token(text); },
+      [reply](protocol::Outcome<protocol::ForwardResult> outcome) {
+        if (outcome.error) {
+          base::ErrorInfo info = *outcome.error;
+          info.step = Step::kForward;
+          info.retry_after = base::milliseconds(200);
+          return reply->Fail(info);
+        }
+        if (outcome.value.error)
+          return reply->Fail(*outcome.value.error);
+        reply->Finish(static_cast<int>(outcome.value.status),
+                      std::move(outcome.value.body));
+      });
+}
+
+std::shared_ptr<protocol::NodeClient> ProgramApi::EntryClient(
+    const std::string& address) {
+  std::lock_guard lock(mutex_);
+  auto& client = clients_[address];
+  if (!client) {
+    client = std::make_shared<protocol::NodeClient>(
+        loop_,
+        protocol::NodeClientSettings{address, context_.settings.shared_key});
+  }
+  return client;
+}
+
+void ProgramApi::Stop() {
+  std::map<std::string, std::shared_ptr<protocol::NodeClient>> clients;
+  std::lock_guard lock(mutex_);
+  clients.swap(clients_);
+}
+
+}  // namespace vanillalever::entry
--- /dev/null
+++ b/packages/entry/src/release_service.h
@@ -0,0 +1,40 @@
+#ifndef VANILLALEVER_ENTRY_SRC_RELEASE_SERVICE_H_
+#define VANILLALEVER_ENTRY_SRC_RELEASE_SERVICE_H_
+
+#include <mutex>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "entry_context.h"
+
+namespace vanillalever::entry {
+
+// Repeats release commands for ended programs until every holder has confirmed,
+// then forgets the programs. Thread-safe.
+class ReleaseService {
+ public:
+  explicit ReleaseService(EntryContext& context);
+
+  // Sends what is due. Called at intervals.
+  void Step();
+
+ private:
+  void Release(const ShardPtr& shard,
+               const program::ProgramId& id,
+               const program::CacheHolder& holder);
+  void Confirm(const ShardPtr& shard,
+               const program::ProgramId& id,
+               const program::CacheHolder& holder);
+
+  EntryContext& context_;
+  base::Counter& sent_;
+  base::Counter& confirmed_;
+  std::mutex mutex_;
+  // Program and server of the commands under way.
+  std::set<std::pair<std::string, std::string>> sending_;
+};
+
+}  // namespace vanillalever::entry
+
+#endif  // VANILLALEVER_ENTRY_SRC_RELEASE_SERVICE_H_
--- /dev/null
+++ b/packages/entry/src/shard_host.cc
@@ -0,0 +1,92 @@
+#include "shard_host.h"
+
+#include <utility>
+
+namespace vanillalever::entry {
+namespace {
+
+// A new owner usually serves within this time.
+constexpr base::milliseconds kNotOwnerRetry{200};
+
+base::Error Refuse(base::ErrorCode code, const std::string& message) {
+  base::ErrorInfo info;
+  info.code = code;
+  info.step = base::Step::kAdmit;
+  info.message = message;
+  info.retry_after = kNotOwnerRetry;
+  return base::Error(std::move(info));
+}
+
+}  // namespace
+
+ShardPtr ShardHost::Owned(std::uint32_t shard) const {
+  if (ShardPtr found = Find(shard))
+    return found;
+  throw Refuse(base::ErrorCode::kNotOwner,
+               "shard " + std::to_string(shard) + " is not owned here");
+}
+
+ShardPtr ShardHost::Admitting(std::uint32_t shard) const {
+  ShardPtr found = Owned(shard);
+  const Slot& slot = slots_.at(shard);
+  std::lock_guard lock(slot.mutex);
+  if (slot.frozen) {
+    throw Refuse(base::ErrorCode::kUnavailable,
+                 "shard " + std::to_string(shard) + " is being handed over");
+  }
+  return found;
+}
+
+ShardPtr ShardHost::Find(std::uint32_t shard) const {
+  const Slot& slot = slots_.at(shard);
+  std::lock_guard lock(slot.mutex);
+  return slot.shard;
+}
+
+void ShardHost::Install(ShardPtr shard) {
+  Slot& slot = slots_.at(shard->shard());
+  std::lock_guard lock(slot.mutex);
+  slot.shard = std::move(shard);
+  slot.frozen = false;
+}
+
+void ShardHost::Drop(std::uint32_t shard) {
+  ShardPtr dropped;
+  {
+    Slot& slot = slots_.at(shard);
+    std::lock_guard lock(slot.mutex);
+    dropped = std::exchange(slot.shard, nullptr);
+    slot.frozen = false;
+  }
+  if (dropped)
+    dropped->Drop();
+}
+
+void ShardHost::Freeze(std::uint32_t shard, bool frozen) {
+  Slot& slot = slots_.at(shard);
+  std::lock_guard lock(slot.mutex);
+  slot.frozen = frozen;
+}
+
+void ShardHost::CallStarted(std::uint32_t shard) {
+  ++slots_.at(shard).calls;
+}
+
+void ShardHost::CallEnded(std::uint32_t shard) {
+  --slots_.at(shard).calls;
+}
+
+int ShardHost::calls(std::uint32_t shard) const {
+  return slots_.at(shard).calls;
+}
+
+std::vector<ShardPtr> ShardHost::all() const {
+  std::vector<ShardPtr> shards;
+  for (std::uint32_t i = 0; i < program::kShardCount; ++i) {
+    if (ShardPtr shard = Find(i))
+      shards.push_back(std::move(shard));
+  }
+  return shards;
+}
+
+}  // namespace vanillalever::entry
--- /dev/null
+++ b/packages/entry/src/worker_pool.h
@@ -0,0 +1,34 @@
+#ifndef VANILLALEVER_ENTRY_SRC_WORKER_POOL_H_
+#define VANILLALEVER_ENTRY_SRC_WORKER_POOL_H_
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+namespace vanillalever::entry {
+
+// Threads for calls of the platform that block.
+class WorkerPool {
+ public:
+  explicit WorkerPool(std::size_t threads) : pool_(threads) {}
+  ~WorkerPool() { Stop(); }
+
+  template <typename Task>
+  void Post(Task task) {
+    boost::asio::post(pool_, std::move(task));
+  }
+
+  // Finishes running tasks, drops queued ones. Idempotent.
+  void Stop() {
+    pool_.stop();
+    pool_.join();
+  }
+
+ private:
+  boost::asio::thread_pool pool_;
+};
+
+}  // namespace vanillalever::entry
+
+#endif  // VANILLALEVER_ENTRY_SRC_WORKER_POOL_H_
