List cache holders and put shard conditions first

The owner must renew cache leases at the holders, and a store that reports the first failed condition named a program's head row although the shard was lost, because "prog/" sorts before "shard/".

--- a/packages/program/include/vanillalever/program/program.h
+++ b/packages/program/include/vanillalever/program/program.h
@@ -70,6 +70,9 @@
   const std::map<ProgramId, std::int64_t>& children() const {
     return children_;
   }
+  // Servers that hold cache of the program, whose leases are to be renewed. A
+  // holder that a crash forgets is released when its lease ends.
+  const std::set<CacheHolder>& holders() const { return holders_; }
   // Time under owners since creation.
   base::milliseconds elapsed(base::TimePoint now) const;
   // Answers that matched no open attempt.
--- a/packages/program/include/vanillalever/program/record_batch.h
+++ b/packages/program/include/vanillalever/program/record_batch.h
@@ -30,7 +30,9 @@
   bool operator==(const RowWrite&) const = default;
 };
 
-// One transaction of the platform's table, conditions and writes in key order.
+// One transaction of the platform's table. Conditions on shard rows come first,
+// so that a store that reports the first failed condition reports a lost shard
+// before its programs; within that, conditions and writes are in key order.
 struct TransactionPlan {
   // Unique token, stored in the rows that it writes.
   std::string token;
--- a/packages/program/src/record_batch.cc
+++ b/packages/program/src/record_batch.cc
@@ -60,8 +60,10 @@
   TransactionPlan plan;
   plan.token = token_;
   plan.conditions.reserve(conditions_.size());
-  for (const auto& [key, version] : conditions_)
-    plan.conditions.push_back({key, version});
+  for (const auto& [key, shard] : shards_)
+    plan.conditions.push_back({key, conditions_.at(key)});
+  for (const auto& [key, id] : heads_)
+    plan.conditions.push_back({key, conditions_.at(key)});
   plan.writes.reserve(writes_.size());
   for (const auto& [key, value] : writes_)
     plan.writes.push_back({key, value});
--- a/packages/program/tests/record_batch_test.cc
+++ b/packages/program/tests/record_batch_test.cc
@@ -33,6 +33,8 @@
   TransactionPlan plan = forward.plan();
   CHECK(plan == backward.plan());
   CHECK(plan.conditions.size() == 4);
+  CHECK(plan.conditions[1].key.starts_with("shard/"));
+  CHECK(plan.conditions[2].key.starts_with("prog/"));
   CHECK(plan.writes.size() == 4);
   CHECK(std::is_sorted(
       plan.writes.begin(), plan.writes.end(),
