--- a/packages/program/src/program.cc
+++ b/packages/program/src/program.cc
@@ -19,6 +19,24 @@
   return NotRun(ErrorCode::kTurnConflict, Step::kAdmit, std::move(message));
 }
 
+// Refuses an answer that cannot be recorded; its call did run.
+void CheckAnswer(const Answer& answer, const std::string& server) {
+  base::ErrorInfo info;
+  info.step = Step::kAnswer;
+  info.peer = server;
+  info.ran = base::Ran::kRan;
+  if (answer.input_tokens < 0 || answer.output_tokens < 0 || answer.cost < 0) {
+    info.code = ErrorCode::kInvalidRequest;
+    info.message = "the answer has a negative amount";
+    throw base::Error(std::move(info));
+  }
+  if (answer.body.size() > kMaxInlineBody && answer.object.empty()) {
+    info.code = ErrorCode::kTooLarge;
+    info.message = "the answer's body needs an object";
+    throw base::Error(std::move(info));
+  }
+}
+
 std::string TurnText(std::uint32_t turn) {
   return "turn " + std::to_string(turn);
 }
@@ -95,6 +113,7 @@
   budget_.Release(call.worst_case_cost);
   open_ = call;
   attempts_started_ = 0;
+  lost_attempt_ = false;
 }
 
 bool Program::CheckLimits(const LoopGuard& guard, base::TimePoint now) {
@@ -155,14 +174,7 @@
     ++dropped_answers_;
     return AnswerMatch::kDropped;
   }
-  if (answer.input_tokens < 0 || answer.output_tokens < 0 || answer.cost < 0) {
-    throw NotRun(ErrorCode::kInvalidRequest, Step::kAnswer,
-                 "the answer has a negative amount", attempt->target.server);
-  }
-  if (answer.body.size() > kMaxInlineBody && answer.object.empty()) {
-    throw NotRun(ErrorCode::kTooLarge, Step::kAnswer,
-                 "the answer's body needs an object", attempt->target.server);
-  }
+  CheckAnswer(answer, attempt->target.server);
   Attempt settled = std::move(*attempt);
   attempts_.erase(attempt);
   if (answer.outcome == TurnOutcome::kUnknown) {
@@ -208,16 +220,24 @@
     EndTurn(std::move(answer));
     return true;
   }
+  if (!lost.superseded)
+    lost_attempt_ = true;
   if (state_ != ProgramState::kRunning)
     Changed();
   CloseIfAbandoned();
   return true;
 }
 
-void Program::Withdraw(std::uint32_t turn) {
+base::Ran Program::Withdraw(std::uint32_t turn) {
   RequireClosable(turn);
   Changed();
   CloseTurn();
+  bool may_have_run =
+      lost_attempt_ || std::any_of(attempts_.begin(), attempts_.end(),
+                                   [turn](const Attempt& attempt) {
+                                     return attempt.turn == turn;
+                                   });
+  return may_have_run ? base::Ran::kUnknown : base::Ran::kNotRun;
 }
 
 void Program::FailTurn(std::uint32_t turn, Answer answer) {
@@ -226,6 +246,12 @@
   EndTurn(std::move(answer));
 }
 
+bool Program::answer_needed(const AttemptKey& key) const {
+  if (Find(key) != attempts_.end())
+    return true;
+  return key.turn <= last_turn_ && !turn_durable(key.turn);
+}
+
 bool Program::turn_durable(std::uint32_t turn) const {
   return turn > 0 && turn <= durable_turn_;
 }
@@ -405,9 +431,10 @@
 }
 
 bool Program::HasAttempts(std::uint32_t turn) const {
-  return std::any_of(
-      attempts_.begin(), attempts_.end(),
-      [turn](const Attempt& attempt) { return attempt.turn == turn; });
+  return std::any_of(attempts_.begin(), attempts_.end(),
+                     [turn](const Attempt& attempt) {
+                       return attempt.turn == turn && !attempt.superseded;
+                     });
 }
 
 }  // namespace vanillalever::program
