--- a/packages/entry/src/acknowledger.cc
+++ b/packages/entry/src/acknowledger.cc
@@ -32,22 +32,26 @@
       due[address] = {pending.tokens.begin(), pending.tokens.end()};
     }
   }
-  for (auto& [address, tokens] : due) {
-    auto client = servers_.Client(address);
-    if (!client)
-      continue;
-    client->Acknowledge(tokens, kTimeout,
-                        [this, address = address, tokens](
-                            const protocol::Outcome<protocol::Empty>& outcome) {
-                          std::lock_guard lock(mutex_);
-                          Pending& pending = pending_[address];
-                          pending.sending = false;
-                          if (outcome.error)
-                            return;
-                          for (const std::string& token : tokens)
-                            pending.tokens.erase(token);
-                        });
-  }
+  for (const auto& entry : due)
+    Send(entry.first, entry.second);
+}
+
+void Acknowledger::Send(const std::string& address,
+                        const std::vector<std::string>& tokens) {
+  auto client = servers_.Client(address);
+  if (!client)
+    return;
+  client->Acknowledge(tokens, kTimeout,
+                      [this, address, tokens](
+                          const protocol::Outcome<protocol::Empty>& outcome) {
+                        std::lock_guard lock(mutex_);
+                        Pending& pending = pending_[address];
+                        pending.sending = false;
+                        if (outcome.error)
+                          return;
+                        for (const std::string& token : tokens)
+                          pending.tokens.erase(token);
+                      });
 }
 
 }  // namespace vanillalever::entry
--- a/packages/entry/src/acknowledger.h
+++ b/packages/entry/src/acknowledger.h
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "server_directory.h"
 
@@ -30,6 +31,8 @@
     bool sending = false;
   };
 
+  void Send(const std::string& address, const std::vector<std::string>& tokens);
+
   // A sidecar that stays unreachable must not fill the memory; its results are
   // dropped when their shard has a new owner.
   static constexpr std::size_t kMaxTokens = 8192;
--- a/packages/entry/src/committer.cc
+++ b/packages/entry/src/committer.cc
@@ -41,7 +41,6 @@
                      base::Duration group_window,
                      base::CounterRegistry& counters)
     : shards_(shards),
-      store_(store),
       group_window_(group_window),
       commit_(store,
               clock_,
--- a/packages/entry/src/committer.h
+++ b/packages/entry/src/committer.h
@@ -62,7 +62,6 @@
   void NotifyReady(const program::ProgramId& program);
 
   ShardHost& shards_;
-  platform::PlatformStore& store_;
   const base::Duration group_window_;
   base::SteadyClock clock_;
   platform::ReliableCommit commit_;
--- a/packages/entry/src/program_api.cc
+++ b/packages/entry/src/program_api.cc
@@ -57,7 +57,8 @@
 }
 
 void CheckFields(const Json& body, std::initializer_list<const char*> known) {
-  for (const auto& [name, value] : body.items()) {
+  for (const auto& item : body.items()) {
+    const std::string& name = item.key();
     bool found = std::any_of(known.begin(), known.end(),
                              [&](const char* k) { return name == k; });
     if (!found)
--- a/packages/sidecar/src/work_executor.cc
+++ b/packages/sidecar/src/work_executor.cc
@@ -468,24 +468,27 @@
                            ReleaseResponder responder) {
   base::TimePoint now = std::chrono::steady_clock::now();
   Actions actions;
-  std::optional<base::ErrorInfo> error;
   {
     std::lock_guard lock(mutex_);
     execution::CacheHolder holder = {request.program,
                                      request.program_incarnation};
     if (fences_.Check(request.shard, request.fence) ==
         membership::FenceCheck::kStale) {
-      error = Refusal(ErrorCode::kNotOwner, "stale fencing token");
+      actions.emplace_back([responder] {
+        responder.done(Refusal(ErrorCode::kNotOwner, "stale fencing token"));
+      });
+    } else if (leases_.Release(holder, now) ==
+               execution::ReleaseOutcome::kDeferred) {
+      actions.emplace_back([responder] {
+        responder.done(
+            Refusal(ErrorCode::kUnavailable, "a call of the program runs"));
+      });
     } else {
-      leases_.Release(holder, now);
-      SendReleases(now, actions);
-      // The owner asks again until the backend server has confirmed.
-      if (!leases_.released(holder))
-        error = Refusal(ErrorCode::kUnavailable, "the release is in progress");
+      release_waiters_[holder].push_back(std::move(responder));
     }
+    SendReleases(now, actions);
   }
   RunActions(actions);
-  responder.done(error);
 }
 
 void WorkExecutor::SendReleases(base::TimePoint now, Actions& actions) {
@@ -497,16 +500,36 @@
     release.fence = fences_.highest(release.shard);
     actions.emplace_back([this, command, release] {
       backend_.Release(release, [this, command](bool confirmed) {
-        if (!confirmed)
-          return;
-        releases_.Add();
-        std::lock_guard lock(mutex_);
-        leases_.Confirm(command);
+        OnReleaseAnswered(command, confirmed);
       });
     });
   }
 }
 
+// Owners that wait for the release learn the backend server's answer; after a
+// failure they ask again.
+void WorkExecutor::OnReleaseAnswered(const execution::ReleaseCommand& command,
+                                     bool confirmed) {
+  std::vector<ReleaseResponder> waiters;
+  {
+    std::lock_guard lock(mutex_);
+    if (confirmed) {
+      releases_.Add();
+      leases_.Confirm(command);
+    }
+    auto entry = release_waiters_.extract(command.holder);
+    if (!entry.empty())
+      waiters = std::move(entry.mapped());
+  }
+  std::optional<base::ErrorInfo> error;
+  if (!confirmed) {
+    error = Refusal(ErrorCode::kUnavailable,
+                    "the backend server did not confirm the release");
+  }
+  for (const ReleaseResponder& waiter : waiters)
+    waiter.done(error);
+}
+
 void WorkExecutor::SetConfigured() {
   std::lock_guard lock(mutex_);
   configured_ = true;
--- a/packages/sidecar/src/work_executor.h
+++ b/packages/sidecar/src/work_executor.h
@@ -117,6 +117,8 @@
                     Actions& actions);
   protocol::ExecuteResult RetainedResult(const std::string& token) const;
   void SendReleases(base::TimePoint now, Actions& actions);
+  void OnReleaseAnswered(const execution::ReleaseCommand& command,
+                         bool confirmed);
 
   const std::string incarnation_;
   Backend& backend_;
@@ -138,6 +140,9 @@
   std::map<std::uint64_t, WorkPtr> queued_;
   // Suspect calls that wait until nothing else runs.
   std::deque<WorkPtr> alone_queue_;
+  // Owners that wait for a release, by holder.
+  std::map<execution::CacheHolder, std::vector<ReleaseResponder>>
+      release_waiters_;
   std::uint64_t next_queue_id_ = 1;
   std::size_t running_ = 0;
   std::size_t running_long_ = 0;
