--- a/packages/program/include/vanillalever/program/program.h
+++ b/packages/program/include/vanillalever/program/program.h
@@ -156,8 +156,9 @@
   // Whether the program has ended and nothing of it is open: its cost is final.
   bool settled() const;
 
-  // Servers to which a release must be sent (again) now: none while the
-  // program runs, and no server at which an attempt is still open.
+  // Servers to which a release must be sent (again) now: none before the end of
+  // the program is durable, because a new owner would find it running while its
+  // sidecars refuse it, and no server at which an attempt is still open.
   std::vector<CacheHolder> pending_releases() const;
   // The server has released the cache, or that incarnation is gone.
   void ReleaseAcknowledged(const CacheHolder& holder);
@@ -255,6 +256,8 @@
   std::uint64_t dropped_answers_ = 0;
   std::uint64_t revision_ = 0;
   std::uint64_t durable_revision_ = 0;
+  // Revision at which the program ended.
+  std::uint64_t end_revision_ = 0;
   // Last turn whose record is durable.
   std::uint32_t durable_turn_ = 0;
   std::uint64_t head_version_ = 0;
--- a/packages/program/src/program.cc
+++ b/packages/program/src/program.cc
@@ -292,7 +292,7 @@
 }
 
 std::vector<CacheHolder> Program::pending_releases() const {
-  if (state_ == ProgramState::kRunning)
+  if (state_ == ProgramState::kRunning || durable_revision_ < end_revision_)
     return {};
   std::vector<CacheHolder> pending;
   for (const CacheHolder& holder : holders_) {
@@ -414,6 +414,7 @@
 void Program::Finish(ProgramState state) {
   state_ = state;
   Changed();
+  end_revision_ = revision_;
   std::vector<Attempt> kept;
   for (Attempt& attempt : attempts_) {
     if (attempt.dispatched)
