--- a/packages/guard/src/strike_table.cc
+++ b/packages/guard/src/strike_table.cc
@@ -179,8 +179,13 @@
   entry.writing = false;
   entry.dirty = true;
   if (row) {
-    StrikeRecord record = StrikeCodec::Decode(row->key, row->value);
-    Merge(entry, record, row->version, now);
+    try {
+      StrikeRecord record = StrikeCodec::Decode(row->key, row->value);
+      Merge(entry, record, row->version, now);
+    } catch (const base::Error&) {
+      // The next write replaces a malformed row.
+      entry.version = row->version;
+    }
   } else {
     MergeAbsent(entry);
   }
--- /dev/null
+++ b/packages/guard/tests/strike_table_test.cc
@@ -0,0 +1,314 @@
+#include "vanillalever/guard/strike_table.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "vanillalever/base/error.h"
+#include "vanillalever/base/random.h"
+#include "vanillalever/guard/fingerprint.h"
+#include "vanillalever/guard/strike_codec.h"
+
+namespace vanillalever::guard {
+namespace {
+
+constexpr base::TimePoint kStart{std::chrono::hours(100)};
+
+const std::string& Bad() {
+  static const std::string fingerprint =
+      RequestFingerprint("models", "chat", "bad");
+  return fingerprint;
+}
+
+const std::string& Good() {
+  static const std::string fingerprint =
+      RequestFingerprint("models", "chat", "good");
+  return fingerprint;
+}
+
+// Rows of the platform's table with conditional writes.
+struct FakeRows {
+  std::map<std::string, std::pair<std::string, std::uint64_t>> rows;
+  std::uint64_t version = 0;
+
+  bool Write(const StrikeChange& change) {
+    auto row = rows.find(change.key);
+    std::uint64_t present = row == rows.end() ? 0 : row->second.second;
+    if (present != change.expected_version)
+      return false;
+    ++version;
+    if (change.value)
+      rows[change.key] = {*change.value, version};
+    else
+      rows.erase(change.key);
+    return true;
+  }
+
+  std::optional<StrikeRow> Read(const std::string& key) const {
+    auto row = rows.find(key);
+    if (row == rows.end())
+      return std::nullopt;
+    return StrikeRow{key, row->second.first, row->second.second};
+  }
+
+  std::vector<StrikeRow> List() const {
+    std::vector<StrikeRow> list;
+    for (const auto& [key, row] : rows)
+      list.push_back({key, row.first, row.second});
+    return list;
+  }
+};
+
+// Writes all changes, reading back after conflicts.
+void Flush(StrikeTable& table, FakeRows& rows, base::TimePoint now) {
+  for (int round = 0; round < 10; ++round) {
+    std::vector<StrikeChange> changes = table.TakeChanges(100);
+    if (changes.empty())
+      return;
+    for (const StrikeChange& change : changes) {
+      if (rows.Write(change))
+        table.Applied(change.fingerprint, rows.version, now);
+      else
+        table.Conflicted(change.fingerprint, rows.Read(change.key), now);
+    }
+  }
+  FAIL("the changes do not converge");
+}
+
+// Guards against a request that is not recognised, or confused with another.
+TEST_CASE("fingerprints cover pool, operation and body") {
+  CHECK(IsFingerprint(Bad()));
+  CHECK(RequestFingerprint("models", "chat", "bad") == Bad());
+  CHECK(RequestFingerprint("model", "schat", "bad") != Bad());
+  CHECK(RequestFingerprint("models", "chat", "bad ") != Bad());
+  CHECK_FALSE(IsFingerprint("ABCDEF"));
+}
+
+// Guards against a request that crashes one backend server after another.
+TEST_CASE("a suspect runs alone and is quarantined when it crashes again") {
+  StrikeTable table({});
+  CHECK(table.Judge(Bad(), kStart) == StrikeVerdict::kNormal);
+  table.RecordCrash("sidecar-1", {Bad(), Good()}, kStart);
+  table.RecordCrash("sidecar-1", {Bad(), Good()}, kStart);
+  CHECK(table.Judge(Bad(), kStart) == StrikeVerdict::kRunAlone);
+  CHECK(table.Judge(Good(), kStart) == StrikeVerdict::kRunAlone);
+  CHECK(table.BeginAlone(Bad(), "t1", "10.0.0.1:7000", kStart));
+  CHECK_FALSE(table.BeginAlone(Bad(), "t2", "10.0.0.2:7000", kStart));
+  CHECK(table.Judge(Bad(), kStart) == StrikeVerdict::kWait);
+  CHECK_FALSE(table.alone_durable(Bad(), "t1"));
+  FakeRows rows;
+  Flush(table, rows, kStart);
+  CHECK(table.alone_durable(Bad(), "t1"));
+  CHECK_FALSE(table.alone_durable(Bad(), "t2"));
+  table.RecordCrash("sidecar-2", {Bad()}, kStart);
+  CHECK(table.Judge(Bad(), kStart) == StrikeVerdict::kQuarantined);
+  table.RecordCompletion(Bad(), kStart);
+  CHECK(table.Judge(Bad(), kStart) == StrikeVerdict::kQuarantined);
+  // The co-runner completes and is cleared, here and in the table.
+  table.RecordCompletion(Good(), kStart);
+  CHECK(table.Judge(Good(), kStart) == StrikeVerdict::kNormal);
+  table.RecordCrash("sidecar-1", {Bad(), Good()}, kStart);
+  CHECK(table.Judge(Good(), kStart) == StrikeVerdict::kNormal);
+  Flush(table, rows, kStart);
+  CHECK(rows.rows.size() == 1);
+  CHECK(table.quarantined() == 1);
+  CHECK(table.size() == 1);
+}
+
+// Guards against a request that is never quarantined because it always runs
+// with others.
+TEST_CASE("the configured number of strikes quarantines") {
+  StrikeTable table({.quarantine_strikes = 3});
+  table.RecordCrash("s1", {Bad(), Good()}, kStart);
+  table.RecordCrash("s2", {Bad(), Good()}, kStart);
+  CHECK(table.Judge(Bad(), kStart) == StrikeVerdict::kRunAlone);
+  table.RecordCrash("s3", {Bad(), Good()}, kStart);
+  CHECK(table.Judge(Bad(), kStart) == StrikeVerdict::kQuarantined);
+  StrikeTable alone({});
+  alone.RecordCrash("s1", {Bad(), Bad()}, kStart);
+  CHECK(alone.Judge(Bad(), kStart) == StrikeVerdict::kQuarantined);
+}
+
+// Guards against a permission that is never free again, or free too early.
+TEST_CASE("the permission to run alone ends with the attempt or its timeout") {
+  StrikeSettings settings;
+  StrikeTable table(settings);
+  FakeRows rows;
+  table.RecordCrash("s1", {Bad(), Good()}, kStart);
+  CHECK(table.BeginAlone(Bad(), "t1", "server", kStart));
+  Flush(table, rows, kStart);
+  table.EndAlone(Bad(), "t2", kStart);
+  CHECK(table.Judge(Bad(), kStart) == StrikeVerdict::kWait);
+  base::TimePoint end = kStart + settings.alone_timeout;
+  CHECK(table.Judge(Bad(), end - base::milliseconds(1)) ==
+        StrikeVerdict::kWait);
+  CHECK(table.Judge(Bad(), end) == StrikeVerdict::kRunAlone);
+  table.EndAlone(Bad(), "t1", kStart);
+  CHECK(table.Judge(Bad(), kStart) == StrikeVerdict::kRunAlone);
+  Flush(table, rows, kStart);
+  StrikeRecord stored = StrikeCodec::Decode(
+      StrikeCodec::Key(Bad()), rows.rows.at(StrikeCodec::Key(Bad())).first);
+  CHECK(stored.alone_token.empty());
+}
+
+// Guards against two entries that run one suspect at the same time.
+TEST_CASE("only one of two entries gets the permission to run alone") {
+  FakeRows rows;
+  StrikeTable first({});
+  StrikeTable second({});
+  first.RecordCrash("s1", {Bad(), Good()}, kStart);
+  Flush(first, rows, kStart);
+  second.ObserveAll(rows.List(), kStart, kStart);
+  CHECK(first.BeginAlone(Bad(), "t1", "a", kStart));
+  CHECK(second.BeginAlone(Bad(), "t2", "b", kStart));
+  Flush(second, rows, kStart);
+  Flush(first, rows, kStart);
+  CHECK(second.alone_durable(Bad(), "t2"));
+  CHECK_FALSE(first.alone_durable(Bad(), "t1"));
+  CHECK(first.Judge(Bad(), kStart) == StrikeVerdict::kWait);
+}
+
+// Guards against a damaged row that blocks the strikes of its request for ever.
+TEST_CASE("a malformed row is replaced") {
+  FakeRows rows;
+  StrikeTable table({});
+  rows.version = 7;
+  rows.rows[StrikeCodec::Key(Bad())] = {"{", 7};
+  table.RecordCrash("s1", {Bad(), Good()}, kStart);
+  Flush(table, rows, kStart);
+  CHECK(StrikeCodec::Decode(StrikeCodec::Key(Bad()),
+                            rows.rows.at(StrikeCodec::Key(Bad())).first)
+            .crashes.size() == 1);
+}
+
+// Guards against strikes that are lost or kept for ever.
+TEST_CASE("rows are merged, and expire when they have not changed") {
+  FakeRows rows;
+  StrikeSettings settings;
+  StrikeTable first(settings);
+  StrikeTable second(settings);
+  first.RecordCrash("s1", {Bad(), Good()}, kStart);
+  second.RecordCrash("s2", {Bad(), Good()}, kStart);
+  Flush(first, rows, kStart);
+  Flush(second, rows, kStart);
+  StrikeRecord stored = StrikeCodec::Decode(
+      StrikeCodec::Key(Bad()), rows.rows.at(StrikeCodec::Key(Bad())).first);
+  CHECK(stored.crashes.size() == 2);
+  // A listing that was requested before the write is older and is ignored.
+  second.ObserveAll({}, kStart - base::seconds(1), kStart);
+  CHECK(second.size() == 2);
+  std::vector<StrikeRow> listing = rows.List();
+  listing.push_back({"strike/x", "{}", 1});
+  listing.push_back({StrikeCodec::Key(std::string(32, '0')), "[]", 1});
+  base::TimePoint later = kStart + base::seconds(1);
+  CHECK(first.ObserveAll(listing, later, later) == 2);
+  first.Expire(kStart + settings.expiry);
+  CHECK(first.size() == 2);
+  first.Expire(later + settings.expiry);
+  CHECK(first.size() == 0);
+  Flush(first, rows, later);
+  CHECK(rows.rows.empty());
+  base::TimePoint last = later + base::seconds(1);
+  second.ObserveAll(rows.List(), last, last);
+  CHECK(second.size() == 0);
+}
+
+// Guards against entries that disagree for ever after lost, conflicting and
+// late writes: once faults end, both views and the rows are equal, and a
+// request that crashed a server alone is quarantined.
+TEST_CASE("random reports of two entries converge") {
+  for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+    CAPTURE(seed);
+    base::Random random(seed);
+    FakeRows rows;
+    StrikeTable tables[2] = {StrikeTable({}), StrikeTable({})};
+    base::TimePoint now = kStart;
+    bool crashed_alone = false;
+    for (int step = 0; step < 60; ++step) {
+      now += base::seconds(1);
+      StrikeTable& table = tables[random.Below(2)];
+      std::string token = "t" + std::to_string(step);
+      switch (random.Below(6)) {
+        case 0:
+          table.RecordCrash("s" + std::to_string(random.Below(30)),
+                            {Bad(), Good()}, now);
+          break;
+        case 1:
+          table.RecordCompletion(random.Below(2) == 0 ? Bad() : Good(), now);
+          break;
+        case 2:
+          if (table.BeginAlone(Bad(), token, "server", now) &&
+              random.Below(2) == 0)
+            table.EndAlone(Bad(), token, now);
+          break;
+        case 3:
+          if (random.Below(20) == 0) {
+            table.RecordCrash("alone" + token, {Bad()}, now);
+            crashed_alone = true;
+          }
+          break;
+        case 4:
+          table.ObserveAll(rows.List(), now, now);
+          break;
+        default:
+          Flush(table, rows, now);
+      }
+    }
+    for (int round = 0; round < 3; ++round) {
+      for (StrikeTable& table : tables) {
+        now += base::seconds(1);
+        Flush(table, rows, now);
+        now += base::seconds(1);
+        table.ObserveAll(rows.List(), now, now);
+      }
+    }
+    for (const std::string& fingerprint : {Bad(), Good()})
+      REQUIRE(tables[0].Judge(fingerprint, now) ==
+              tables[1].Judge(fingerprint, now));
+    REQUIRE(tables[0].size() == rows.rows.size());
+    REQUIRE(tables[1].size() == rows.rows.size());
+    if (crashed_alone)
+      REQUIRE(tables[0].Judge(Bad(), now) == StrikeVerdict::kQuarantined);
+  }
+}
+
+// Guards against a damaged row that stops the process or is half read.
+TEST_CASE("mutated strike rows are refused or read consistently") {
+  std::string key = StrikeCodec::Key(Bad());
+  StrikeRecord record{{"s1", "s2"}, false, "t1", "10.0.0.1:7000"};
+  std::string text = StrikeCodec::Encode(record);
+  CHECK(StrikeCodec::Decode(key, text) == record);
+  CHECK(StrikeCodec::ParseKey(key) == Bad());
+  CHECK_THROWS_AS(StrikeCodec::ParseKey("strike/"), base::Error);
+  for (
+      const char* row :
+      {"", "{}", "[]", "null",
+       R"({"format":1,"crashes":[],"quarantined":true,"alone_token":"","alone_server":""})",
+       R"({"format":2,"crashes":["a"],"quarantined":true,"alone_token":"","alone_server":""})",
+       R"({"format":1,"crashes":["a"],"quarantined":1,"alone_token":"","alone_server":""})",
+       R"({"format":1,"crashes":["a"],"quarantined":true,"alone_token":"","more":""})"})
+    CHECK_THROWS_AS(StrikeCodec::Decode(key, row), base::Error);
+  for (std::uint64_t seed = 1; seed <= 20'000; ++seed) {
+    base::Random random(seed);
+    std::string mutated = text;
+    for (std::uint64_t n = 1 + random.Below(3); n > 0; --n) {
+      std::size_t at = random.Below(mutated.size());
+      if (random.Below(2) == 0)
+        mutated[at] = static_cast<char>(random.Below(256));
+      else
+        mutated.erase(at, 1);
+    }
+    try {
+      StrikeRecord read = StrikeCodec::Decode(key, mutated);
+      REQUIRE(StrikeCodec::Decode(key, StrikeCodec::Encode(read)) == read);
+    } catch (const base::Error&) {
+    }
+  }
+}
+
+}  // namespace
+}  // namespace vanillalever::guard
