--- a/packages/program/include/vanillalever/program/program.h
+++ b/packages/program/include/vanillalever/program/program.h
@@ -150,7 +150,9 @@
   void End();
 
   // Cancels the program; does nothing if it has ended. Attempts that were not
-  // sent are withdrawn. Returns the others, to be cancelled at their sidecars.
+  // sent are withdrawn. Returns the others, to be cancelled at their sidecars;
+  // the program is settled once each was taken by Accept(), AttemptNotRun() or
+  // AttemptLost().
   std::vector<Attempt> Cancel();
 
   // Whether the program has ended and nothing of it is open: its cost is final.
--- a/packages/program/include/vanillalever/program/program_codec.h
+++ b/packages/program/include/vanillalever/program/program_codec.h
@@ -49,6 +49,9 @@
   // Parts of a row key; throws on any other key.
   static ProgramRowKey ParseKey(std::string_view key);
 
+  // Whether the text can be stored in a row unchanged (it is UTF-8).
+  static bool IsStorable(std::string_view text);
+
   static std::string EncodeHead(const ProgramHead& head);
   static ProgramHead DecodeHead(std::string_view key, std::string_view value);
 
--- a/packages/program/include/vanillalever/program/program_shard.h
+++ b/packages/program/include/vanillalever/program/program_shard.h
@@ -28,8 +28,8 @@
   // last turn after a lost answer; older turns are read from their rows.
   std::size_t history_turns = 2;
   // Most programs whose commits depend on one another, because children were
-  // created or ended since the last commit; more children are refused until
-  // the commit.
+  // created or ended since the last commit; until the commit, more children are
+  // refused, and the budget of more ended children is returned later.
   std::size_t max_linked = 32;
 };
 
@@ -178,6 +178,8 @@
   // progress.
   std::set<Link> links_;
   std::set<Link> pending_links_;
+  // Settled children whose budget is returned after the next commit.
+  std::set<ProgramId> deferred_;
   // Answers dropped by removed programs, or for absent ones.
   std::uint64_t dropped_answers_ = 0;
   bool dropped_ = false;
--- a/packages/program/src/program_codec.cc
+++ b/packages/program/src/program_codec.cc
@@ -204,8 +204,9 @@
   return bytes;
 }
 
-// Text of the row; all strings but a body were checked to be UTF-8 when they
-// came in, so nothing is replaced in practice.
+// Text of the row. The strings that identify a program are UTF-8, which
+// ProgramShard::Create() checks; in others a wrong byte is replaced, because a
+// commit must not fail for one program's strings.
 std::string Dump(const json& row) {
   return row.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -255,6 +256,15 @@
   return parsed;
 }
 
+bool ProgramCodec::IsStorable(std::string_view text) {
+  try {
+    json(text).dump();
+    return true;
+  } catch (const json::type_error&) {
+    return false;
+  }
+}
+
 std::string ProgramCodec::EncodeHead(const ProgramHead& head) {
   json children = json::object();
   for (const auto& [child, share] : head.children)
--- a/packages/program/src/program_shard.cc
+++ b/packages/program/src/program_shard.cc
@@ -22,12 +22,18 @@
 constexpr base::milliseconds kRetryAfterLinks{50};
 
 void CheckRequest(const CreateRequest& request) {
+  // An id is checked against its row's strings, which must therefore be stored
+  // unchanged.
+  bool text_ok = ProgramCodec::IsStorable(request.key) &&
+                 ProgramCodec::IsStorable(request.organisation) &&
+                 ProgramCodec::IsStorable(request.program_class);
   bool key_ok = !request.key.empty() && request.key.size() <= kMaxKeyBytes;
-  if (!key_ok || request.budget <= 0 || request.incarnation.empty()) {
+  if (!text_ok || !key_ok || request.budget <= 0 ||
+      request.incarnation.empty()) {
     throw NotRun(ErrorCode::kInvalidRequest, Step::kAdmit,
                  "a program needs a key of 1 to " +
                      std::to_string(kMaxKeyBytes) +
-                     " bytes, a budget above zero and an incarnation");
+                     " bytes in UTF-8, a budget above zero and an incarnation");
   }
 }
 
@@ -244,11 +250,16 @@
       continue;
     program->CommitApplied(version);
     program->TrimHistory(settings_.history_turns);
-    std::erase_if(pending_links_,
-                  [&id](const Link& link) { return link.first == id; });
+    auto first = pending_links_.lower_bound({id, ProgramId()});
+    while (first != pending_links_.end() && first->first == id)
+      first = pending_links_.erase(first);
     Enqueue(*program);
     applied.push_back(id);
   }
+  for (const ProgramId& id : std::exchange(deferred_, {})) {
+    if (Program* program = Find(id))
+      AfterChange(*program);
+  }
   return applied;
 }
 
@@ -290,17 +301,14 @@
 
 std::vector<std::pair<ProgramId, CacheHolder>> ProgramShard::PendingReleases()
     const {
-  std::vector<ProgramId> all = ids();
+  std::vector<std::pair<ProgramId, CacheHolder>> releases;
   std::lock_guard lock(mutex_);
   RequireOwned();
-  std::vector<std::pair<ProgramId, CacheHolder>> releases;
-  for (const ProgramId& id : all) {
-    auto program = programs_.find(id);
-    if (program == programs_.end())
-      continue;
-    for (CacheHolder& holder : program->second->pending_releases())
+  for (const auto& [id, program] : programs_) {
+    for (CacheHolder& holder : program->pending_releases())
       releases.emplace_back(id, std::move(holder));
   }
+  std::sort(releases.begin(), releases.end());
   return releases;
 }
 
@@ -356,6 +364,7 @@
   queued_.clear();
   links_.clear();
   pending_links_.clear();
+  deferred_.clear();
 }
 
 bool ProgramShard::dropped() const {
@@ -390,6 +399,10 @@
   Program* parent = Find(spec.parent);
   if (parent == nullptr || !parent->children().contains(program.id()))
     return;
+  if (Group(parent->id()).size() >= settings_.max_linked) {
+    deferred_.insert(program.id());
+    return;
+  }
   parent->ChildSettled(program.id(), program.budget().spent());
   program.MarkShareReturned();
   AddLink(parent->id(), program.id());
--- a/packages/program/tests/program_shard_test.cc
+++ b/packages/program/tests/program_shard_test.cc
@@ -80,6 +80,8 @@
   CHECK(CodeOf([&] { f.Create(again); }) == "conflict/not_run");
   CHECK(CodeOf([&] { f.Create(MakeRequest("")); }) ==
         "invalid_request/not_run");
+  CHECK(CodeOf([&] { f.Create(MakeRequest("\xff")); }) ==
+        "invalid_request/not_run");
   CHECK(CodeOf([&] { f.Create(MakeRequest("root", 0)); }) ==
         "invalid_request/not_run");
   CHECK(CodeOf([&] { f.Create(MakeRequest("lot-1")); }) == "not_owner/not_run");
@@ -167,6 +169,28 @@
         ProgramState::kCancelled);
 }
 
+// Guards against a transaction that grows with the number of children.
+TEST_CASE("budgets of many ended children are returned in bounded commits") {
+  Fixture f;
+  f.Create(MakeRequest("root"));
+  f.Commit();
+  for (int n = 0; n < 9; ++n) {
+    f.Create(f.Child(std::to_string(n), 10));
+    f.Commit();
+  }
+  f.shard.Cancel(f.root);
+  CHECK(f.Available() < 1000);
+  for (int commits = 0; f.Available() < 1000; ++commits) {
+    REQUIRE(commits < 5);
+    RecordBatch batch = f.Collect({.max_rows = 1});
+    REQUIRE(batch.programs(f.root.shard()).size() <= 4);
+    REQUIRE_FALSE(f.table.Apply(batch.plan()));
+    f.shard.Applied(batch, f.table.version);
+  }
+  f.Commit();
+  CHECK(f.shard.RemoveFinished().size() == 10);
+}
+
 // Guards against a conflict on one program that loses the others' changes or
 // leaves the share of a child that was never stored.
 TEST_CASE("after a conflict the rest is committed again") {
