Tell streaming callers when another attempt starts over

Cause: when a backend server died while it streamed, the caller got the text of the lost attempt followed by the text of the next one; a caller that joined an open turn got only the rest of the text. Change: a reset event (and a reset flag between entries) declares earlier text void; text so far is kept per open turn and sent to callers that join. Ruled out: streaming only first attempts, because a retried answer would then arrive in one piece. Measured: the protocol test streams the text of a lost attempt before the answer and sees only the answer. Conclusion: streamed text and final body agree.

--- a/packages/entry/src/call_runner.cc
+++ b/packages/entry/src/call_runner.cc
@@ -254,8 +254,10 @@
     auto timeout = plan_.deadline - now() + kReplyGrace;
     choice_->client->Execute(
         MakeRequest(), timeout,
-        [this, self = shared_from_this()](std::string text) {
-          context_.waiters.Token(plan_.id, plan_.call.turn, text);
+        [this, self = shared_from_this(),
+         key = key_](const protocol::StreamPiece& piece) {
+          context_.waiters.Token(plan_.id, plan_.call.turn, key.attempt,
+                                 piece.text);
         },
         [self = shared_from_this(),
          key = key_](protocol::Outcome<protocol::ExecuteResult> outcome) {
--- a/packages/entry/src/caller_reply.h
+++ b/packages/entry/src/caller_reply.h
@@ -18,6 +18,8 @@
 
   // Sends generated text ahead of the answer; dropped if the caller wants none.
   virtual void Token(const std::string& text) = 0;
+  // Declares the text sent so far void: another attempt starts over.
+  virtual void Reset() = 0;
 
   void Finish(int status, std::string body) {
     if (!finished_.exchange(true))
--- a/packages/entry/src/http_reply.cc
+++ b/packages/entry/src/http_reply.cc
@@ -13,6 +13,11 @@
                    -1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
+void HttpReply::Reset() {
+  if (exchange_->streaming())
+    exchange_->SendEvent("reset", "{}");
+}
+
 void HttpReply::SendFinal(int status, std::string body) {
   if (stream_ && status == 200) {
     exchange_->StartEvents();
--- a/packages/entry/src/http_reply.h
+++ b/packages/entry/src/http_reply.h
@@ -19,6 +19,7 @@
       : exchange_(std::move(exchange)), stream_(stream) {}
 
   void Token(const std::string& text) override;
+  void Reset() override;
 
  protected:
   void SendFinal(int status, std::string body) override;
@@ -36,6 +37,7 @@
       : responder_(std::move(responder)) {}
 
   void Token(const std::string& text) override { responder_.token(text); }
+  void Reset() override { responder_.reset(); }
 
  protected:
   void SendFinal(int status, std::string body) override;
--- a/packages/entry/src/program_api.cc
+++ b/packages/entry/src/program_api.cc
@@ -533,7 +533,12 @@
   message.hops = request.hops + 1;
   EntryClient(address)->Forward(
       std::move(message), kForwardTimeout,
-      [reply](const std::string& text) { reply->Token(text); },
+      [reply](const protocol::StreamPiece& piece) {
+        if (piece.reset)
+          reply->Reset();
+        if (!piece.text.empty())
+          reply->Token(piece.text);
+      },
       [reply](protocol::Outcome<protocol::ForwardResult> outcome) {
         if (outcome.error) {
           base::ErrorInfo info = *outcome.error;
--- a/packages/entry/src/turn_waiters.cc
+++ b/packages/entry/src/turn_waiters.cc
@@ -6,29 +6,41 @@
                       std::uint32_t turn,
                       ReplyPtr reply) {
   std::lock_guard lock(mutex_);
-  waiting_[{program.text(), turn}].push_back(std::move(reply));
+  Waiting& waiting = waiting_[{program.text(), turn}];
+  if (!waiting.text.empty())
+    reply->Token(waiting.text);
+  waiting.replies.push_back(std::move(reply));
 }
 
+// Replies are called under the lock, so that a caller who joins gets every
+// piece once and in order; they only queue the text.
 void TurnWaiters::Token(const program::ProgramId& program,
                         std::uint32_t turn,
+                        std::uint32_t attempt,
                         const std::string& text) {
-  std::vector<ReplyPtr> replies;
-  {
-    std::lock_guard lock(mutex_);
-    auto found = waiting_.find({program.text(), turn});
-    if (found == waiting_.end())
-      return;
-    replies = found->second;
-  }
-  for (const ReplyPtr& reply : replies)
+  std::lock_guard lock(mutex_);
+  auto found = waiting_.find({program.text(), turn});
+  if (found == waiting_.end() || attempt < found->second.attempt)
+    return;
+  Waiting& waiting = found->second;
+  bool starts_over = attempt > waiting.attempt && !waiting.text.empty();
+  waiting.attempt = attempt;
+  if (starts_over)
+    waiting.text.clear();
+  waiting.text += text;
+  for (const ReplyPtr& reply : waiting.replies) {
+    if (starts_over)
+      reply->Reset();
     reply->Token(text);
+  }
 }
 
 std::vector<ReplyPtr> TurnWaiters::Take(const program::ProgramId& program,
                                         std::uint32_t turn) {
   std::lock_guard lock(mutex_);
   auto entry = waiting_.extract({program.text(), turn});
-  return entry.empty() ? std::vector<ReplyPtr>() : std::move(entry.mapped());
+  return entry.empty() ? std::vector<ReplyPtr>()
+                       : std::move(entry.mapped().replies);
 }
 
 void TurnWaiters::Finish(const program::ProgramId& program,
--- a/packages/entry/src/turn_waiters.h
+++ b/packages/entry/src/turn_waiters.h
@@ -20,9 +20,12 @@
            std::uint32_t turn,
            ReplyPtr reply);
 
-  // Sends text to every caller of the turn.
+  // Sends text of an attempt to every caller of the turn. Text of a later
+  // attempt replaces that of earlier ones; text of an earlier attempt is
+  // dropped.
   void Token(const program::ProgramId& program,
              std::uint32_t turn,
+             std::uint32_t attempt,
              const std::string& text);
 
   // Ends the wait of every caller of the turn.
@@ -37,11 +40,18 @@
  private:
   using Key = std::pair<std::string, std::uint32_t>;
 
+  struct Waiting {
+    std::vector<ReplyPtr> replies;
+    // Text of the attempt so far, for callers that join later.
+    std::string text;
+    std::uint32_t attempt = 0;
+  };
+
   std::vector<ReplyPtr> Take(const program::ProgramId& program,
                              std::uint32_t turn);
 
   std::mutex mutex_;
-  std::map<Key, std::vector<ReplyPtr>> waiting_;
+  std::map<Key, Waiting> waiting_;
 };
 
 }  // namespace vanillalever::entry
--- a/packages/protocol/include/vanillalever/protocol/messages.h
+++ b/packages/protocol/include/vanillalever/protocol/messages.h
@@ -150,8 +150,15 @@
 template <typename T>
 using ReplyCallback = std::function<void(Outcome<T> outcome)>;
 
+// Piece of a stream.
+struct StreamPiece {
+  std::string text;
+  // The text sent before this piece is void: another attempt starts over.
+  bool reset = false;
+};
+
 // Receives streamed text, on the RPC thread: it must not block.
-using TokenCallback = std::function<void(std::string text)>;
+using TokenCallback = std::function<void(StreamPiece piece)>;
 
 }  // namespace vanillalever::protocol
 
--- a/packages/protocol/include/vanillalever/protocol/node_handler.h
+++ b/packages/protocol/include/vanillalever/protocol/node_handler.h
@@ -16,6 +16,8 @@
   std::function<void(T reply)> done;
   // Sends streamed text ahead of the reply.
   std::function<void(std::string text)> token;
+  // Declares the streamed text void.
+  std::function<void()> reset;
 };
 
 // What a process answers to its peers. Messages arrive on the RPC thread, so an
--- a/packages/protocol/schema/inner.capnp
+++ b/packages/protocol/schema/inner.capnp
@@ -121,7 +121,8 @@
 }
 
 interface TokenSink {
-  write @0 (text :Text) -> ();
+  # A reset discards the text sent so far: another attempt starts over.
+  write @0 (text :Text, reset :Bool) -> ();
 }
 
 interface Node {
--- a/packages/protocol/src/node_client.cc
+++ b/packages/protocol/src/node_client.cc
@@ -15,9 +15,10 @@
       : on_token_(std::move(on_token)) {}
 
   kj::Promise<void> write(WriteContext context) override {
-    auto text = context.getParams().getText();
+    auto params = context.getParams();
+    auto text = params.getText();
     if (on_token_)
-      on_token_(std::string(text.begin(), text.size()));
+      on_token_({std::string(text.begin(), text.size()), params.getReset()});
     return kj::READY_NOW;
   }
 
--- a/packages/protocol/src/node_service.cc
+++ b/packages/protocol/src/node_service.cc
@@ -41,6 +41,9 @@
     loop.Post(
         [pending, text = std::move(text)] { pending->writer->Write(text); });
   };
+  responder.reset = [&loop, pending] {
+    loop.Post([pending] { pending->writer->Reset(); });
+  };
   responder.done = [&loop, pending](Reply reply) {
     if (pending->given.exchange(true))
       return;
--- a/packages/protocol/src/stream_writer.cc
+++ b/packages/protocol/src/stream_writer.cc
@@ -12,6 +12,15 @@
     SendPending();
 }
 
+void StreamWriter::Reset() {
+  if (broken_)
+    return;
+  pending_.clear();
+  pending_reset_ = true;
+  if (!outstanding_)
+    SendPending();
+}
+
 kj::Promise<void> StreamWriter::Flush() {
   if (!outstanding_)
     return kj::READY_NOW;
@@ -21,7 +30,7 @@
 }
 
 void StreamWriter::SendPending() {
-  if (pending_.empty() || broken_) {
+  if ((pending_.empty() && !pending_reset_) || broken_) {
     outstanding_ = false;
     KJ_IF_MAYBE (flushed, flushed_)
       (*flushed)->fulfill();
@@ -30,6 +39,7 @@
   outstanding_ = true;
   auto request = sink_.writeRequest();
   request.setText(std::exchange(pending_, {}));
+  request.setReset(std::exchange(pending_reset_, false));
   request.send()
       .ignoreResult()
       .catch_([this](kj::Exception&&) { broken_ = true; })
--- a/packages/protocol/src/stream_writer.h
+++ b/packages/protocol/src/stream_writer.h
@@ -17,6 +17,8 @@
   explicit StreamWriter(wire::TokenSink::Client sink) : sink_(kj::mv(sink)) {}
 
   void Write(const std::string& text);
+  // Declares everything written so far void.
+  void Reset();
 
   // Resolves when everything written has arrived, or the peer is gone.
   kj::Promise<void> Flush();
@@ -26,6 +28,7 @@
 
   wire::TokenSink::Client sink_;
   std::string pending_;
+  bool pending_reset_ = false;
   bool outstanding_ = false;
   bool broken_ = false;
   kj::Maybe<kj::Own<kj::PromiseFulfiller<void>>> flushed_;
--- a/packages/protocol/tests/protocol_test.cc
+++ b/packages/protocol/tests/protocol_test.cc
@@ -27,6 +27,8 @@
     }
     std::thread([request = std::move(request),
                  responder = std::move(responder)] {
+      responder.token("text of a lost attempt");
+      responder.reset();
       for (char c : request.body)
         responder.token(std::string(1, c));
       ExecuteResult result;
@@ -62,9 +64,12 @@
     std::promise<Outcome<ExecuteResult>> done;
     client->Execute(
         request, timeout,
-        [tokens](const std::string& text) {
-          if (tokens != nullptr)
-            *tokens += text;
+        [tokens](const StreamPiece& piece) {
+          if (tokens == nullptr)
+            return;
+          if (piece.reset)
+            tokens->clear();
+          *tokens += piece.text;
         },
         [&done](Outcome<ExecuteResult> outcome) {
           done.set_value(std::move(outcome));
--- a/tests/load/src/entry_client.cc
+++ b/tests/load/src/entry_client.cc
@@ -56,6 +56,8 @@
       answer.error = Malformed(event.data);
     } else if (event.name == "token") {
       answer.streamed += data.value("text", "");
+    } else if (event.name == "reset") {
+      answer.streamed.clear();
     } else if (event.name == "done") {
       answer.body = std::move(data);
       ended = true;
