Count reserved shares per pool and allow equal ranks

Cause: the whole-set validation required distinct ranks and reserved shares of at most 1 over all priorities. Priorities belong to organisations, so the two samples could not be in force together, and 260 organisations would have had to agree on their ranks and to divide the shares of servers that they do not share. Change: shares are added up per pool, over the priorities whose program classes use it; ranks may be equal. The check of shares names the pool. Ruled out: dropping the check of shares, because shares above 1 in one pool cannot be honoured.

--- a/packages/config/include/vanillalever/config/priority.h
+++ b/packages/config/include/vanillalever/config/priority.h
@@ -10,7 +10,7 @@
 // Rank of calls against one another.
 struct Priority {
   std::string name;
-  // Order of service; zero goes first.
+  // Order of service; zero goes first. Priorities of one rank are served alike.
   std::int64_t rank = 0;
   // Share of each server's slots kept free for this priority, from 0 to 1.
   double reserved_share = 0;
--- a/packages/config/src/validator.cc
+++ b/packages/config/src/validator.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace vanillalever::config {
 namespace {
@@ -35,8 +36,6 @@
   for (const auto& [name, pool] : set_.pools())
     CheckPool(pool);
   CheckServersAreUnique();
-  CheckPriorities();
-  CheckReservedShares();
   for (const auto& [name, place] : set_.places())
     CheckDistances(place);
   CheckPlacesAreDisjoint();
@@ -131,6 +130,7 @@
   std::string id = Text(pool);
   CheckPoolServers(pool);
   CheckPoolModel(pool);
+  CheckReservedShares(pool);
   std::set<std::string> names;
   for (std::size_t i = 0; i < pool.operations.size(); ++i) {
     if (!names.insert(pool.operations[i].name).second)
@@ -210,30 +210,30 @@
   }
 }
 
-void Validator::CheckPriorities() {
-  std::map<std::int64_t, std::string> owners;
-  for (const auto& [name, priority] : set_.priorities()) {
-    auto [owner, added] = owners.emplace(priority.rank, name);
-    if (!added)
-      Fail(Text(priority), "rank",
-           "a rank that no other priority has, found that of priority/" +
-               owner->second);
+void Validator::CheckReservedShares(const Pool& pool) {
+  std::set<std::string> names;
+  for (const auto& [name, program_class] : set_.program_classes()) {
+    if (Contains(program_class.pools, pool.name))
+      names.insert(program_class.priority);
   }
-}
-
-void Validator::CheckReservedShares() {
+  std::vector<const Priority*> priorities;
   double sum = 0;
-  for (const auto& [name, priority] : set_.priorities())
-    sum += priority.reserved_share;
-  for (const auto& [name, priority] : set_.priorities()) {
-    if (priority.reserved_share > 0 && sum > 1 + kShareTolerance)
-      Fail(Text(priority), "reserved_share",
-           "shares of all priorities that add up to at most 1, found " +
+  for (const std::string& name : names) {
+    if (const auto* priority = set_.Find<Priority>(name)) {
+      priorities.push_back(priority);
+      sum += priority->reserved_share;
+    }
+  }
+  for (const Priority* priority : priorities) {
+    if (priority->reserved_share > 0 && sum > 1 + kShareTolerance)
+      Fail(Text(*priority), "reserved_share",
+           "shares that add up to at most 1 in " + Text(pool) + ", found " +
                std::to_string(sum));
     // Calls of a priority without a share would never run.
-    if (priority.reserved_share == 0 && sum >= 1 - kShareTolerance)
-      Fail(Text(priority), "reserved_share",
-           "more than 0, because the other priorities reserve every slot");
+    if (priority->reserved_share == 0 && sum >= 1 - kShareTolerance)
+      Fail(Text(*priority), "reserved_share",
+           "more than 0, because other priorities reserve every slot of " +
+               Text(pool));
   }
 }
 
--- a/packages/config/src/validator.h
+++ b/packages/config/src/validator.h
@@ -25,8 +25,8 @@
   void CheckPoolServers(const Pool& pool);
   void CheckPoolModel(const Pool& pool);
   void CheckServersAreUnique();
-  void CheckPriorities();
-  void CheckReservedShares();
+  // The shares of the priorities whose program classes use the pool.
+  void CheckReservedShares(const Pool& pool);
   void CheckDistances(const Place& place);
   void CheckPlacesAreDisjoint();
 
--- a/packages/config/tests/reference_test.cc
+++ b/packages/config/tests/reference_test.cc
@@ -99,6 +99,12 @@
   CheckRepeatable(tan, "shop-app", "refund", false);
   CheckRepeatable(tan, "shop-app", "book_courier", false);
   CHECK(tan.Find<Place>("klang-valley")->data_centres.size() == 3);
+  // One system may serve both.
+  for (const Object& object : tan.Objects()) {
+    CHECK_FALSE(casca.Find(IdOf(object)).has_value());
+    casca.Put(object);
+  }
+  CHECK_THAT(Text(casca.Validate()), Catch::Equals(""));
 }
 
 }  // namespace
--- a/packages/ctl/src/change_commands.cc
+++ b/packages/ctl/src/change_commands.cc
@@ -190,7 +190,10 @@
   ChangeAnswer answer = AnswerOf(std::move(outcome));
   ExitCode code = Report(context, answer);
   if (code == ExitCode::kOk)
-    context.err << "applied as version " << answer.version << "\n";
+    context.err << (answer.diff.empty()
+                        ? "no difference; the objects are in version "
+                        : "applied as version ")
+                << answer.version << "\n";
   return code;
 }
 
--- a/packages/ctl/tests/tool_test.cc
+++ b/packages/ctl/tests/tool_test.cc
@@ -269,6 +269,18 @@
   CHECK(entry.set.priorities().empty());
 }
 
+// Guards against announcing a version that was not made.
+TEST_CASE("apply says so when nothing differs") {
+  Folder folder;
+  std::string file = folder.Write("a.json", BudgetText(7));
+  FakeEntry entry;
+  entry.set.Put(SmallBudget(7));
+  Run run = RunTool(ApplySettings(), &entry, {"apply", file});
+  CHECK(run.code == ExitCode::kOk);
+  CHECK(run.out.empty());
+  CHECK_THAT(run.err, Catch::Contains("no difference"));
+}
+
 // Guards against a conflict that looks like any other refusal.
 TEST_CASE("a conflict has its own exit code and names the objects") {
   Folder folder;
