Mutate rows and admin messages in a test of config

Cause: the decoders of rows and answers read text written by other processes and releases; only the parser of object files had been tested with damaged input. Change: a test mutates each row and message with a fixed seed and accepts no exception but base::Error.

--- a/packages/config/tests/admin_codec_test.cc
+++ b/packages/config/tests/admin_codec_test.cc
@@ -1,7 +1,11 @@
+#include <cstdint>
+#include <functional>
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
+#include "sample_objects.h"
 #include "vanillalever/config/admin_codec.h"
 
 namespace vanillalever::config {
@@ -67,5 +71,53 @@
   CHECK(AdminCodec::DecodeStatus(AdminCodec::EncodeStatus(status)) == status);
 }
 
+// Guards against a damaged row or message that ends a process: only base::Error
+// may leave the decoders.
+TEST_CASE("mutated rows and messages are read or refused") {
+  constexpr int kRounds = 2000;
+  constexpr std::uint64_t kSeed = 20260105;
+  using Decode = std::function<void(const std::string&)>;
+  struct Case {
+    std::string text;
+    Decode decode;
+  };
+  ChangeResult result = Apply(SampleSet(), SampleChange());
+  ConfigBody body;
+  body.set = SampleSet();
+  body.version.diff = Compare(ConfigSet(), SampleSet());
+  body.version.body_hash = body.set.BodyHash();
+  AdminStatus status;
+  status.entries.resize(1);
+  status.servers.resize(1);
+  const std::vector<Case> cases = {
+      {AdminCodec::EncodeChange(SampleChange()),
+       [](const std::string& text) { AdminCodec::DecodeChange(text); }},
+      {AdminCodec::EncodeChangeAnswer(AdminCodec::AnswerFor(result, 1)),
+       [](const std::string& text) { AdminCodec::DecodeChangeAnswer(text); }},
+      {AdminCodec::EncodeHistory({body.version}),
+       [](const std::string& text) { AdminCodec::DecodeHistory(text); }},
+      {AdminCodec::EncodeStatus(status),
+       [](const std::string& text) { AdminCodec::DecodeStatus(text); }},
+      {AdminCodec::EncodeConfig(1, SampleSet()),
+       [](const std::string& text) { AdminCodec::DecodeConfig(text); }},
+      {EncodeHead({1, "00", "t"}),
+       [](const std::string& text) { DecodeHead(text); }},
+      {EncodeBody(body), [](const std::string& text) { DecodeBody(text); }},
+  };
+  base::Random random(kSeed);
+  for (const Case& item : cases) {
+    item.decode(item.text);
+    for (int round = 0; round < kRounds; ++round) {
+      std::string text = Mutate(item.text, random);
+      INFO("seed " << kSeed << " round " << round << ": " << text);
+      try {
+        item.decode(text);
+      } catch (const base::Error& error) {
+        REQUIRE(error.info().code == base::ErrorCode::kInvalidRequest);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace vanillalever::config
--- a/packages/config/tests/object_codec_test.cc
+++ b/packages/config/tests/object_codec_test.cc
@@ -4,7 +4,6 @@
 #include <catch2/catch.hpp>
 
 #include "sample_objects.h"
-#include "vanillalever/base/random.h"
 #include "vanillalever/config/object_codec.h"
 
 namespace vanillalever::config {
@@ -152,30 +151,6 @@
   }
 }
 
-// Replaces, inserts, removes or copies some bytes.
-std::string Mutate(std::string text, base::Random& random) {
-  constexpr std::string_view kBytes = "{}[]\",:0123456789-.eEtrufalsn\\ \xff";
-  std::uint64_t edits = 1 + random.Below(4);
-  for (std::uint64_t i = 0; i < edits && !text.empty(); ++i) {
-    std::size_t at = random.Below(text.size());
-    std::size_t length = 1 + random.Below(20);
-    switch (random.Below(4)) {
-      case 0:
-        text[at] = kBytes[random.Below(kBytes.size())];
-        break;
-      case 1:
-        text.insert(at, 1, kBytes[random.Below(kBytes.size())]);
-        break;
-      case 2:
-        text.erase(at, length);
-        break;
-      default:
-        text.insert(random.Below(text.size()), text.substr(at, length));
-    }
-  }
-  return text;
-}
-
 // Guards against input that crashes the parser, is accepted in part, or is
 // refused without a reason.
 TEST_CASE("mutated documents are accepted or refused with a reason") {
--- a/packages/config/tests/sample_objects.h
+++ b/packages/config/tests/sample_objects.h
@@ -1,11 +1,14 @@
 #ifndef VANILLALEVER_CONFIG_TESTS_SAMPLE_OBJECTS_H_
 #define VANILLALEVER_CONFIG_TESTS_SAMPLE_OBJECTS_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include <nlohmann/json.hpp>
 
+#include "vanillalever/base/random.h"
 #include "vanillalever/config/config_set.h"
 #include "vanillalever/config/object_codec.h"
 #include "vanillalever/config/token_verifier.h"
@@ -69,6 +72,30 @@
   return value.dump();
 }
 
+// Replaces, inserts, removes or copies some bytes.
+inline std::string Mutate(std::string text, base::Random& random) {
+  constexpr std::string_view kBytes = "{}[]\",:0123456789-.eEtrufalsn\\ \xff";
+  std::uint64_t edits = 1 + random.Below(4);
+  for (std::uint64_t i = 0; i < edits && !text.empty(); ++i) {
+    std::size_t at = random.Below(text.size());
+    std::size_t length = 1 + random.Below(20);
+    switch (random.Below(4)) {
+      case 0:
+        text[at] = kBytes[random.Below(kBytes.size())];
+        break;
+      case 1:
+        text.insert(at, 1, kBytes[random.Below(kBytes.size())]);
+        break;
+      case 2:
+        text.erase(at, length);
+        break;
+      default:
+        text.insert(random.Below(text.size()), text.substr(at, length));
+    }
+  }
+  return text;
+}
+
 }  // namespace vanillalever::config
 
 #endif  // VANILLALEVER_CONFIG_TESTS_SAMPLE_OBJECTS_H_
