--- /dev/null
+++ b/tests/system/system_test.py
@@ -0,0 +1,394 @@
+#!/usr/bin/env python3
+"""Process-level tests: the real daemons under real signals, judged by the ledgers of the test doubles.
+
+Each test starts its own deployment. Callers (vl_load) repeat their numbered turns after errors, as the API asks them
+to; the tests then compare what callers were told with what the doubles executed.
+"""
+import json
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import threading
+import time
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "tools" / "lib"))
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+from deployment import ADMIN_TOKEN, Deployment  # noqa: E402
+from sample_config import TOKENS, objects  # noqa: E402
+
+BUILD = sys.argv.pop(1) if len(sys.argv) > 1 and "build" in sys.argv[1] else "build"
+LEASE_TERM_S = 2.0
+LEASE_FLAGS = ("--lease_term_ms=2000", "--lease_renew_ms=500")
+LEAVE_BOUND_S = 3.0
+CONFIG_BOUND_S = 8.0
+
+
+class SystemTest(unittest.TestCase):
+    """A deployment of 3 entries, 3 engines and 2 services of the tan organisation."""
+
+    engines = 3
+    entry_count = 3
+
+    def setUp(self):
+        self.deployment = Deployment(BUILD)
+        self.addCleanup(self.deployment.__exit__)
+        d = self.deployment
+        d.start_platform()
+        self.engine_doubles = [d.start_engine(f"engine-{i}", *self.engine_flags()) for i in range(self.engines)]
+        self.service_doubles = [d.start_service(f"service-{i}") for i in range(2)]
+        self.engine_sidecars = [
+            d.start_sidecar(f"engine-sidecar-{i}", double, "engine", "model-bench", "dc-a")
+            for i, double in enumerate(self.engine_doubles)
+        ]
+        self.service_sidecars = [
+            d.start_sidecar(f"service-sidecar-{i}", double, "service", "shop-app", "dc-a")
+            for i, double in enumerate(self.service_doubles)
+        ]
+        self.entries = [d.start_entry(f"entry-{i}", "dc-a", *LEASE_FLAGS) for i in range(self.entry_count)]
+        self.apply(0, objects())
+        d.wait_until_serving(self.entries, 1, len(self.engine_sidecars) + len(self.service_sidecars))
+
+    @staticmethod
+    def engine_flags():
+        return ()
+
+    def apply(self, base_version, put, entry=0, token=None):
+        """Applies a change; returns status and answer."""
+        body = {
+            "base_version": base_version,
+            "token": token or f"change-{time.monotonic_ns()}",
+            "author": "test",
+            "reason": "test",
+            "put": put,
+            "delete": [],
+        }
+        admin = self.entries[entry].addresses["admin"]
+
+        def answered():
+            self.answer = self.deployment.request(admin, "POST", "/admin/v1/apply", body, ADMIN_TOKEN)
+            return self.answer[0] != 503
+
+        self.deployment.wait_until(answered, "the change is not answered")
+        return self.answer[0], json.loads(self.answer[1])
+
+    def load(self, programs=40, rate=20, extra=()):
+        """Starts the load tool."""
+        addresses = lambda processes: ",".join(p.addresses["http"] for p in processes)
+        return subprocess.Popen(
+            [
+                self.deployment.build / "tests/load/vl_load",
+                "--workload=tan",
+                f"--entries={addresses(self.entries)}",
+                f"--engines={addresses(self.engine_doubles)}",
+                f"--services={addresses(self.service_doubles)}",
+                f"--token={TOKENS['tan']}",
+                f"--programs={programs}",
+                f"--rate={rate}",
+                "--pause_scale=0.1",
+                "--request_timeout_s=25",
+                "--give_up_s=40",
+                *extra,
+            ],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+
+    def finish(self, load, max_unknown=0):
+        """Waits for the load tool and checks its verdict."""
+        output = load.communicate(timeout=100)[0]
+        verdict = {key: int(value) for key, value in re.findall(r"(\w+)=(\d+)", output.strip().splitlines()[-1])}
+        self.assertEqual(verdict["misordered"], 0, output)
+        self.assertEqual(verdict["doubled"], 0, output)
+        self.assertEqual(verdict["lost"], 0, output)
+        self.assertEqual(verdict["finished"], verdict["programs"], output)
+        unknown = re.search(r"unknown[^\d]*(\d+)", output)
+        if unknown:
+            self.assertLessEqual(int(unknown.group(1)), max_unknown, output)
+        return output
+
+    def call(self, entry, path, body=None, method="POST", token=TOKENS["tan"], timeout=30):
+        """Sends a caller's request; returns status and parsed body."""
+        address = self.entries[entry].addresses["http"]
+        status, text = self.deployment.request(address, method, path, body, token, timeout)
+        return status, json.loads(text)
+
+    def create(self, key, entry=0, **fields):
+        """Creates a program of the repair-quote class; returns its id."""
+        for _ in range(100):
+            status, body = self.call(entry, "/v1/programs", {"key": key, "class": "repair-quote", **fields})
+            if status in (200, 201):
+                return body["id"]
+            time.sleep(0.1)
+        self.fail(f"the program was not created: {status} {body}")
+
+    def executions(self, ref):
+        count = 0
+        for double in self.service_doubles:
+            ledger = json.loads(self.deployment.request(double.addresses["http"], "GET", "/ledger")[1])
+            count += sum(row["ref"] == ref for row in ledger["executions"])
+        return count
+
+    def metric(self, process, name):
+        text = self.deployment.request(process.addresses["http"], "GET", "/metrics")[1]
+        return sum(int(line.rsplit(" ", 1)[1]) for line in text.splitlines() if re.match(rf"{name}(\{{|\s)", line))
+
+
+class OwnerFaults(SystemTest):
+    def test_killed_owner(self):
+        """Guards against lost, doubled or reordered work when an owner dies in mid-call."""
+        load = self.load()
+        time.sleep(1.5)
+        killed = time.monotonic()
+        self.entries[1].stop(signal.SIGKILL)
+        survivors = [self.entries[0], self.entries[2]]
+
+        def all_owned():
+            return sum(self.metric(entry, "vl_entry_shards") for entry in survivors) == 64
+
+        self.deployment.wait_until(all_owned, "the shards were not taken over", 20)
+        takeover = time.monotonic() - killed
+        print(f"takeover after kill: {takeover:.2f} s, lease term {LEASE_TERM_S} s")
+        self.finish(load)
+        # Term, margin (term / 8), one scan interval and the recovery.
+        self.assertLess(takeover, LEASE_TERM_S * 1.125 + 2)
+
+    def test_owner_paused_past_its_lease(self):
+        """Guards against an owner that answers or writes after its lease has lapsed."""
+        load = self.load()
+        time.sleep(1.5)
+        self.entries[1].popen.send_signal(signal.SIGSTOP)
+        time.sleep(LEASE_TERM_S * 2)
+        self.entries[1].popen.send_signal(signal.SIGCONT)
+        self.finish(load)
+        self.assertGreaterEqual(self.metric(self.entries[1], "vl_entry_leases_lost_total"), 1)
+
+    def test_planned_stop(self):
+        """Guards against a graceful shutdown that cuts off requests or waits for a lease to expire."""
+        load = self.load()
+        time.sleep(1.5)
+        started = time.monotonic()
+        code = self.entries[1].stop(signal.SIGTERM, 60)
+        print(f"planned stop of an entry: {time.monotonic() - started:.2f} s")
+        self.assertEqual(code, 0)
+        self.finish(load)
+
+
+class PlatformFaults(SystemTest):
+    def control(self, **faults):
+        self.deployment.request(self.deployment.platform, "POST", "/control", faults)
+
+    def test_outage(self):
+        """Guards against work lost or doubled while the platform is down."""
+        load = self.load()
+        time.sleep(1)
+        self.control(down=True)
+        time.sleep(5)
+        self.control(down=False)
+        self.finish(load)
+
+    def test_lost_answers(self):
+        """Guards against treating a lost answer as a failed write."""
+        self.control(lose_answer_rate=0.2, latency_ms=5)
+        self.finish(self.load(programs=25))
+        self.control(lose_answer_rate=0, latency_ms=0)
+
+
+class ServerFaults(SystemTest):
+    def test_killed_sidecar_and_engine(self):
+        """Guards against calls that hang or are lost with the server that ran them."""
+        load = self.load()
+        time.sleep(1.2)
+        self.engine_sidecars[0].stop(signal.SIGKILL)
+        time.sleep(0.5)
+        self.engine_doubles[1].stop(signal.SIGKILL)
+        # The ledger of the killed engine is gone; the others answer for the rest.
+        output = load.communicate(timeout=100)[0]
+        verdict = dict(re.findall(r"(\w+)=(\d+)", output.strip().splitlines()[-1]))
+        self.assertEqual(verdict["doubled"], "0", output)
+        self.assertEqual(verdict["misordered"], "0", output)
+        self.assertEqual(verdict["finished"], verdict["programs"], output)
+
+    def test_killed_service_sidecar(self):
+        """Guards against running a non-repeatable call again whose sidecar died."""
+        load = self.load()
+        time.sleep(1.2)
+        self.service_sidecars[0].stop(signal.SIGKILL)
+        self.finish(load, max_unknown=20)
+
+    def test_leaving_server_gets_no_new_work(self):
+        """Guards against new work for a server that is leaving, and against cutting off its work in flight."""
+        load = self.load(programs=60, rate=15)
+        time.sleep(1)
+        sidecar = self.engine_sidecars[0]
+        self.deployment.list_instance(sidecar, "model-bench", "dc-a", "leaving")
+        time.sleep(LEAVE_BOUND_S)
+        before = self.metric(sidecar, "vl_sidecar_executed_total")
+        time.sleep(1)
+        self.assertEqual(self.metric(sidecar, "vl_sidecar_executed_total"), before)
+        self.assertEqual(sidecar.stop(signal.SIGTERM, 60), 0)
+        self.finish(load)
+
+    def test_paused_sidecar_is_not_gone(self):
+        """Guards against running a non-repeatable call elsewhere while its sidecar is only paused."""
+        program = self.create("paused")
+        for sidecar in self.service_sidecars:
+            sidecar.popen.send_signal(signal.SIGSTOP)
+        body = {"turn": 1, "pool": "shop-app", "operation": "refund", "body": {"ref": "paused-1"}, "deadline_ms": 2000}
+        answers = []
+        caller = threading.Thread(
+            target=lambda: answers.append(self.call(0, f"/v1/programs/{program}/calls", body, timeout=60))
+        )
+        caller.start()
+        time.sleep(4)
+        for sidecar in self.service_sidecars:
+            sidecar.popen.send_signal(signal.SIGCONT)
+        caller.join()
+        status, answer = answers[0]
+        executed = self.executions("paused-1")
+        self.assertLessEqual(executed, 1)
+        if status == 200:
+            self.assertEqual(executed, 1)
+        elif answer["error"]["ran"] == "not_run":
+            self.assertEqual(executed, 0)
+
+    def test_hung_tool_meets_its_deadline(self):
+        """Guards against a caller that waits for ever for a hung tool."""
+        program = self.create("hung")
+        for double in self.service_doubles:
+            self.deployment.request(double.addresses["http"], "POST", "/control/test", {"hang": True})
+        body = {"turn": 1, "pool": "shop-app", "operation": "refund", "body": {"ref": "hung-1"}, "deadline_ms": 1000}
+        started = time.monotonic()
+        status, answer = self.call(0, f"/v1/programs/{program}/calls", body, timeout=60)
+        self.assertLess(time.monotonic() - started, 5)
+        self.assertNotEqual(status, 200)
+        self.assertEqual(answer["error"]["ran"], "unknown")
+        # The turn has ended; repeating it gives the same answer and runs nothing.
+        again = self.call(0, f"/v1/programs/{program}/calls", body, timeout=60)
+        self.assertEqual(again, (status, answer))
+        for double in self.service_doubles:
+            self.deployment.request(double.addresses["http"], "POST", "/control/test", {"hang": False})
+        time.sleep(0.5)
+        self.assertLessEqual(self.executions("hung-1"), 1)
+
+
+class CrashingRequest(SystemTest):
+    engines = 4
+
+    def test_resent_through_another_entry(self):
+        """Guards against a request that crashes one backend server after another."""
+        for double in self.engine_doubles:
+            self.deployment.request(double.addresses["http"], "POST", "/control/test", {"crash_on": "poison-marker"})
+        program = self.create("poison")
+        message = {"messages": [{"role": "user", "content": "poison-marker"}]}
+        body = {"turn": 1, "pool": "model-bench", "operation": "chat", "body": message, "deadline_ms": 8000}
+        answers = [self.call(i % 3, f"/v1/programs/{program}/calls", body, timeout=60) for i in range(4)]
+        crashed = sum(double.popen.poll() is not None for double in self.engine_doubles)
+        print(f"crashed engines: {crashed}, last answer: {answers[-1]}")
+        self.assertLessEqual(crashed, 2, "one crash makes a suspect, a second one alone a quarantine")
+        self.assertEqual(answers[-1][1]["error"]["code"], "quarantined")
+        other = self.create("innocent")
+        message = {"messages": [{"role": "user", "content": "harmless"}]}
+        status, answer = self.call(1, f"/v1/programs/{other}/calls", {**body, "body": message}, timeout=60)
+        self.assertEqual(status, 200, answer)
+
+
+class Configuration(SystemTest):
+    entry_count = 2
+
+    def versions(self):
+        found = []
+        for entry in self.entries:
+            status, text = self.deployment.request(
+                entry.addresses["admin"], "GET", "/admin/v1/status", token=ADMIN_TOKEN
+            )
+            state = json.loads(text)
+            found.append(state["version"])
+            found.extend(row["config_version"] for row in state["servers"])
+        return found
+
+    def test_in_force_everywhere(self):
+        """Guards against processes that keep an old configuration, also after a pause, and against reverting."""
+        change = {"kind": "budget", "name": "extra", "scope": "program", "tokens": 5}
+        self.entries[1].popen.send_signal(signal.SIGSTOP)
+        status, answer = self.apply(1, [change])
+        self.assertEqual((status, answer["version"]), (200, 2))
+        joined = self.deployment.start_entry("entry-late", "dc-a", *LEASE_FLAGS)
+        self.entries.append(joined)
+        time.sleep(1)
+        self.entries[1].popen.send_signal(signal.SIGCONT)
+        started = time.monotonic()
+        self.deployment.wait_until(lambda: min(self.versions()) == 2, "the version is not in force", CONFIG_BOUND_S)
+        print(f"configuration in force everywhere after {time.monotonic() - started:.2f} s")
+
+    def test_racing_operators(self):
+        """Guards against one operator's change silently undoing another's."""
+        first = {"kind": "budget", "name": "large", "scope": "program", "tokens": 3900000}
+        second = {"kind": "budget", "name": "large", "scope": "program", "tokens": 3800000}
+        results = {}
+        threads = [
+            threading.Thread(target=lambda i=i, o=o: results.update({i: self.post_change(i, o)}))
+            for i, o in enumerate((first, second))
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(sorted(status for status, _ in results.values()), [200, 409])
+        loser = next(answer for status, answer in results.values() if status == 409)
+        self.assertEqual(loser["conflicts"], ["budget/large"])
+
+    def post_change(self, entry, changed):
+        body = {"base_version": 1, "token": f"race-{entry}", "author": "test", "reason": "test", "put": [changed]}
+        admin = self.entries[entry].addresses["admin"]
+        status, text = self.deployment.request(admin, "POST", "/admin/v1/apply", {**body, "delete": []}, ADMIN_TOKEN)
+        return status, json.loads(text)
+
+    def test_access(self):
+        """Guards against one organisation reading or driving another's programs, and against open admin routes."""
+        program = self.create("private")
+        path = f"/v1/programs/{program}"
+        foreign = TOKENS["casca"]
+        for method, action in (("GET", ""), ("GET", "/history"), ("POST", "/end"), ("POST", "/cancel")):
+            status, _ = self.call(0, path + action, {} if method == "POST" else None, method, foreign)
+            self.assertEqual(status, 404)
+        self.assertEqual(self.call(0, path, None, "GET", "wrong")[0], 401)
+        admin = self.entries[0].addresses["admin"]
+        self.assertEqual(self.deployment.request(admin, "GET", "/admin/v1/config", token=TOKENS["tan"])[0], 401)
+        self.assertEqual(self.deployment.request(admin, "GET", "/admin/v1/config")[0], 401)
+        self.assertEqual(self.call(0, "/admin/v1/config", None, "GET", ADMIN_TOKEN)[0], 404)
+
+
+class CallerInput(SystemTest):
+    engines = 1
+    entry_count = 1
+
+    def test_bad_input(self):
+        """Guards against bad input that is accepted, hangs, or gets an unclear answer."""
+        program = self.create("input")
+        path = f"/v1/programs/{program}/calls"
+        good = {"turn": 1, "pool": "shop-app", "operation": "find-part", "body": {"ref": "input-1"}}
+        cases = [
+            ({**good, "turn": 2}, 409, "turn_conflict"),
+            ({**good, "turn": 0}, 400, "invalid_request"),
+            ({**good, "turn": "1"}, 400, "invalid_request"),
+            ({**good, "pool": "nowhere"}, 404, "not_found"),
+            ({**good, "operation": "nothing"}, 404, "not_found"),
+            ({**good, "surprise": 1}, 400, "invalid_request"),
+            ({key: value for key, value in good.items() if key != "body"}, 400, "invalid_request"),
+        ]
+        for body, status, code in cases:
+            found, answer = self.call(0, path, body)
+            self.assertEqual((found, answer["error"]["code"]), (status, code), body)
+            self.assertEqual(answer["error"]["ran"], "not_run")
+        self.assertEqual(self.call(0, path, good)[0], 200)
+        self.assertEqual(self.call(0, path, good)[0], 200)
+        self.assertEqual(self.executions("input-1"), 1)
+        self.assertEqual(self.call(0, path, {**good, "body": {"ref": "other"}})[0], 409)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
