Add the fault matrix: a model that steps the decision classes through faults

Cause: the promises hold only if the decision classes work together under faults; their own tests see one class at a time.

Change: tests/faultmatrix wires program, membership and execution to in-memory fakes of platform, engines and services under injected time, strikes with 24 faults at nine steps, alone and in pairs, and checks promises P1 to P9 from outside. Twelve rules can be switched off; a test shows that the matrix reports the promise that each protects.

Ruled out: checking the order of all executions of repeatable calls, because an attempt that was given up may end late without harm.

--- /dev/null
+++ b/tests/faultmatrix/sidecar_model.cc
@@ -0,0 +1,273 @@
+#include "sidecar_model.h"
+
+#include <utility>
+
+#include "world.h"
+
+namespace vanillalever::faultmatrix {
+
+namespace {
+
+using execution::Admission;
+using execution::WorkResult;
+
+constexpr int kSlots = 2;
+// Longest run on the backend; ends calls of hung tools.
+constexpr Duration kRunDeadline = seconds(3);
+// Scaled to the length of a schedule.
+constexpr execution::CacheLeaseSettings kCacheSettings{seconds(12),
+                                                       milliseconds(500)};
+constexpr execution::DrainSettings kDrainSettings{seconds(60)};
+
+WorkResult Failure(base::Ran ran, const std::string& message) {
+  WorkResult result;
+  base::ErrorInfo error;
+  error.code = base::ErrorCode::kBackendFailed;
+  error.step = base::Step::kRun;
+  error.message = message;
+  error.ran = ran;
+  result.error = error;
+  return result;
+}
+
+}  // namespace
+
+SidecarModel::SidecarModel(World& world,
+                           std::string address,
+                           std::string incarnation,
+                           bool engine)
+    : world_(world),
+      host_(world.simulator(), std::move(address)),
+      engine_(engine),
+      ledger_(std::move(incarnation), execution::WorkLedgerSettings()),
+      leases_(kCacheSettings),
+      drain_(kDrainSettings) {}
+
+void SidecarModel::Start() {
+  if (FakeBackend* backend = world_.backend(host_.address()))
+    backend->Reset();
+  host_.Every(milliseconds(250), [this] { SendReleases(); });
+  host_.Every(milliseconds(100), [this] { UpdateDrain(); });
+}
+
+void SidecarModel::Stop() {
+  leaving_since_ = world_.simulator().now();
+  if (world_.rule(Rule::kDrain)) {
+    drain_.Begin();
+    return;
+  }
+  host_.After(seconds(5), [this] {
+    world_.NoteStop(host_, ledger_.open());
+    world_.RestartSidecar(host_.address());
+  });
+}
+
+bool SidecarModel::Fenced(std::uint32_t shard, std::uint64_t fence) {
+  return world_.rule(Rule::kFencing) &&
+         fences_.Check(shard, fence) == membership::FenceCheck::kStale;
+}
+
+execution::WorkKey SidecarModel::KeyFor(const ExecuteRequest& request) const {
+  execution::WorkKey key;
+  key.token = request.key.work_token;
+  key.incarnation = request.sidecar_incarnation;
+  key.shard = request.program.shard();
+  key.fence = world_.rule(Rule::kFencing) ? request.fence : 0;
+  key.repeatable = request.repeatable;
+  return key;
+}
+
+void SidecarModel::Execute(const ExecuteRequest& request,
+                           const Respond& respond) {
+  ExecuteReply reply{request.program, request.key, true, false, WorkResult()};
+  const std::string& token = request.key.work_token;
+  if (!drain_.accepting() && jobs_.count(token) == 0 &&
+      ledger_.Result(token) == nullptr) {
+    Answer(respond, reply);
+    return;
+  }
+  if (Fenced(request.program.shard(), request.fence)) {
+    Answer(respond, reply);
+    return;
+  }
+  Admission admission = ledger_.Admit(KeyFor(request));
+  bool again = admission == Admission::kOpen || admission == Admission::kDone;
+  if (again && !world_.rule(Rule::kTokenOnce)) {
+    if (FakeBackend* backend = world_.backend(host_.address()))
+      backend->Run(request, [](std::size_t) {});
+  }
+  switch (admission) {
+    case Admission::kAccepted:
+      last_accepted_ = world_.simulator().now();
+      jobs_[token] = Job{request, {respond}};
+      queue_.push_back(token);
+      Pump();
+      return;
+    case Admission::kOpen:
+      jobs_[token].waiting.push_back(respond);
+      return;
+    case Admission::kDone:
+      reply.refused = false;
+      reply.result = *ledger_.Result(token);
+      break;
+    case Admission::kClosed:
+      reply.refused = false;
+      reply.result = Failure(base::Ran::kUnknown, "the token is closed");
+      break;
+    case Admission::kOtherIncarnation:
+      reply.other_incarnation = true;
+      break;
+    default:
+      break;
+  }
+  Answer(respond, reply);
+}
+
+void SidecarModel::Pump() {
+  while (running_ < kSlots && !queue_.empty()) {
+    std::string token = queue_.front();
+    queue_.pop_front();
+    if (!ledger_.Start(token))
+      continue;
+    ++running_;
+    const ExecuteRequest& request = jobs_[token].request;
+    world_.Probe(PathStep::kRun, host_, nullptr, host_.address(),
+                 request.repeatable, [this, token] { Run(token); });
+  }
+}
+
+void SidecarModel::Run(const std::string& token) {
+  const ExecuteRequest request = jobs_[token].request;
+  execution::CacheHolder holder{request.program.text(),
+                                request.program_incarnation};
+  if (engine_)
+    leases_.Begin(holder, world_.simulator().now());
+  FakeBackend* backend = world_.backend(host_.address());
+  auto end = [this, token, holder](WorkResult result) {
+    if (jobs_.count(token) == 0)
+      return;
+    if (engine_)
+      leases_.End(holder, result.tokens, world_.simulator().now());
+    Finish(token, std::move(result));
+  };
+  if (backend == nullptr) {
+    end(Failure(base::Ran::kNotRun, "the backend refuses connections"));
+    return;
+  }
+  world_.network().Call<std::size_t>(
+      host_, backend->host(), kRunDeadline,
+      [backend, request](const std::function<void(std::size_t)>& respond) {
+        backend->Run(request, respond);
+      },
+      [this, end](std::size_t index) {
+        const Execution& execution = world_.executions()[index];
+        WorkResult result;
+        result.body = execution.answer;
+        result.tokens = static_cast<std::uint64_t>(execution.cost);
+        end(std::move(result));
+      },
+      [end](bool maybe_delivered) {
+        end(Failure(maybe_delivered ? base::Ran::kUnknown : base::Ran::kNotRun,
+                    "no answer from the backend"));
+      });
+}
+
+void SidecarModel::Finish(const std::string& token, WorkResult result) {
+  --running_;
+  auto job = jobs_.extract(token);
+  ExecuteReply reply{job.mapped().request.program, job.mapped().request.key,
+                     false, false, result};
+  ledger_.Finish(token, std::move(result));
+  for (const Respond& respond : job.mapped().waiting)
+    Answer(respond, reply);
+  Pump();
+}
+
+void SidecarModel::Answer(const Respond& respond, const ExecuteReply& reply) {
+  world_.CrossAnswer(host_, respond, reply);
+}
+
+SettleReply SidecarModel::Settle(const execution::WorkKey& key, bool cancel) {
+  SettleReply reply;
+  execution::WorkKey fenced = key;
+  if (!world_.rule(Rule::kFencing))
+    fenced.fence = 0;
+  if (Fenced(key.shard, key.fence)) {
+    reply.settlement = execution::Settlement::kStaleFence;
+    return reply;
+  }
+  reply.settlement = cancel ? ledger_.Cancel(fenced) : ledger_.Settle(fenced);
+  if (reply.settlement == execution::Settlement::kDone)
+    reply.result = *ledger_.Result(key.token);
+  if (reply.settlement == execution::Settlement::kRevoked)
+    jobs_.erase(key.token);
+  return reply;
+}
+
+void SidecarModel::AcknowledgeFormer(std::uint32_t shard, std::uint64_t fence) {
+  if (!Fenced(shard, fence))
+    ledger_.AcknowledgeFormer(shard, fence);
+}
+
+void SidecarModel::Release(const execution::CacheHolder& holder,
+                           std::uint32_t shard,
+                           std::uint64_t fence,
+                           const std::function<void()>& done) {
+  if (Fenced(shard, fence))
+    return;
+  leases_.Release(holder, world_.simulator().now());
+  release_waiting_[holder].push_back(done);
+  SendReleases();
+}
+
+void SidecarModel::SendReleases() {
+  FakeBackend* backend = world_.backend(host_.address());
+  if (!engine_ || backend == nullptr)
+    return;
+  bool retry = world_.rule(Rule::kReleaseRetry);
+  TimePoint now = world_.simulator().now();
+  // Without the rule a command is sent once, when it is ordered, and held
+  // cache never lapses.
+  if (!retry && release_waiting_.empty())
+    return;
+  for (const execution::ReleaseCommand& command : leases_.DueReleases(now)) {
+    if (!retry && release_waiting_.count(command.holder) == 0)
+      continue;
+    auto waiting = retry ? std::vector<std::function<void()>>()
+                         : std::move(release_waiting_[command.holder]);
+    if (!retry)
+      release_waiting_.erase(command.holder);
+    world_.network().Call<bool>(
+        host_, backend->host(), milliseconds(400),
+        [backend, command](const std::function<void(bool)>& respond) {
+          backend->Release(command.holder);
+          respond(true);
+        },
+        [this, command, waiting](bool) {
+          leases_.Confirm(command);
+          if (!leases_.released(command.holder))
+            return;
+          auto node = release_waiting_.extract(command.holder);
+          for (const auto& done : node ? node.mapped() : waiting)
+            done();
+        },
+        [](bool) {});
+  }
+}
+
+ReportReply SidecarModel::Report(std::int64_t config_version) {
+  if (config_version > config_version_ || !world_.rule(Rule::kVersionCheck))
+    config_version_ = config_version;
+  return {incarnation(), !drain_.accepting(), config_version_};
+}
+
+void SidecarModel::UpdateDrain() {
+  auto phase = drain_.Update(ledger_.open(), ledger_.unacknowledged(),
+                             world_.simulator().now());
+  if (phase != execution::DrainPhase::kDrained)
+    return;
+  world_.NoteStop(host_, ledger_.open() + ledger_.unacknowledged());
+  world_.RestartSidecar(host_.address());
+}
+
+}  // namespace vanillalever::faultmatrix
