Add configuration and operators to the fault matrix

Cause: P10 and the column operators_race were printed as gaps.

Change: operators revise objects with the decisions of the config package, and entries and sidecars hold versions in a ConfigHolder. The check compares with the operators' own records. The rule version_check can now be switched off.

Conclusion: the remaining gaps are the ten cells of cache_events.

--- a/tests/faultmatrix/entry_membership.cc
+++ b/tests/faultmatrix/entry_membership.cc
@@ -72,7 +72,8 @@
       lease_(world.lease_settings()),
       observer_(world.lease_settings()),
       map_(program::kShardCount),
-      instances_(world.instance_settings()) {
+      instances_(world.instance_settings()),
+      config_(std::make_unique<config::ConfigHolder>()) {
   self_.incarnation = std::move(incarnation);
   self_.address = std::move(address);
 }
@@ -132,6 +133,7 @@
   // After a pause the configuration is refreshed before a call is admitted.
   if (now - last_tick_ > seconds(1)) {
     config_fresh_ = false;
+    resumed_at_ = now;
     PollConfig();
   }
   last_tick_ = now;
--- a/tests/faultmatrix/entry_model.h
+++ b/tests/faultmatrix/entry_model.h
@@ -13,6 +13,7 @@
 
 #include "fake_platform.h"
 #include "messages.h"
+#include "vanillalever/config/config_holder.h"
 #include "vanillalever/membership/instance_view.h"
 #include "vanillalever/membership/lease_observer.h"
 #include "vanillalever/membership/lease_term.h"
@@ -36,7 +37,7 @@
   const std::string& incarnation() const { return self_.incarnation; }
   // Whether the load balancer may send it requests.
   bool accepting() const { return host_.alive() && !stopping_; }
-  std::int64_t config_version() const { return config_version_; }
+  const config::ConfigHolder& config() const { return *config_; }
 
   void Start();
   // Planned stop: hands the shards over, finishes its streams, then exits.
@@ -182,6 +183,7 @@
                    const program::CacheHolder& holder,
                    std::uint64_t fence);
   void PollConfig();
+  void OnConfigHead(std::int64_t number, TimePoint sent);
   void ExitIfDone();
 
   // Calls the function with a program of an owned shard; false if there is
@@ -223,9 +225,10 @@
   // Ticks for which a stopping entry has had nothing to do.
   int idle_ticks_ = 0;
   std::uint64_t tokens_ = 0;
-  std::int64_t config_version_ = 0;
+  std::unique_ptr<config::ConfigHolder> config_;
   // Whether the version was refreshed since the process last resumed.
   bool config_fresh_ = false;
+  TimePoint resumed_at_;
   TimePoint last_tick_;
 };
 
--- a/tests/faultmatrix/entry_polls.cc
+++ b/tests/faultmatrix/entry_polls.cc
@@ -28,7 +28,7 @@
     if (sidecar == nullptr || world_.reports_lost())
       continue;
     TimePoint sent = world_.simulator().now();
-    std::int64_t version = config_version_;
+    auto version = config_->current();
     world_.network().Call<ReportReply>(
         host_, sidecar->host(), kSidecarTimeout,
         [sidecar, version](const std::function<void(ReportReply)>& respond) {
@@ -121,12 +121,37 @@
 }
 
 void EntryModel::PollConfig() {
-  world_.ReadConfig(host_, [this](std::int64_t version) {
-    bool accept = version >= config_version_;
-    if (accept || !world_.rule(Rule::kVersionCheck))
-      config_version_ = version;
-    config_fresh_ = true;
-  });
+  TimePoint sent = world_.simulator().now();
+  world_.platform().Read(
+      host_, std::string(config::kHeadKey),
+      [this, sent](const std::vector<TableRow>& rows) {
+        if (!rows.empty())
+          OnConfigHead(config::DecodeHead(rows[0].value).number, sent);
+      },
+      [](bool) {});
+}
+
+void EntryModel::OnConfigHead(std::int64_t number, TimePoint sent) {
+  auto refreshed = [this, sent] {
+    config_fresh_ = config_fresh_ || sent >= resumed_at_;
+  };
+  if (number <= config_->number() && world_.rule(Rule::kVersionCheck)) {
+    refreshed();
+    return;
+  }
+  std::string key = config::BodyKey(number);
+  world_.platform().Read(
+      host_, key,
+      [this, key, refreshed](const std::vector<TableRow>& rows) {
+        for (const TableRow& row : rows) {
+          if (row.key != key)
+            continue;
+          world_.Offer(config_, std::make_shared<config::ConfigBody>(
+                                    config::DecodeBody(row.value)));
+          refreshed();
+        }
+      },
+      [](bool) {});
 }
 
 }  // namespace vanillalever::faultmatrix
--- a/tests/faultmatrix/fake_platform.cc
+++ b/tests/faultmatrix/fake_platform.cc
@@ -102,6 +102,10 @@
   gap_until_ = simulator_.now() + time;
 }
 
+bool FakePlatform::list_current() const {
+  return simulator_.now() >= std::max(frozen_until_, gap_until_);
+}
+
 bool FakePlatform::healthy() const {
   return simulator_.now() >= std::max(down_until_, slow_until_);
 }
--- a/tests/faultmatrix/fake_platform.h
+++ b/tests/faultmatrix/fake_platform.h
@@ -63,6 +63,8 @@
   void FreezeList(Duration time);
   // The list leaves out every second instance for a time.
   void GapList(Duration time);
+  // Whether the list is shown with its usual lag only.
+  bool list_current() const;
   // Whether requests are answered promptly.
   bool healthy() const;
 
--- a/tests/faultmatrix/fault_matrix_test.cc
+++ b/tests/faultmatrix/fault_matrix_test.cc
@@ -42,7 +42,8 @@
       RuleCase{Rule::kTokenReadback, 6}, RuleCase{Rule::kTurnOrder, 1},
       RuleCase{Rule::kBudgetReserve, 3}, RuleCase{Rule::kReleaseRetry, 4},
       RuleCase{Rule::kDrain, 8}, RuleCase{Rule::kDrain, 9},
-      RuleCase{Rule::kAnswerMatch, 5}, RuleCase{Rule::kFinalAfterCommit, 2});
+      RuleCase{Rule::kVersionCheck, 10}, RuleCase{Rule::kAnswerMatch, 5},
+      RuleCase{Rule::kFinalAfterCommit, 2});
   INFO(kRuleNames.name(rule_case.rule) << " protects P" << rule_case.promise);
   std::uint64_t schedules = SchedulesUntilBroken(rule_case);
   CHECK(schedules < kMaxSchedules);
--- a/tests/faultmatrix/messages.h
+++ b/tests/faultmatrix/messages.h
@@ -69,7 +69,6 @@
 struct ReportReply {
   std::string incarnation;
   bool leaving = false;
-  std::int64_t config_version = 0;
 };
 
 // One execution by a fake backend: its ledger.
--- a/tests/faultmatrix/sidecar_model.cc
+++ b/tests/faultmatrix/sidecar_model.cc
@@ -41,7 +41,8 @@
       engine_(engine),
       ledger_(std::move(incarnation), execution::WorkLedgerSettings()),
       leases_(kCacheSettings),
-      drain_(kDrainSettings) {}
+      drain_(kDrainSettings),
+      config_(std::make_unique<config::ConfigHolder>()) {}
 
 void SidecarModel::Start() {
   if (FakeBackend* backend = world_.backend(host_.address()))
@@ -255,10 +256,10 @@
   }
 }
 
-ReportReply SidecarModel::Report(std::int64_t config_version) {
-  if (config_version > config_version_ || !world_.rule(Rule::kVersionCheck))
-    config_version_ = config_version;
-  return {incarnation(), !drain_.accepting(), config_version_};
+ReportReply SidecarModel::Report(
+    const std::shared_ptr<const config::ConfigBody>& known) {
+  world_.Offer(config_, known);
+  return {incarnation(), !drain_.accepting()};
 }
 
 void SidecarModel::UpdateDrain() {
--- a/tests/faultmatrix/sidecar_model.h
+++ b/tests/faultmatrix/sidecar_model.h
@@ -4,11 +4,13 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "messages.h"
+#include "vanillalever/config/config_holder.h"
 #include "vanillalever/execution/cache_leases.h"
 #include "vanillalever/execution/drain_state.h"
 #include "vanillalever/execution/work_ledger.h"
@@ -36,7 +38,7 @@
   std::optional<TimePoint> leaving_since() const { return leaving_since_; }
   // When it last accepted new work.
   std::optional<TimePoint> last_accepted() const { return last_accepted_; }
-  std::int64_t config_version() const { return config_version_; }
+  const config::ConfigHolder& config() const { return *config_; }
 
   // Starts the timers and resets the backend: cache that a former run of the
   // sidecar has filled is known to nobody else.
@@ -53,7 +55,7 @@
                std::uint32_t shard,
                std::uint64_t fence,
                const std::function<void()>& done);
-  ReportReply Report(std::int64_t config_version);
+  ReportReply Report(const std::shared_ptr<const config::ConfigBody>& known);
 
  private:
   struct Job {
@@ -80,7 +82,7 @@
   execution::DrainState drain_;
   std::optional<TimePoint> leaving_since_;
   std::optional<TimePoint> last_accepted_;
-  std::int64_t config_version_ = 0;
+  std::unique_ptr<config::ConfigHolder> config_;
   std::deque<std::string> queue_;
   std::map<std::string, Job> jobs_;
   int running_ = 0;
--- a/tests/faultmatrix/world.cc
+++ b/tests/faultmatrix/world.cc
@@ -43,6 +43,7 @@
 }
 
 Outcome World::Run() {
+  StartOperators();
   StartServers();
   TimePoint start = simulator_.now();
   simulator_.After(kWarmUp, [this] { StartCallers(); });
@@ -64,6 +65,7 @@
   CheckCaches();
   CheckOnce();
   CheckLeaving();
+  CheckConfig();
   outcome_.steps = simulator_.steps();
   return outcome_;
 }
@@ -382,6 +384,8 @@
       PublishInstances();
       break;
     case Fault::kOperatorsRace:
+      RaceOperators();
+      break;
     case Fault::kCacheEventsGap:
       // No class that decides by them is part of the model yet.
       return false;
@@ -414,14 +418,4 @@
   });
 }
 
-void World::ReadConfig(Host& from,
-                       const std::function<void(std::int64_t)>& then) {
-  platform_.Read(
-      from, "config/head",
-      [then](const std::vector<TableRow>& rows) {
-        then(rows.empty() ? 1 : std::stoll(rows[0].value));
-      },
-      [](bool) {});
-}
-
 }  // namespace vanillalever::faultmatrix
--- a/tests/faultmatrix/world.h
+++ b/tests/faultmatrix/world.h
@@ -15,6 +15,7 @@
 #include "fake_backend.h"
 #include "fake_platform.h"
 #include "network.h"
+#include "operator_model.h"
 #include "scenario.h"
 #include "sidecar_model.h"
 #include "simulator.h"
@@ -84,8 +85,12 @@
                    const program::Answer& answer,
                    const std::optional<program::Answer>& earlier);
 
-  // Reads the number of the accepted configuration version.
-  void ReadConfig(Host& from, const std::function<void(std::int64_t)>& then);
+  // Offers a version to a process, or sets it whatever its number is when the
+  // version check is switched off.
+  void Offer(std::unique_ptr<config::ConfigHolder>& holder,
+             const std::shared_ptr<const config::ConfigBody>& body) const;
+  // A value for the next change of the configuration, never used before.
+  int NextConfigValue() { return ++config_values_; }
 
  private:
   void StartServers();
@@ -104,6 +109,21 @@
   std::string AnySidecar(const std::string& preferred);
   std::string AnyBackend(const std::string& preferred, bool engine);
 
+  // --- Configuration (world_config.cc) ---
+  struct ConfigWatch {
+    std::int64_t highest = 0;
+    // How long each accepted version has been missing without a disturbance.
+    std::map<std::int64_t, Duration> missing;
+  };
+  void StartOperators();
+  void RaceOperators();
+  void MonitorConfig();
+  void Watch(const std::string& incarnation,
+             const Host& host,
+             const config::ConfigHolder& holder,
+             bool reachable);
+  void CheckConfig();
+
   // --- Checks (world_checks.cc) ---
   void Check(std::size_t promise, bool ok, const std::string& text);
   bool CallersDone() const;
@@ -135,6 +155,9 @@
   std::vector<std::unique_ptr<SidecarModel>> ended_sidecars_;
   std::uint64_t incarnations_ = 0;
   bool child_started_ = false;
+  std::vector<std::unique_ptr<OperatorModel>> operators_;
+  std::map<std::string, ConfigWatch> config_watches_;
+  int config_values_ = 0;
 
   struct HeldAnswer {
     SidecarModel::Respond respond;
