Pin the workloads' capacity

Cause: capacity measured in each bench run grows with the system's own policy, so a better policy raised the load of its own comparison and a worse one would hide its regression. Conclusion: casca is pinned to 7.0 and tan to 4.6 programs/s.

--- a/bench/src/bench_main.cc
+++ b/bench/src/bench_main.cc
@@ -14,6 +14,12 @@
 #include "report.h"
 
 DEFINE_bool(quick, false, "Two seeds, short runs, and the goal load only.");
+DEFINE_bool(measure_capacity,
+            false,
+            "Measure the workloads' capacity in closed loop and exit.");
+DEFINE_double(capacity_factor,
+              1,
+              "Factor on the workloads' pinned capacity, for other loads.");
 DEFINE_int32(seeds, 5, "Seeds, numbered from --first_seed.");
 DEFINE_uint64(first_seed, 1, "First seed.");
 DEFINE_int32(jobs, 4, "Runs at the same time.");
@@ -30,6 +36,8 @@
 ExperimentSettings SettingsFromFlags() {
   ExperimentSettings settings;
   settings.workloads = {CascaWorkload(), TanWorkload()};
+  for (WorkloadSettings& workload : settings.workloads)
+    workload.capacity *= FLAGS_capacity_factor;
   settings.loads = {0.6, 0.8, 0.95, 1.2};
   int seeds = FLAGS_seeds;
   if (FLAGS_quick) {
@@ -64,8 +72,21 @@
   return unexpected;
 }
 
+void PrintCapacity(const ExperimentSettings& settings) {
+  for (const CapacitySample& sample : MeasureCapacity(settings)) {
+    std::cout << sample.workload << " " << std::left << std::setw(24)
+              << sample.policy << " in_progress=" << std::setw(5)
+              << sample.in_progress << " programs_per_second=" << sample.rate
+              << "\n";
+  }
+}
+
 int Main() {
   ExperimentSettings settings = SettingsFromFlags();
+  if (FLAGS_measure_capacity) {
+    PrintCapacity(settings);
+    return 0;
+  }
   ExperimentResult result = RunExperiment(settings);
   PrintTable(settings, result, std::cout);
   std::vector<Bound> bounds =
--- a/bench/src/experiment.cc
+++ b/bench/src/experiment.cc
@@ -59,7 +59,9 @@
   return results;
 }
 
-std::map<std::string, double> MeasureCapacity(
+}  // namespace
+
+std::vector<CapacitySample> MeasureCapacity(
     const ExperimentSettings& settings) {
   std::vector<Job> jobs;
   for (const WorkloadSettings& workload : settings.workloads) {
@@ -77,27 +79,26 @@
     }
   }
   std::vector<RunResult> results = RunJobs(jobs, settings.jobs, "capacity");
-  std::map<std::string, double> capacity;
+  std::vector<CapacitySample> samples;
   for (std::size_t i = 0; i < jobs.size(); ++i) {
-    double& best = capacity[jobs[i].key.workload];
-    best = std::max(
-        best, results[i].useful_work_rate / MeanUsefulWork(*jobs[i].workload));
+    samples.push_back({.workload = jobs[i].key.workload,
+                       .policy = jobs[i].key.policy,
+                       .in_progress = jobs[i].settings.closed_loop,
+                       .rate = results[i].useful_work_rate /
+                               MeanUsefulWork(*jobs[i].workload)});
   }
-  return capacity;
+  return samples;
 }
 
-}  // namespace
-
 ExperimentResult RunExperiment(const ExperimentSettings& settings) {
   ExperimentResult result;
-  result.capacity = MeasureCapacity(settings);
   std::vector<Job> jobs;
   for (const WorkloadSettings& workload : settings.workloads) {
     for (const Policy& policy : AllPolicies()) {
       auto add = [&](double load, const std::string& scenario) {
         for (std::uint64_t seed : settings.seeds) {
           RunSettings run{.seed = seed,
-                          .rate = load * result.capacity.at(workload.name),
+                          .rate = load * workload.capacity,
                           .length = settings.length,
                           .warm_up = settings.warm_up,
                           .slowed = scenario == "slowed",
--- a/bench/src/experiment.h
+++ b/bench/src/experiment.h
@@ -45,20 +45,29 @@
 
 // All results of a bench run.
 struct ExperimentResult {
-  // Programs per second, for each workload.
-  std::map<std::string, double> capacity;
   std::map<CellKey, RunResult> cells;
 };
 
-// Measures capacity and then runs every cell. Progress goes to standard error.
-//
-// Capacity is the highest rate of useful work that any of the policies reaches
-// in closed loop without deadlines, divided by a program's mean useful work: it
-// is a property of the pool and the same for all policies. Useful work is used
-// because the programs that finish within a run are shorter than those that
-// start.
+// Runs every cell. Progress goes to standard error.
 ExperimentResult RunExperiment(const ExperimentSettings& settings);
 
+// One closed-loop run.
+struct CapacitySample {
+  std::string workload;
+  std::string policy;
+  // Programs in progress at any time.
+  std::size_t in_progress = 0;
+  // Useful work reached, in programs per second.
+  double rate = 0;
+};
+
+// Runs every policy in closed loop without deadlines. A workload's capacity is
+// the highest rate that any policy reaches: it is a property of the pool and
+// the same for all policies. The rate is that of useful work divided by a
+// program's mean, because the programs that finish within a run are shorter
+// than those that start.
+std::vector<CapacitySample> MeasureCapacity(const ExperimentSettings& settings);
+
 }  // namespace vanillalever::bench
 
 #endif  // VANILLALEVER_BENCH_EXPERIMENT_H_
--- a/bench/src/report.cc
+++ b/bench/src/report.cc
@@ -152,8 +152,10 @@
 void PrintTable(const ExperimentSettings& settings,
                 const ExperimentResult& result,
                 std::ostream& out) {
-  for (const auto& [workload, capacity] : result.capacity)
-    out << "capacity " << workload << " " << capacity << " programs/s\n";
+  for (const WorkloadSettings& workload : settings.workloads) {
+    out << "capacity " << workload.name << " " << workload.capacity
+        << " programs/s\n";
+  }
   out << std::left << std::setw(7) << "load" << std::setw(10) << "scenario"
       << std::setw(24) << "policy"
       << "p50 p95 p99 | path p99 | short p95 p99 | finished peak | wasted "
--- a/bench/src/workload.cc
+++ b/bench/src/workload.cc
@@ -75,6 +75,7 @@
   WorkloadSettings workload;
   workload.name = "casca";
   workload.servers = 15;
+  workload.capacity = 7.0;
   workload.distance = microseconds(1000);
   workload.classes = {{.name = "quick_check",
                        .share = 0.70,
@@ -125,6 +126,7 @@
   WorkloadSettings workload;
   workload.name = "tan";
   workload.servers = 10;
+  workload.capacity = 4.6;
   workload.distance = microseconds(1200);
   workload.classes = {{.name = "counter_quote",
                        .share = 0.75,
--- a/bench/src/workload.h
+++ b/bench/src/workload.h
@@ -43,6 +43,10 @@
   std::string name;
   std::size_t servers = 0;
   std::size_t data_centres = 3;
+  // Programs per second that the pool can finish, as measured by
+  // `vl_bench --measure_capacity`. It is pinned so that a better or worse
+  // policy does not change the load that all policies are measured at.
+  double capacity = 0;
   // One-way latency between data centres.
   base::Duration distance{0};
   std::vector<ClassSettings> classes;
