Admit programs only while KV memory is left

Cause: beyond the KV memory every turn evicts another program's prefix; at 1.2 of capacity half of all prompt tokens were recomputed and goodput fell. Change: reports carry the share of KV memory in use, and admission refuses a program of normal or low priority above 0.7 or 0.6.

--- a/bench/src/engine_model.h
+++ b/bench/src/engine_model.h
@@ -99,6 +99,9 @@
   // Programs in the cache, with their tokens.
   std::vector<std::pair<scheduling::ProgramKey, double>> contents() const;
 
+  // Share of the KV memory in use, in [0, 1] unless running calls exceed it.
+  double fill() const { return cached_total_ / settings_.kv_capacity; }
+
   // Whether memory is left for another call.
   bool HasRoom() const;
 
--- a/bench/src/entry_model.cc
+++ b/bench/src/entry_model.cc
@@ -74,20 +74,25 @@
     IssueTurn(run, events_->now());
 }
 
-base::Duration EntryModel::ExpectedWait() {
+scheduling::PoolState EntryModel::Pool() {
   loads_.Candidates(events_->now(), &candidates_);
   std::vector<double> waits;
+  double fill = 0;
   for (const scheduling::Candidate& candidate : candidates_) {
     if (candidate.leaving || candidate.quarantined)
       continue;
     double rate = candidate.service_rate / candidate.slowness;
+    fill += candidate.cache_fill;
     waits.push_back((candidate.backlog_tokens + candidate.sent_tokens) / rate);
   }
   if (waits.empty())
-    return kQuarantine;
+    return {.expected_wait = kQuarantine};
+  fill /= static_cast<double>(waits.size());
   auto middle = waits.begin() + static_cast<std::ptrdiff_t>(waits.size() / 2);
   std::nth_element(waits.begin(), middle, waits.end());
-  return base::Duration(static_cast<std::int64_t>(*middle * 1e9));
+  return {
+      .expected_wait = base::Duration(static_cast<std::int64_t>(*middle * 1e9)),
+      .cache_fill = fill};
 }
 
 void EntryModel::Admit(ProgramRun* program) {
@@ -97,7 +102,7 @@
   auto decision = admission_.Decide(
       now,
       {.priority = ClassOf(*program).priority, .deadline = program->deadline},
-      ExpectedWait(), random_);
+      Pool(), random_);
   if (decision.admitted) {
     IssueTurn(program, program->start);
     return;
--- a/bench/src/entry_model.h
+++ b/bench/src/entry_model.h
@@ -98,7 +98,7 @@
 
   const ClassSettings& ClassOf(const ProgramRun& program) const;
   void Admit(ProgramRun* program);
-  base::Duration ExpectedWait();
+  scheduling::PoolState Pool();
   void IssueTurn(ProgramRun* program, base::TimePoint issued);
   // Sends the call to a server; false when none is eligible.
   bool Send(std::uint64_t call_id, bool hedge);
--- a/bench/src/sidecar_model.cc
+++ b/bench/src/sidecar_model.cc
@@ -201,7 +201,8 @@
   }
   return {.backlog_tokens = backlog,
           .service_rate = detector_.long_run_rate(),
-          .slowness = detector_.slowness()};
+          .slowness = detector_.slowness(),
+          .cache_fill = engine_.fill()};
 }
 
 }  // namespace vanillalever::bench
--- a/packages/scheduling/include/vanillalever/scheduling/admission_control.h
+++ b/packages/scheduling/include/vanillalever/scheduling/admission_control.h
@@ -14,6 +14,10 @@
   // Longest expected wait at which a program of each priority may start.
   std::array<base::Duration, kPriorityCount> max_wait = {
       base::seconds(20), base::seconds(10), base::seconds(5)};
+  // Share of the pool's KV memory in use up to which a program of each priority
+  // may start. Programs grow while they run; beyond the memory each turn evicts
+  // another program's prefix, which must then be recomputed.
+  std::array<double, kPriorityCount> max_cache_fill = {2.0, 0.7, 0.6};
   // Share of the time left to the deadline that waiting may use up.
   double deadline_share = 0.8;
   // Bounds of the retry-after that a refusal carries.
@@ -32,6 +36,14 @@
   bool in_progress = false;
 };
 
+// State of the pool that would run the work.
+struct PoolState {
+  // Wait that a call would see now.
+  base::Duration expected_wait{0};
+  // Mean share of the servers' KV memory that is in use, in [0, 1].
+  double cache_fill = 0;
+};
+
 // Outcome of an admission decision.
 struct AdmissionDecision {
   bool admitted = false;
@@ -45,11 +57,11 @@
  public:
   explicit AdmissionControl(AdmissionSettings settings = AdmissionSettings());
 
-  // `expected_wait` is the wait that the call would see now. The retry-after is
-  // spread at random, so that refused callers do not return together.
+  // The retry-after is spread at random, so that refused callers do not return
+  // together.
   AdmissionDecision Decide(base::TimePoint now,
                            const AdmissionRequest& request,
-                           base::Duration expected_wait,
+                           const PoolState& pool,
                            base::Random& random) const;
 
  private:
--- a/packages/scheduling/include/vanillalever/scheduling/load_table.h
+++ b/packages/scheduling/include/vanillalever/scheduling/load_table.h
@@ -28,6 +28,8 @@
   double service_rate = 0;
   // Output of the server's SlownessDetector.
   double slowness = 1;
+  // Share of the KV memory that programs in progress hold, in [0, 1].
+  double cache_fill = 0;
   bool leaving = false;
 };
 
--- a/packages/scheduling/src/admission_control.cc
+++ b/packages/scheduling/src/admission_control.cc
@@ -9,19 +9,23 @@
 
 AdmissionDecision AdmissionControl::Decide(base::TimePoint now,
                                            const AdmissionRequest& request,
-                                           base::Duration expected_wait,
+                                           const PoolState& pool,
                                            base::Random& random) const {
   base::Duration left = request.deadline - now - request.expected_run;
   auto usable = std::chrono::duration_cast<base::Duration>(
       left * settings_.deadline_share);
   base::Duration allowed = usable;
+  bool memory_left = true;
   if (!request.in_progress) {
     auto level = static_cast<std::size_t>(request.priority);
     allowed = std::min(usable, settings_.max_wait[level]);
+    memory_left = pool.cache_fill <= settings_.max_cache_fill[level];
   }
-  if (allowed > base::Duration(0) && expected_wait <= allowed)
+  if (memory_left && allowed > base::Duration(0) &&
+      pool.expected_wait <= allowed)
     return {.admitted = true, .retry_after = base::Duration(0)};
-  base::Duration excess = expected_wait - std::max(allowed, base::Duration(0));
+  base::Duration excess =
+      pool.expected_wait - std::max(allowed, base::Duration(0));
   base::Duration bound =
       std::clamp(excess, settings_.min_retry_after, settings_.max_retry_after);
   auto delay = std::chrono::duration_cast<base::Duration>(
--- a/packages/scheduling/tests/control_test.cc
+++ b/packages/scheduling/tests/control_test.cc
@@ -120,19 +120,40 @@
   base::Random random(1);
   AdmissionRequest request{.priority = Priority::kLow,
                            .deadline = kStart + seconds(100)};
-  CHECK(admission.Decide(kStart, request, seconds(1), random).admitted);
-  auto refused = admission.Decide(kStart, request, seconds(8), random);
+  CHECK(admission.Decide(kStart, request, {.expected_wait = seconds(1)}, random)
+            .admitted);
+  auto refused =
+      admission.Decide(kStart, request, {.expected_wait = seconds(8)}, random);
   CHECK_FALSE(refused.admitted);
   CHECK(refused.retry_after >= milliseconds(500));
   CHECK(refused.retry_after <= seconds(45));
   request.priority = Priority::kHigh;
-  CHECK(admission.Decide(kStart, request, seconds(8), random).admitted);
+  CHECK(admission.Decide(kStart, request, {.expected_wait = seconds(8)}, random)
+            .admitted);
   request.deadline = kStart + seconds(5);
-  CHECK_FALSE(admission.Decide(kStart, request, seconds(8), random).admitted);
+  CHECK_FALSE(
+      admission.Decide(kStart, request, {.expected_wait = seconds(8)}, random)
+          .admitted);
   request.priority = Priority::kLow;
   request.deadline = kStart + seconds(100);
   request.in_progress = true;
-  CHECK(admission.Decide(kStart, request, seconds(8), random).admitted);
+  CHECK(admission.Decide(kStart, request, {.expected_wait = seconds(8)}, random)
+            .admitted);
+}
+
+// Guards against starting programs whose histories no longer fit into memory.
+TEST_CASE("admission keeps programs within KV memory") {
+  AdmissionControl admission;
+  base::Random random(1);
+  AdmissionRequest request{.priority = Priority::kNormal,
+                           .deadline = kStart + seconds(100)};
+  PoolState full{.cache_fill = 0.99};
+  auto refused = admission.Decide(kStart, request, full, random);
+  CHECK_FALSE(refused.admitted);
+  CHECK(refused.retry_after >= milliseconds(500));
+  CHECK(admission.Decide(kStart, request, {}, random).admitted);
+  request.in_progress = true;
+  CHECK(admission.Decide(kStart, request, full, random).admitted);
 }
 
 // Guards against estimates that ignore history or attained service.
