Refuse programs at shorter expected waits

Cause: at 3 times capacity high-priority programs were admitted up to an expected wait of 20 s, longer than the counter quotes' deadline of 8 s. Change: programs start at expected waits of at most 4, 3 and 2 s (high, normal, low priority; 20, 10 and 5 s before). Ruled out (trials): 2.5/2/1.5 s and 1.5 s refuse work at 0.95 and double the p99 wait of short work.

--- a/packages/scheduling/include/vanillalever/scheduling/admission_control.h
+++ b/packages/scheduling/include/vanillalever/scheduling/admission_control.h
@@ -13,7 +13,7 @@
 struct AdmissionSettings {
   // Longest expected wait at which a program of each priority may start.
   std::array<base::Duration, kPriorityCount> max_wait = {
-      base::seconds(20), base::seconds(10), base::seconds(5)};
+      base::seconds(4), base::seconds(3), base::seconds(2)};
   // Share of the pool's KV memory in use up to which a program of each priority
   // may start. Programs grow while they run; beyond the memory each turn evicts
   // another program's prefix, which must then be recomputed.
