Raise the weight of recomputed prompt tokens to 8

Change: recompute weight 4 -> 8. Ruled out (trial): 12, which keeps calls on busy holders and raises the p99 of both workloads.

--- a/packages/scheduling/include/vanillalever/scheduling/estimated_completion_picker.h
+++ b/packages/scheduling/include/vanillalever/scheduling/estimated_completion_picker.h
@@ -14,7 +14,7 @@
   // Factor on the prompt tokens to compute. Recomputing a prefix also delays
   // the other calls of the server and evicts their prefixes, which the call's
   // own completion time does not show.
-  double recompute_weight = 4;
+  double recompute_weight = 8;
   // Time constant with which a report loses weight against the pool's mean.
   base::Duration report_lifetime = base::seconds(4);
 };
--- a/packages/scheduling/tests/picker_test.cc
+++ b/packages/scheduling/tests/picker_test.cc
@@ -54,7 +54,7 @@
 // Guards against a holder that is used whatever its backlog, and against a
 // holder that is not used although recomputing its prefix takes longer.
 TEST_CASE("a cache holder is used while its backlog is below the saving") {
-  double weight = GENERATE(1.0, 4.0);
+  double weight = GENERATE(1.0, 8.0);
   EstimatedCompletionPicker picker({.recompute_weight = weight});
   base::Random random(1);
   auto pool = Pool(8);
