Compare two cache holders

Cause: with a high recompute weight a call waits at its one compared holder although another server has most of the prefix. Change: the two longest holders are compared.

--- a/packages/scheduling/include/vanillalever/scheduling/estimated_completion_picker.h
+++ b/packages/scheduling/include/vanillalever/scheduling/estimated_completion_picker.h
@@ -10,7 +10,7 @@
   // Random candidates compared with the cache holders.
   std::size_t samples = 2;
   // Cache holders compared, longest prefix first.
-  std::size_t holders = 1;
+  std::size_t holders = 2;
   // Factor on the prompt tokens to compute. Recomputing a prefix also delays
   // the other calls of the server and evicts their prefixes, which the call's
   // own completion time does not show.
