--- a/packages/entry/src/call_runner.cc
+++ b/packages/entry/src/call_runner.cc
@@ -407,6 +407,8 @@
 }
 
 void CallRunner::OnLost(const base::ErrorInfo& error) {
+  if (!plan_.call.repeatable)
+    return EndAsUnknown(error);
   Guarded([&] {
     EndAttempt();
     shard_->With(plan_.id, [&](program::Program& program) {
@@ -414,25 +416,28 @@
     });
     context_.acknowledger.Add(choice_->address, choice_->incarnation,
                               key_.work_token);
-    if (plan_.call.repeatable) {
-      phase_ = Phase::kChoosing;
-      query_.excluded.push_back(choice_->address);
-      return Retry(error, true);
-    }
-    // The turn has ended as unknown; its record says so.
-    base::ErrorInfo info = MakeError(
-        ErrorCode::kOutcomeUnknown, Step::kRun,
-        "the call may have run and is not run again: " + error.message,
-        Ran::kUnknown);
-    info.peer = choice_->address;
-    program::Answer answer;
-    answer.outcome = program::TurnOutcome::kUnknown;
-    answer.body = http::ErrorBody(info);
-    phase_ = Phase::kCommitting;
-    AwaitDurable(std::move(answer));
+    phase_ = Phase::kChoosing;
+    query_.excluded.push_back(choice_->address);
+    Retry(error, true);
   });
 }
 
+// The record says that the call may have run, so that a repeated turn gets the
+// same answer.
+void CallRunner::EndAsUnknown(const base::ErrorInfo& error) {
+  EndAttempt();
+  base::ErrorInfo info =
+      MakeError(ErrorCode::kOutcomeUnknown, Step::kRun,
+                "the call may have run and is not run again: " + error.message,
+                Ran::kUnknown);
+  info.peer = choice_->address;
+  phase_ = Phase::kCommitting;
+  program::Answer answer;
+  answer.outcome = program::TurnOutcome::kUnknown;
+  answer.body = http::ErrorBody(info);
+  Accept(std::move(answer));
+}
+
 void CallRunner::Retry(const base::ErrorInfo& error, bool charged) {
   last_error_ = error;
   if (!charged)
--- a/packages/entry/src/call_runner.h
+++ b/packages/entry/src/call_runner.h
@@ -81,6 +81,7 @@
   void OnError(const base::ErrorInfo& error);
   void OnNotRun(const base::ErrorInfo& error);
   void OnLost(const base::ErrorInfo& error);
+  void EndAsUnknown(const base::ErrorInfo& error);
   void Retry(const base::ErrorInfo& error, bool charged);
   void EndAttempt();
   void FinishTurn(program::TurnOutcome outcome,
--- a/packages/http/include/vanillalever/http/message.h
+++ b/packages/http/include/vanillalever/http/message.h
@@ -49,7 +49,7 @@
 Response ErrorResponse(const base::ErrorInfo& info);
 
 // Reads an ErrorBody; a body of another form becomes an error with `fallback`
-// as its code and an excerpt of the body as its message.
+// as its code, an excerpt of the body as its message, and ran = unknown.
 base::ErrorInfo ParseErrorBody(const std::string& body,
                                base::ErrorCode fallback);
 
--- a/packages/http/src/message.cc
+++ b/packages/http/src/message.cc
@@ -81,6 +81,8 @@
   base::ErrorInfo info;
   info.code = fallback;
   info.message = body.substr(0, kExcerptBytes);
+  // Nothing in such a body proves that the call did not run.
+  info.ran = base::Ran::kUnknown;
   auto parsed = nlohmann::json::parse(body, nullptr, false);
   if (!parsed.is_object() || !parsed.contains("error"))
     return info;
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -104,6 +104,9 @@
   CHECK(result.status == 500);
   auto info = ParseErrorBody(result.body, base::ErrorCode::kConflict);
   CHECK(info.code == base::ErrorCode::kInternal);
+  // Guards against an unreadable error that is taken as proof of "not run".
+  CHECK(ParseErrorBody("", base::ErrorCode::kConflict).ran ==
+        base::Ran::kUnknown);
 }
 
 // Guards against bad input that hangs or is answered without a reason.
--- a/tests/load/src/program_runner.h
+++ b/tests/load/src/program_runner.h
@@ -56,6 +56,7 @@
   bool IsOwnAnswer(const PlannedTurn& turn,
                    const std::string& ref,
                    const EntryAnswer& answer);
+  static bool IsOwnEntry(const TurnRecord& turn, const nlohmann::json& entry);
   void CheckHistory();
   void End();
 
