--- a/packages/program/include/vanillalever/program/attempt.h
+++ b/packages/program/include/vanillalever/program/attempt.h
@@ -58,6 +58,21 @@
   AttemptKey key() const { return {turn, attempt, target.work_token}; }
 };
 
+// What a sidecar, or the instance list, says about an attempt that was sent.
+enum class SettleOutcome {
+  kDone,             // it has ended; the answer comes with it
+  kRunning,          // it is queued or running: ask again later
+  kRevoked,          // it was never received, and never will run
+  kIncarnationGone,  // the sidecar's incarnation is gone with what it knew
+};
+
+inline constexpr base::NameTable<SettleOutcome, 4> kSettleOutcomeNames({
+    "done",
+    "running",
+    "revoked",
+    "incarnation_gone",
+});
+
 // What became of an answer.
 enum class AnswerMatch {
   kEndedTurn,    // it ended the open turn
--- a/packages/program/include/vanillalever/program/program.h
+++ b/packages/program/include/vanillalever/program/program.h
@@ -119,6 +119,13 @@
   // open for another attempt. Returns false for an attempt that is not open.
   bool AttemptLost(const AttemptKey& key);
 
+  // Applies what was found out about an attempt that was sent: Accept(),
+  // nothing, AttemptNotRun() or AttemptLost(). A sidecar that refuses an
+  // attempt because its incarnation has changed proves nothing, since the
+  // previous one may have run it: that is kIncarnationGone, not kRevoked.
+  // Returns whether the attempt is no longer open.
+  bool Settle(const AttemptKey& key, SettleOutcome outcome, Answer answer);
+
   // Closes the open turn without a record, so that its number may be used
   // again. Throws kInternal while a non-repeatable attempt is open; other
   // attempts only settle their cost. Returns what the caller may be told once
--- a/packages/program/src/program.cc
+++ b/packages/program/src/program.cc
@@ -228,6 +228,25 @@
   return true;
 }
 
+bool Program::Settle(const AttemptKey& key,
+                     SettleOutcome outcome,
+                     Answer answer) {
+  switch (outcome) {
+    case SettleOutcome::kDone:
+      Accept(key, std::move(answer));
+      break;
+    case SettleOutcome::kRunning:
+      break;
+    case SettleOutcome::kRevoked:
+      AttemptNotRun(key);
+      break;
+    case SettleOutcome::kIncarnationGone:
+      AttemptLost(key);
+      break;
+  }
+  return Find(key) == attempts_.end();
+}
+
 base::Ran Program::Withdraw(std::uint32_t turn) {
   RequireClosable(turn);
   Changed();
--- /dev/null
+++ b/packages/program/tests/fake_sidecar.h
@@ -0,0 +1,84 @@
+#ifndef VANILLALEVER_PROGRAM_TESTS_FAKE_SIDECAR_H_
+#define VANILLALEVER_PROGRAM_TESTS_FAKE_SIDECAR_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "vanillalever/program/attempt.h"
+#include "vanillalever/program/call.h"
+#include "vanillalever/program/program_id.h"
+
+namespace vanillalever::program {
+
+// A request to a sidecar, or with an answer its reply.
+struct FakeMessage {
+  ProgramId program;
+  AttemptKey key;
+  AttemptTarget target;
+  CallRequest call;
+  Answer answer;
+};
+
+// Sidecar that runs each work token at most once.
+struct FakeSidecar {
+  std::string name;
+  int number = 1;
+  // Highest fencing token seen.
+  std::uint64_t fence = 0;
+  // Results by work token; nothing for a revoked token.
+  std::map<std::string, std::optional<Answer>> work;
+  std::set<ProgramId> caches;
+  std::set<ProgramId> released;
+
+  std::string incarnation() const {
+    return name + "#" + std::to_string(number);
+  }
+
+  // The result of the work, which runs at the first request only; nothing if
+  // the request is refused.
+  std::optional<Answer> Execute(const ProgramId& program,
+                                const AttemptTarget& target,
+                                const std::function<Answer()>& run) {
+    if (incarnation() != target.sidecar_incarnation || target.fence < fence ||
+        released.contains(program))
+      return std::nullopt;
+    fence = target.fence;
+    auto [entry, fresh] = work.emplace(target.work_token, std::nullopt);
+    if (fresh)
+      entry->second = run();
+    return entry->second;
+  }
+
+  // Revokes work that was never received.
+  std::pair<SettleOutcome, Answer> Settle(const AttemptTarget& target,
+                                          std::uint64_t owner) {
+    if (incarnation() != target.sidecar_incarnation)
+      return {SettleOutcome::kIncarnationGone, {}};
+    fence = std::max(fence, owner);
+    auto& result = work.emplace(target.work_token, std::nullopt).first->second;
+    return result ? std::pair(SettleOutcome::kDone, *result)
+                  : std::pair(SettleOutcome::kRevoked, Answer());
+  }
+
+  void Release(const ProgramId& program) {
+    caches.erase(program);
+    released.insert(program);
+  }
+
+  void Restart() {
+    ++number;
+    work.clear();
+    caches.clear();
+    released.clear();
+  }
+};
+
+}  // namespace vanillalever::program
+
+#endif  // VANILLALEVER_PROGRAM_TESTS_FAKE_SIDECAR_H_
--- a/packages/program/tests/fake_table.h
+++ b/packages/program/tests/fake_table.h
@@ -54,6 +54,18 @@
     return found;
   }
 
+  ProgramHead Head(const ProgramId& id) const {
+    std::string key = ProgramCodec::HeadKey(id);
+    return ProgramCodec::DecodeHead(key, rows.at(key).value);
+  }
+
+  TurnRecord Turn(const ProgramId& id,
+                  std::uint32_t turn,
+                  const std::string& incarnation) const {
+    std::string key = ProgramCodec::TurnKey(id, turn);
+    return ProgramCodec::DecodeTurn(key, rows.at(key).value, incarnation);
+  }
+
   std::map<std::string, Row> rows;
   std::uint64_t version = 0;
 };
