Add crash-causing requests to the fault matrix

Cause: callers of the column crash_request gave up by themselves, so the strike table was not exercised.

Change: sidecars report what was running when their server died, entries keep strikes in a StrikeTable and its rows, run suspects alone and refuse quarantined calls. A request may end at most five servers. The rule quarantine can be switched off. Calls that were quarantined without harm are counted.

They are calls that ran with nothing else when a server died for another reason: StrikeTable::RecordCrash quarantines a call that was the only one running, although it was not under suspicion before.

Conclusion: the finding belongs to the guard package and is reported, not changed here.

--- a/tests/faultmatrix/caller_model.cc
+++ b/tests/faultmatrix/caller_model.cc
@@ -138,6 +138,7 @@
     if (error.code == base::ErrorCode::kBudgetExhausted ||
         error.code == base::ErrorCode::kQuarantined || gave_up) {
       turn.given_up = true;
+      turn.quarantined = error.code == base::ErrorCode::kQuarantined;
       End();
       return;
     }
--- a/tests/faultmatrix/caller_model.h
+++ b/tests/faultmatrix/caller_model.h
@@ -29,6 +29,7 @@
     // The answer; unset until received, or when the turn was given up.
     std::optional<program::Answer> answer;
     bool given_up = false;
+    bool quarantined = false;
   };
 
   CallerModel(World& world,
--- a/tests/faultmatrix/entry_attempts.cc
+++ b/tests/faultmatrix/entry_attempts.cc
@@ -34,8 +34,23 @@
     GiveUp(key);
     return;
   }
-  auto servers = instances_.live(call.request.repeatable ? "models" : "tickets",
-                                 world_.simulator().now());
+  std::string fingerprint = Fingerprint(call.request);
+  TimePoint now = world_.simulator().now();
+  auto verdict = world_.rule(Rule::kQuarantine)
+                     ? strikes_.Judge(fingerprint, now)
+                     : guard::StrikeVerdict::kNormal;
+  if (verdict == guard::StrikeVerdict::kQuarantined) {
+    call.quarantined = true;
+    GiveUp(key);
+    return;
+  }
+  if (verdict == guard::StrikeVerdict::kWait) {
+    --call.tries;
+    RetryLater(key);
+    return;
+  }
+  auto servers =
+      instances_.live(call.request.repeatable ? "models" : "tickets", now);
   std::erase_if(servers, [this](const auto& server) {
     return !instances_.incarnation(server.address);
   });
@@ -51,6 +66,11 @@
   target.fence = shard->programs->fence();
   target.work_token = NewToken();
   target.holds_cache = call.request.repeatable;
+  if (verdict == guard::StrikeVerdict::kRunAlone &&
+      strikes_.BeginAlone(fingerprint, target.work_token, target.server, now)) {
+    call.alone_token = target.work_token;
+    WriteStrikes();
+  }
   try {
     shard->programs->With(key.first, [&](Program& program) {
       // A hedge or a late answer may have ended the turn meanwhile.
@@ -102,6 +122,8 @@
     for (const Attempt& attempt : program.attempts()) {
       if (attempt.dispatched)
         continue;
+      if (!AloneReady({id, attempt.turn}, attempt.target.work_token))
+        continue;
       if (program.dispatch_state(attempt.key()) == DispatchState::kReady)
         ready.push_back(attempt.key());
       else if (!attempt.repeatable)
@@ -152,7 +174,8 @@
   request.sidecar_incarnation = attempt.target.sidecar_incarnation;
   request.repeatable = state->second.request.repeatable;
   request.crashes = state->second.request.crashes;
-  request.fingerprint = ToCall(state->second.request, true).fingerprint;
+  request.fingerprint = Fingerprint(state->second.request);
+  request.alone = state->second.alone_token == key.work_token;
   request.worst_case = attempt.reservation;
   world_.network().Call<ExecuteReply>(
       host_, sidecar->host(), kExecuteTimeout,
@@ -184,6 +207,7 @@
                                 const ExecuteReply& reply) {
   // An answer counts for the attempt that it names, whatever connection it
   // arrived on.
+  OnCrashReport(reply);
   bool match = world_.rule(Rule::kAnswerMatch);
   ProgramId id = match ? reply.program : sent_for;
   AttemptKey key = match ? reply.key : attempt.key();
@@ -245,6 +269,7 @@
 
 void EntryModel::OnNotRun(const ProgramId& id, const AttemptKey& key) {
   bool found = false;
+  EndAlone({id, key.turn}, key.work_token);
   Try(id, [&](Program& program) { found = program.AttemptNotRun(key); });
   if (found)
     RetryLater({id, key.turn});
@@ -253,6 +278,7 @@
 
 void EntryModel::OnLost(const ProgramId& id, const AttemptKey& key) {
   bool found = false;
+  EndAlone({id, key.turn}, key.work_token);
   Try(id, [&](Program& program) { found = program.AttemptLost(key); });
   if (found) {
     if (auto call = calls_.find({id, key.turn}); call != calls_.end())
@@ -285,8 +311,9 @@
     if (auto answer = answers.find(it->first.second); answer != answers.end())
       reply = AnswerReply(answer->second);
     else if (call.withdrawn && durable >= *call.withdrawn)
-      reply = ErrorReply(ErrorCode::kUnavailable,
-                         call.lost ? Ran::kUnknown : Ran::kNotRun, "gave up");
+      reply = ErrorReply(
+          call.quarantined ? ErrorCode::kQuarantined : ErrorCode::kUnavailable,
+          call.lost ? Ran::kUnknown : Ran::kNotRun, "gave up");
     if (!reply) {
       ++it;
       continue;
--- a/tests/faultmatrix/entry_membership.cc
+++ b/tests/faultmatrix/entry_membership.cc
@@ -73,6 +73,7 @@
       observer_(world.lease_settings()),
       map_(program::kShardCount),
       instances_(world.instance_settings()),
+      strikes_(world.strike_settings()),
       config_(std::make_unique<config::ConfigHolder>()) {
   self_.incarnation = std::move(incarnation);
   self_.address = std::move(address);
@@ -110,6 +111,7 @@
   host_.Every(milliseconds(500), [this] { PollReports(); });
   host_.Every(milliseconds(700), [this] { PollInstances(); });
   host_.Every(seconds(2), [this] { PollConfig(); });
+  host_.Every(seconds(1), [this] { PollStrikes(); });
   PollConfig();
   Tick();
   Observe();
--- a/tests/faultmatrix/entry_model.h
+++ b/tests/faultmatrix/entry_model.h
@@ -14,6 +14,7 @@
 #include "fake_platform.h"
 #include "messages.h"
 #include "vanillalever/config/config_holder.h"
+#include "vanillalever/guard/strike_table.h"
 #include "vanillalever/membership/instance_view.h"
 #include "vanillalever/membership/lease_observer.h"
 #include "vanillalever/membership/lease_term.h"
@@ -71,6 +72,9 @@
     // Attempts made so far; whether the outcome of one is not known.
     int tries = 0;
     bool lost = false;
+    // Work token of the attempt that runs alone on its server.
+    std::string alone_token;
+    bool quarantined = false;
     // Set once the turn was withdrawn: the revision that must be durable.
     std::optional<std::uint64_t> withdrawn;
     // Whether another attempt is scheduled.
@@ -143,6 +147,16 @@
   void Settle(const std::string& token);
   void AckTick();
 
+  // --- Crash-causing requests (entry_strikes.cc) ---
+  void OnCrashReport(const ExecuteReply& reply);
+  void EndAlone(const CallKey& key, const std::string& token);
+  // Whether the attempt may be sent as far as strikes are concerned.
+  bool AloneReady(const CallKey& key, const std::string& token) const;
+  void WriteStrikes();
+  void ReadBackStrike(const guard::StrikeChange& change,
+                      const std::string& token);
+  void PollStrikes();
+
   // --- Commits (entry_commits.cc) ---
   void ScheduleCommit();
   void Collect();
@@ -225,6 +239,7 @@
   // Ticks for which a stopping entry has had nothing to do.
   int idle_ticks_ = 0;
   std::uint64_t tokens_ = 0;
+  guard::StrikeTable strikes_;
   std::unique_ptr<config::ConfigHolder> config_;
   // Whether the version was refreshed since the process last resumed.
   bool config_fresh_ = false;
--- a/tests/faultmatrix/fake_backend.cc
+++ b/tests/faultmatrix/fake_backend.cc
@@ -6,16 +6,20 @@
 
 namespace vanillalever::faultmatrix {
 
-FakeBackend::FakeBackend(World& world, std::string address, bool engine)
+FakeBackend::FakeBackend(World& world,
+                         std::string address,
+                         bool engine,
+                         std::uint64_t number)
     : world_(world),
       host_(world.simulator(), std::move(address)),
-      engine_(engine) {}
+      engine_(engine),
+      number_(number) {}
 
 void FakeBackend::Run(const ExecuteRequest& request,
                       const std::function<void(std::size_t)>& respond) {
   Simulator& simulator = world_.simulator();
   if (request.crashes) {
-    world_.NoteCrash(host_.address(), request.fingerprint);
+    world_.NoteCrash(request.fingerprint);
     world_.KillBackend(host_.address());
     return;
   }
--- a/tests/faultmatrix/fake_backend.h
+++ b/tests/faultmatrix/fake_backend.h
@@ -1,6 +1,7 @@
 #ifndef VANILLALEVER_TESTS_FAULTMATRIX_FAKE_BACKEND_H_
 #define VANILLALEVER_TESTS_FAULTMATRIX_FAKE_BACKEND_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -16,10 +17,15 @@
 // tokens or idempotency keys, and notes each execution in the world's ledger.
 class FakeBackend {
  public:
-  FakeBackend(World& world, std::string address, bool engine);
+  FakeBackend(World& world,
+              std::string address,
+              bool engine,
+              std::uint64_t number);
 
   Host& host() { return host_; }
   bool engine() const { return engine_; }
+  // Number of this run, unique in the world and above zero.
+  std::uint64_t number() const { return number_; }
 
   // Executes at once; responds after the run time with the index of the
   // execution in the ledger.
@@ -38,6 +44,7 @@
   World& world_;
   Host host_;
   bool engine_;
+  std::uint64_t number_;
   std::map<execution::CacheHolder, std::int64_t> cache_;
 };
 
--- a/tests/faultmatrix/fault_matrix_test.cc
+++ b/tests/faultmatrix/fault_matrix_test.cc
@@ -12,7 +12,8 @@
 // Schedules to try before a rule counts as one that the matrix cannot see.
 constexpr std::uint64_t kMaxSchedules = 2000;
 
-// A rule and the promise that is broken without it, counted from 1.
+// A rule and the promise that is broken without it, counted from 1; one more
+// than the last stands for the checks that belong to no promise.
 struct RuleCase {
   Rule rule;
   std::size_t promise;
@@ -43,7 +44,8 @@
       RuleCase{Rule::kBudgetReserve, 3}, RuleCase{Rule::kReleaseRetry, 4},
       RuleCase{Rule::kDrain, 8}, RuleCase{Rule::kDrain, 9},
       RuleCase{Rule::kVersionCheck, 10}, RuleCase{Rule::kAnswerMatch, 5},
-      RuleCase{Rule::kFinalAfterCommit, 2});
+      RuleCase{Rule::kFinalAfterCommit, 2},
+      RuleCase{Rule::kQuarantine, kPromiseCount + 1});
   INFO(kRuleNames.name(rule_case.rule) << " protects P" << rule_case.promise);
   std::uint64_t schedules = SchedulesUntilBroken(rule_case);
   CHECK(schedules < kMaxSchedules);
--- a/tests/faultmatrix/matrix.cc
+++ b/tests/faultmatrix/matrix.cc
@@ -99,6 +99,7 @@
         ++cells_[violation.promise][fault].violations;
     }
   }
+  harmless_refused_ += outcome.harmless_refused;
   for (const Violation& violation : outcome.violations) {
     ++violations_;
     if (violation.promise == kPromiseCount)
@@ -124,7 +125,7 @@
   out << "seeds " << settings_.seed << " to "
       << settings_.seed + settings_.schedules - 1 << ", pairs of faults "
       << pairs_ << ", gaps " << gaps() << ", stalled programs " << stalled_
-      << "\n";
+      << ", harmless calls quarantined " << harmless_refused_ << "\n";
   std::uint64_t red = 0;
   for (const auto& row : cells_) {
     red += static_cast<std::uint64_t>(
--- a/tests/faultmatrix/matrix.h
+++ b/tests/faultmatrix/matrix.h
@@ -69,6 +69,7 @@
   std::uint64_t run_ = 0;
   std::uint64_t pairs_ = 0;
   std::uint64_t stalled_ = 0;
+  std::uint64_t harmless_refused_ = 0;
   std::uint64_t violations_ = 0;
   std::vector<Failure> failures_;
 };
--- a/tests/faultmatrix/messages.cc
+++ b/tests/faultmatrix/messages.cc
@@ -1,5 +1,7 @@
 #include "messages.h"
 
+#include "vanillalever/guard/fingerprint.h"
+
 namespace vanillalever::faultmatrix {
 
 CallerReply ErrorReply(base::ErrorCode code,
@@ -25,10 +27,17 @@
   return reply;
 }
 
+std::string Fingerprint(const CallerRequest& request) {
+  return guard::RequestFingerprint(
+      request.repeatable ? "models" : "tickets",
+      request.repeatable ? "chat" : "pay",
+      request.key + "/" + std::to_string(request.turn));
+}
+
 program::CallRequest ToCall(const CallerRequest& request, bool intents) {
   program::CallRequest call;
   call.turn = request.turn;
-  call.fingerprint = request.key + "/" + std::to_string(request.turn);
+  call.fingerprint = Fingerprint(request);
   call.pool = request.repeatable ? "models" : "tickets";
   call.operation = request.repeatable ? "chat" : "pay";
   // Without intents the owner treats every call as one that may be repeated.
--- a/tests/faultmatrix/messages.h
+++ b/tests/faultmatrix/messages.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "simulator.h"
 #include "vanillalever/base/error.h"
@@ -45,6 +46,8 @@
   bool repeatable = true;
   bool crashes = false;
   std::string fingerprint;
+  // Runs with nothing else on its server.
+  bool alone = false;
   std::int64_t worst_case = 0;
 };
 
@@ -56,6 +59,10 @@
   bool refused = false;
   // Refused because the command names another run of the sidecar.
   bool other_incarnation = false;
+  std::string fingerprint;
+  // Name of the crash that ended the work, and what was running at that time.
+  std::string crash;
+  std::vector<std::string> running;
   execution::WorkResult result;
 };
 
@@ -92,6 +99,7 @@
 // The call as the owner admits it. Without intents it treats every call as one
 // that may be repeated.
 program::CallRequest ToCall(const CallerRequest& request, bool intents);
+std::string Fingerprint(const CallerRequest& request);
 program::CreateRequest ToCreate(const CallerRequest& request);
 
 }  // namespace vanillalever::faultmatrix
--- a/tests/faultmatrix/scenario.h
+++ b/tests/faultmatrix/scenario.h
@@ -97,9 +97,10 @@
   kVersionCheck,      // a lower configuration version is refused
   kAnswerMatch,       // an answer must match an open attempt
   kFinalAfterCommit,  // the final answer follows the commit
+  kQuarantine,        // crash-causing requests run alone, then are refused
 };
 
-inline constexpr std::size_t kRuleCount = 12;
+inline constexpr std::size_t kRuleCount = 13;
 
 inline constexpr base::NameTable<Rule, kRuleCount> kRuleNames({
     "fencing",
@@ -114,6 +115,7 @@
     "version_check",
     "answer_match",
     "final_after_commit",
+    "quarantine",
 });
 
 // One fault of a schedule and when it strikes.
@@ -147,6 +149,8 @@
   // Faults that struck, in order of the scenario.
   std::vector<bool> struck;
   std::uint64_t steps = 0;
+  // Calls that were quarantined though they crash no server.
+  std::uint64_t harmless_refused = 0;
 };
 
 }  // namespace vanillalever::faultmatrix
--- a/tests/faultmatrix/sidecar_model.cc
+++ b/tests/faultmatrix/sidecar_model.cc
@@ -11,7 +11,7 @@
 using execution::Admission;
 using execution::WorkResult;
 
-constexpr int kSlots = 2;
+constexpr std::size_t kSlots = 2;
 // Longest run on the backend; ends calls of hung tools.
 constexpr Duration kRunDeadline = seconds(3);
 // Scaled to the length of a schedule.
@@ -80,7 +80,8 @@
 
 void SidecarModel::Execute(const ExecuteRequest& request,
                            const Respond& respond) {
-  ExecuteReply reply{request.program, request.key, true, false, WorkResult()};
+  ExecuteReply reply{request.program,     request.key, true, false,
+                     request.fingerprint, "",          {},   WorkResult()};
   const std::string& token = request.key.work_token;
   if (!drain_.accepting() && jobs_.count(token) == 0 &&
       ledger_.Result(token) == nullptr) {
@@ -125,15 +126,20 @@
 }
 
 void SidecarModel::Pump() {
-  while (running_ < kSlots && !queue_.empty()) {
+  while (running_.size() < kSlots && !queue_.empty() && !running_alone_) {
     std::string token = queue_.front();
+    auto job = jobs_.find(token);
+    bool alone = job != jobs_.end() && job->second.request.alone;
+    if (alone && !running_.empty())
+      return;
     queue_.pop_front();
     if (!ledger_.Start(token))
       continue;
-    ++running_;
-    const ExecuteRequest& request = jobs_[token].request;
-    world_.Probe(PathStep::kRun, host_, nullptr, host_.address(),
-                 request.repeatable, [this, token] { Run(token); });
+    running_.insert(token);
+    running_alone_ = alone;
+    bool repeatable = job->second.request.repeatable;
+    world_.Probe(PathStep::kRun, host_, nullptr, host_.address(), repeatable,
+                 [this, token] { Run(token); });
   }
 }
 
@@ -144,15 +150,15 @@
   if (engine_)
     leases_.Begin(holder, world_.simulator().now());
   FakeBackend* backend = world_.backend(host_.address());
-  auto end = [this, token, holder](WorkResult result) {
+  auto end = [this, token, holder](WorkResult result, std::uint64_t crash) {
     if (jobs_.count(token) == 0)
       return;
     if (engine_)
       leases_.End(holder, result.tokens, world_.simulator().now());
-    Finish(token, std::move(result));
+    Finish(token, std::move(result), crash);
   };
   if (backend == nullptr) {
-    end(Failure(base::Ran::kNotRun, "the backend refuses connections"));
+    end(Failure(base::Ran::kNotRun, "the backend refuses connections"), 0);
     return;
   }
   world_.network().Call<std::size_t>(
@@ -165,19 +171,34 @@
         WorkResult result;
         result.body = execution.answer;
         result.tokens = static_cast<std::uint64_t>(execution.cost);
-        end(std::move(result));
+        end(std::move(result), 0);
       },
-      [end](bool maybe_delivered) {
+      [end, backend](bool maybe_delivered) {
+        bool crashed = maybe_delivered && !backend->host().alive();
         end(Failure(maybe_delivered ? base::Ran::kUnknown : base::Ran::kNotRun,
-                    "no answer from the backend"));
+                    "no answer from the backend"),
+            crashed ? backend->number() : 0);
       });
 }
 
-void SidecarModel::Finish(const std::string& token, WorkResult result) {
-  --running_;
+void SidecarModel::Finish(const std::string& token,
+                          WorkResult result,
+                          std::uint64_t crash) {
+  // Several calls fail by one crash: the first to fail notes what was running.
+  if (crash > 0 && crashes_.count(crash) == 0) {
+    for (const std::string& running : running_)
+      crashes_[crash].push_back(jobs_[running].request.fingerprint);
+  }
+  running_.erase(token);
+  running_alone_ = false;
   auto job = jobs_.extract(token);
-  ExecuteReply reply{job.mapped().request.program, job.mapped().request.key,
-                     false, false, result};
+  const ExecuteRequest& request = job.mapped().request;
+  ExecuteReply reply{request.program,     request.key, false, false,
+                     request.fingerprint, "",          {},    result};
+  if (crash > 0) {
+    reply.crash = incarnation() + "/" + std::to_string(crash);
+    reply.running = crashes_[crash];
+  }
   ledger_.Finish(token, std::move(result));
   for (const Respond& respond : job.mapped().waiting)
     Answer(respond, reply);
--- a/tests/faultmatrix/sidecar_model.h
+++ b/tests/faultmatrix/sidecar_model.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,7 +69,9 @@
   execution::WorkKey KeyFor(const ExecuteRequest& request) const;
   void Pump();
   void Run(const std::string& token);
-  void Finish(const std::string& token, execution::WorkResult result);
+  void Finish(const std::string& token,
+              execution::WorkResult result,
+              std::uint64_t crash);
   void Answer(const Respond& respond, const ExecuteReply& reply);
   void SendReleases();
   void UpdateDrain();
@@ -85,7 +88,11 @@
   std::unique_ptr<config::ConfigHolder> config_;
   std::deque<std::string> queue_;
   std::map<std::string, Job> jobs_;
-  int running_ = 0;
+  // Tokens that run on the backend; whether one of them runs alone.
+  std::set<std::string> running_;
+  bool running_alone_ = false;
+  // What ran when a run of the backend ended, by the number of that run.
+  std::map<std::uint64_t, std::vector<std::string>> crashes_;
   std::map<execution::CacheHolder, std::vector<std::function<void()>>>
       release_waiting_;
 };
--- a/tests/faultmatrix/world.cc
+++ b/tests/faultmatrix/world.cc
@@ -42,6 +42,12 @@
   return settings;
 }
 
+guard::StrikeSettings World::strike_settings() const {
+  guard::StrikeSettings settings;
+  settings.alone_timeout = seconds(12);
+  return settings;
+}
+
 Outcome World::Run() {
   StartOperators();
   StartServers();
@@ -66,6 +72,7 @@
   CheckOnce();
   CheckLeaving();
   CheckConfig();
+  CheckCrashes();
   outcome_.steps = simulator_.steps();
   return outcome_;
 }
@@ -76,7 +83,8 @@
   servers_ = {
       {"m1", true}, {"m2", true}, {"m3", true}, {"t1", false}, {"t2", false}};
   for (const auto& [address, engine] : servers_) {
-    backends_[address] = std::make_unique<FakeBackend>(*this, address, engine);
+    backends_[address] =
+        std::make_unique<FakeBackend>(*this, address, engine, ++incarnations_);
     network_.MarkSidecar(address);
     StartSidecar(address);
   }
@@ -190,7 +198,8 @@
     auto node = backends_.extract(address);
     bool engine = node.mapped()->engine();
     ended_backends_.push_back(std::move(node.mapped()));
-    backends_[address] = std::make_unique<FakeBackend>(*this, address, engine);
+    backends_[address] =
+        std::make_unique<FakeBackend>(*this, address, engine, ++incarnations_);
   });
 }
 
--- a/tests/faultmatrix/world.h
+++ b/tests/faultmatrix/world.h
@@ -39,6 +39,7 @@
   bool rule(Rule rule) const { return scenario_.without.count(rule) == 0; }
   membership::LeaseSettings lease_settings() const;
   membership::InstanceViewSettings instance_settings() const;
+  guard::StrikeSettings strike_settings() const;
 
   // The fakes' ledger of everything that was executed.
   std::vector<Execution>& executions() { return executions_; }
@@ -76,7 +77,7 @@
   void RestartEntry(EntryModel& entry);
 
   // --- Observations ---
-  void NoteCrash(const std::string& server, const std::string& fingerprint);
+  void NoteCrash(const std::string& fingerprint);
   // A planned stop has ended; `cut` requests were in flight.
   void NoteStop(const Host& host, std::size_t cut);
   void CheckNotRun(const std::string& program, std::uint32_t turn);
@@ -134,6 +135,7 @@
   void CheckCaches();
   void CheckOnce();
   void CheckLeaving();
+  void CheckCrashes();
 
   const Scenario scenario_;
   Simulator simulator_;
--- a/tests/faultmatrix/world_checks.cc
+++ b/tests/faultmatrix/world_checks.cc
@@ -14,6 +14,10 @@
 // Time within which a server that is leaving may still receive work.
 constexpr Duration kLeaveBound = seconds(3);
 
+// Servers that one request may end: the first, one that runs it alone, and
+// those that run it while a report is on its way.
+constexpr int kMaxCrashes = 5;
+
 std::string Name(const std::string& program, std::uint32_t turn) {
   return program + " turn " + std::to_string(turn);
 }
@@ -39,9 +43,7 @@
   });
 }
 
-void World::NoteCrash(const std::string& server,
-                      const std::string& fingerprint) {
-  (void)server;
+void World::NoteCrash(const std::string& fingerprint) {
   ++crashes_[fingerprint];
 }
 
@@ -202,4 +204,18 @@
     check(*sidecar);
 }
 
+void World::CheckCrashes() {
+  for (const auto& [fingerprint, count] : crashes_) {
+    Check(kPromiseCount, count <= kMaxCrashes,
+          "request " + fingerprint + " ended " + std::to_string(count) +
+              " servers");
+  }
+  for (const auto& caller : callers_) {
+    for (const auto& [number, turn] : caller->turns()) {
+      if (turn.quarantined && !turn.crashes)
+        ++outcome_.harmless_refused;
+    }
+  }
+}
+
 }  // namespace vanillalever::faultmatrix
