Add cache events to the fault matrix

Cause: the ten cells of cache_events were printed as gaps.

Change: engines send late cache events, the fault loses seven in ten of them for 1 to 6 s, and entries choose a holder that CacheIndex names.

--- a/tests/faultmatrix/entry_attempts.cc
+++ b/tests/faultmatrix/entry_attempts.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -49,20 +50,14 @@
     RetryLater(key);
     return;
   }
-  auto servers =
-      instances_.live(call.request.repeatable ? "models" : "tickets", now);
-  std::erase_if(servers, [this](const auto& server) {
-    return !instances_.incarnation(server.address);
-  });
-  if (servers.empty()) {
+  auto server = PickServer(key.first, call.request.repeatable);
+  if (!server) {
     RetryLater(key);
     return;
   }
-  const auto& server =
-      servers[world_.simulator().random().Below(servers.size())];
   program::AttemptTarget target;
-  target.server = server.address;
-  target.sidecar_incarnation = *instances_.incarnation(server.address);
+  target.server = *server;
+  target.sidecar_incarnation = *instances_.incarnation(*server);
   target.fence = shard->programs->fence();
   target.work_token = NewToken();
   target.holds_cache = call.request.repeatable;
@@ -89,6 +84,29 @@
                });
 }
 
+std::optional<std::string> EntryModel::PickServer(const ProgramId& id,
+                                                  bool repeatable) {
+  TimePoint now = world_.simulator().now();
+  std::vector<std::string> servers;
+  for (const auto& listed :
+       instances_.live(repeatable ? "models" : "tickets", now)) {
+    if (instances_.incarnation(listed.address))
+      servers.push_back(listed.address);
+  }
+  if (servers.empty())
+    return std::nullopt;
+  if (repeatable) {
+    for (const auto& holder :
+         cache_index_.Holders(World::ProgramKey(id.text()), now)) {
+      auto found = std::find(servers.begin(), servers.end(),
+                             World::ServerName(holder.server));
+      if (found != servers.end())
+        return *found;
+    }
+  }
+  return servers[world_.simulator().random().Below(servers.size())];
+}
+
 void EntryModel::RetryLater(const CallKey& key) {
   auto state = calls_.find(key);
   if (state == calls_.end() || state->second.retrying)
@@ -177,6 +195,11 @@
   request.fingerprint = Fingerprint(state->second.request);
   request.alone = state->second.alone_token == key.work_token;
   request.worst_case = attempt.reservation;
+  TimePoint now = world_.simulator().now();
+  if (attempt.repeatable) {
+    cache_index_.OnDispatch(World::ProgramKey(id.text()),
+                            World::ServerIndex(attempt.target.server), now);
+  }
   world_.network().Call<ExecuteReply>(
       host_, sidecar->host(), kExecuteTimeout,
       [this, sidecar, request](const SidecarModel::Respond& respond) {
--- a/tests/faultmatrix/entry_model.h
+++ b/tests/faultmatrix/entry_model.h
@@ -21,6 +21,7 @@
 #include "vanillalever/membership/shard_map.h"
 #include "vanillalever/program/program_shard.h"
 #include "vanillalever/program/record_batch.h"
+#include "vanillalever/scheduling/cache_index.h"
 
 namespace vanillalever::faultmatrix {
 
@@ -38,6 +39,7 @@
   const std::string& incarnation() const { return self_.incarnation; }
   // Whether the load balancer may send it requests.
   bool accepting() const { return host_.alive() && !stopping_; }
+  scheduling::CacheIndex& cache_index() { return cache_index_; }
   const config::ConfigHolder& config() const { return *config_; }
 
   void Start();
@@ -125,6 +127,9 @@
 
   // --- Attempts (entry_attempts.cc) ---
   void StartAttempt(const CallKey& call);
+  // The server of a call: one that is believed to hold the program's cache, or
+  // a random one. Nothing when no server is live.
+  std::optional<std::string> PickServer(const ProgramId& id, bool repeatable);
   void RetryLater(const CallKey& call);
   void GiveUp(const CallKey& call);
   void DispatchIfReady(const ProgramId& id);
@@ -239,6 +244,7 @@
   // Ticks for which a stopping entry has had nothing to do.
   int idle_ticks_ = 0;
   std::uint64_t tokens_ = 0;
+  scheduling::CacheIndex cache_index_;
   guard::StrikeTable strikes_;
   std::unique_ptr<config::ConfigHolder> config_;
   // Whether the version was refreshed since the process last resumed.
--- a/tests/faultmatrix/fake_backend.cc
+++ b/tests/faultmatrix/fake_backend.cc
@@ -45,6 +45,7 @@
   if (engine_) {
     cache_[{request.program.text(), request.program_incarnation}] +=
         request.worst_case;
+    world_.PublishCache(*this, request.program.text(), request.worst_case);
   }
   if (!world_.TakeHang())
     host_.After(time, [respond, index] { respond(index); });
@@ -52,6 +53,7 @@
 
 void FakeBackend::Release(const execution::CacheHolder& holder) {
   cache_.erase(holder);
+  world_.PublishCache(*this, holder.program, 0);
 }
 
 }  // namespace vanillalever::faultmatrix
--- a/tests/faultmatrix/fake_backend.h
+++ b/tests/faultmatrix/fake_backend.h
@@ -23,6 +23,7 @@
               std::uint64_t number);
 
   Host& host() { return host_; }
+  const std::string& address() const { return host_.address(); }
   bool engine() const { return engine_; }
   // Number of this run, unique in the world and above zero.
   std::uint64_t number() const { return number_; }
--- a/tests/faultmatrix/world.cc
+++ b/tests/faultmatrix/world.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "vanillalever/base/hash.h"
+
 namespace vanillalever::faultmatrix {
 
 namespace {
@@ -188,6 +190,36 @@
                        : found[simulator_.random().Below(found.size())];
 }
 
+std::uint64_t World::ProgramKey(const std::string& program) {
+  return base::Hash64(program);
+}
+
+std::uint32_t World::ServerIndex(const std::string& address) {
+  return static_cast<std::uint32_t>(std::stoul(address.substr(1)));
+}
+
+std::string World::ServerName(std::uint32_t index) {
+  return "m" + std::to_string(index);
+}
+
+void World::PublishCache(const FakeBackend& backend,
+                         const std::string& program,
+                         std::int64_t tokens) {
+  scheduling::CacheEvent event;
+  event.server = ServerIndex(backend.address());
+  event.sequence = ++cache_events_[backend.address()];
+  event.program = ProgramKey(program);
+  event.tokens = static_cast<double>(tokens);
+  event.time = simulator_.now();
+  if (simulator_.now() < cache_events_lost_until_ && simulator_.Chance(70))
+    return;
+  for (const auto& entry : entries_) {
+    entry->host().After(
+        simulator_.Between(100, 1500),
+        [entry = entry.get(), event] { entry->cache_index().OnEvent(event); });
+  }
+}
+
 void World::KillBackend(const std::string& address) {
   FakeBackend* ended = backend(address);
   if (ended == nullptr)
@@ -396,8 +428,9 @@
       RaceOperators();
       break;
     case Fault::kCacheEventsGap:
-      // No class that decides by them is part of the model yet.
-      return false;
+      cache_events_lost_until_ =
+          simulator_.now() + simulator_.Between(1000, 6000);
+      break;
   }
   return true;
 }
--- a/tests/faultmatrix/world.h
+++ b/tests/faultmatrix/world.h
@@ -72,6 +72,14 @@
 
   // Starts the caller of a sub-agent, for one program of each schedule.
   void StartChild(const program::ProgramId& parent);
+  // Keys of the cache index.
+  static std::uint64_t ProgramKey(const std::string& program);
+  static std::uint32_t ServerIndex(const std::string& address);
+  static std::string ServerName(std::uint32_t index);
+  // Sends a cache event of an engine to the entries, late and not always.
+  void PublishCache(const FakeBackend& backend,
+                    const std::string& program,
+                    std::int64_t tokens);
   void KillBackend(const std::string& address);
   void RestartSidecar(const std::string& address);
   void RestartEntry(EntryModel& entry);
@@ -171,6 +179,9 @@
   bool crash_next_ = false;
   bool double_next_ = false;
   TimePoint reports_lost_until_;
+  TimePoint cache_events_lost_until_;
+  // Events sent, by server.
+  std::map<std::string, std::uint64_t> cache_events_;
   // Servers ended by one request, by its fingerprint.
   std::map<std::string, int> crashes_;
 };
