--- a/tests/faultmatrix/entry_attempts.cc
+++ b/tests/faultmatrix/entry_attempts.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -34,23 +35,37 @@
     GiveUp(key);
     return;
   }
-  auto servers = instances_.live(call.request.repeatable ? "models" : "tickets",
-                                 world_.simulator().now());
-  std::erase_if(servers, [this](const auto& server) {
-    return !instances_.incarnation(server.address);
-  });
-  if (servers.empty()) {
+  std::string fingerprint = Fingerprint(call.request);
+  TimePoint now = world_.simulator().now();
+  auto verdict = world_.rule(Rule::kQuarantine)
+                     ? strikes_.Judge(fingerprint, now)
+                     : guard::StrikeVerdict::kNormal;
+  if (verdict == guard::StrikeVerdict::kQuarantined) {
+    call.quarantined = true;
+    GiveUp(key);
+    return;
+  }
+  if (verdict == guard::StrikeVerdict::kWait) {
+    --call.tries;
+    RetryLater(key);
+    return;
+  }
+  auto server = PickServer(key.first, call.request.repeatable);
+  if (!server) {
     RetryLater(key);
     return;
   }
-  const auto& server =
-      servers[world_.simulator().random().Below(servers.size())];
   program::AttemptTarget target;
-  target.server = server.address;
-  target.sidecar_incarnation = *instances_.incarnation(server.address);
+  target.server = *server;
+  target.sidecar_incarnation = *instances_.incarnation(*server);
   target.fence = shard->programs->fence();
   target.work_token = NewToken();
   target.holds_cache = call.request.repeatable;
+  if (verdict == guard::StrikeVerdict::kRunAlone &&
+      strikes_.BeginAlone(fingerprint, target.work_token, target.server, now)) {
+    call.alone_token = target.work_token;
+    WriteStrikes();
+  }
   try {
     shard->programs->With(key.first, [&](Program& program) {
       // A hedge or a late answer may have ended the turn meanwhile.
@@ -69,6 +84,29 @@
                });
 }
 
+std::optional<std::string> EntryModel::PickServer(const ProgramId& id,
+                                                  bool repeatable) {
+  TimePoint now = world_.simulator().now();
+  std::vector<std::string> servers;
+  for (const auto& listed :
+       instances_.live(repeatable ? "models" : "tickets", now)) {
+    if (instances_.incarnation(listed.address))
+      servers.push_back(listed.address);
+  }
+  if (servers.empty())
+    return std::nullopt;
+  if (repeatable) {
+    for (const auto& holder :
+         cache_index_.Holders(World::ProgramKey(id.text()), now)) {
+      auto found = std::find(servers.begin(), servers.end(),
+                             World::ServerName(holder.server));
+      if (found != servers.end())
+        return *found;
+    }
+  }
+  return servers[world_.simulator().random().Below(servers.size())];
+}
+
 void EntryModel::RetryLater(const CallKey& key) {
   auto state = calls_.find(key);
   if (state == calls_.end() || state->second.retrying)
@@ -102,6 +140,8 @@
     for (const Attempt& attempt : program.attempts()) {
       if (attempt.dispatched)
         continue;
+      if (!AloneReady({id, attempt.turn}, attempt.target.work_token))
+        continue;
       if (program.dispatch_state(attempt.key()) == DispatchState::kReady)
         ready.push_back(attempt.key());
       else if (!attempt.repeatable)
@@ -152,8 +192,14 @@
   request.sidecar_incarnation = attempt.target.sidecar_incarnation;
   request.repeatable = state->second.request.repeatable;
   request.crashes = state->second.request.crashes;
-  request.fingerprint = ToCall(state->second.request, true).fingerprint;
+  request.fingerprint = Fingerprint(state->second.request);
+  request.alone = state->second.alone_token == key.work_token;
   request.worst_case = attempt.reservation;
+  TimePoint now = world_.simulator().now();
+  if (attempt.repeatable) {
+    cache_index_.OnDispatch(World::ProgramKey(id.text()),
+                            World::ServerIndex(attempt.target.server), now);
+  }
   world_.network().Call<ExecuteReply>(
       host_, sidecar->host(), kExecuteTimeout,
       [this, sidecar, request](const SidecarModel::Respond& respond) {
@@ -184,6 +230,7 @@
                                 const ExecuteReply& reply) {
   // An answer counts for the attempt that it names, whatever connection it
   // arrived on.
+  OnCrashReport(reply);
   bool match = world_.rule(Rule::kAnswerMatch);
   ProgramId id = match ? reply.program : sent_for;
   AttemptKey key = match ? reply.key : attempt.key();
@@ -245,6 +292,7 @@
 
 void EntryModel::OnNotRun(const ProgramId& id, const AttemptKey& key) {
   bool found = false;
+  EndAlone({id, key.turn}, key.work_token);
   Try(id, [&](Program& program) { found = program.AttemptNotRun(key); });
   if (found)
     RetryLater({id, key.turn});
@@ -253,6 +301,7 @@
 
 void EntryModel::OnLost(const ProgramId& id, const AttemptKey& key) {
   bool found = false;
+  EndAlone({id, key.turn}, key.work_token);
   Try(id, [&](Program& program) { found = program.AttemptLost(key); });
   if (found) {
     if (auto call = calls_.find({id, key.turn}); call != calls_.end())
@@ -285,8 +334,9 @@
     if (auto answer = answers.find(it->first.second); answer != answers.end())
       reply = AnswerReply(answer->second);
     else if (call.withdrawn && durable >= *call.withdrawn)
-      reply = ErrorReply(ErrorCode::kUnavailable,
-                         call.lost ? Ran::kUnknown : Ran::kNotRun, "gave up");
+      reply = ErrorReply(
+          call.quarantined ? ErrorCode::kQuarantined : ErrorCode::kUnavailable,
+          call.lost ? Ran::kUnknown : Ran::kNotRun, "gave up");
     if (!reply) {
       ++it;
       continue;
--- a/tests/faultmatrix/fake_backend.cc
+++ b/tests/faultmatrix/fake_backend.cc
@@ -6,16 +6,20 @@
 
 namespace vanillalever::faultmatrix {
 
-FakeBackend::FakeBackend(World& world, std::string address, bool engine)
+FakeBackend::FakeBackend(World& world,
+                         std::string address,
+                         bool engine,
+                         std::uint64_t number)
     : world_(world),
       host_(world.simulator(), std::move(address)),
-      engine_(engine) {}
+      engine_(engine),
+      number_(number) {}
 
 void FakeBackend::Run(const ExecuteRequest& request,
                       const std::function<void(std::size_t)>& respond) {
   Simulator& simulator = world_.simulator();
   if (request.crashes) {
-    world_.NoteCrash(host_.address(), request.fingerprint);
+    world_.NoteCrash(request.fingerprint);
     world_.KillBackend(host_.address());
     return;
   }
@@ -41,6 +45,7 @@
   if (engine_) {
     cache_[{request.program.text(), request.program_incarnation}] +=
         request.worst_case;
+    world_.PublishCache(*this, request.program.text(), request.worst_case);
   }
   if (!world_.TakeHang())
     host_.After(time, [respond, index] { respond(index); });
@@ -48,6 +53,7 @@
 
 void FakeBackend::Release(const execution::CacheHolder& holder) {
   cache_.erase(holder);
+  world_.PublishCache(*this, holder.program, 0);
 }
 
 }  // namespace vanillalever::faultmatrix
--- a/tests/faultmatrix/world.h
+++ b/tests/faultmatrix/world.h
@@ -39,6 +39,7 @@
   bool rule(Rule rule) const { return scenario_.without.count(rule) == 0; }
   membership::LeaseSettings lease_settings() const;
   membership::InstanceViewSettings instance_settings() const;
+  guard::StrikeSettings strike_settings() const;
 
   // The fakes' ledger of everything that was executed.
   std::vector<Execution>& executions() { return executions_; }
@@ -71,12 +72,20 @@
 
   // Starts the caller of a sub-agent, for one program of each schedule.
   void StartChild(const program::ProgramId& parent);
+  // Keys of the cache index.
+  static std::uint64_t ProgramKey(const std::string& program);
+  static std::uint32_t ServerIndex(const std::string& address);
+  static std::string ServerName(std::uint32_t index);
+  // Sends a cache event of an engine to the entries, late and not always.
+  void PublishCache(const FakeBackend& backend,
+                    const std::string& program,
+                    std::int64_t tokens);
   void KillBackend(const std::string& address);
   void RestartSidecar(const std::string& address);
   void RestartEntry(EntryModel& entry);
 
   // --- Observations ---
-  void NoteCrash(const std::string& server, const std::string& fingerprint);
+  void NoteCrash(const std::string& fingerprint);
   // A planned stop has ended; `cut` requests were in flight.
   void NoteStop(const Host& host, std::size_t cut);
   void CheckNotRun(const std::string& program, std::uint32_t turn);
@@ -134,6 +143,7 @@
   void CheckCaches();
   void CheckOnce();
   void CheckLeaving();
+  void CheckCrashes();
 
   const Scenario scenario_;
   Simulator simulator_;
@@ -169,6 +179,9 @@
   bool crash_next_ = false;
   bool double_next_ = false;
   TimePoint reports_lost_until_;
+  TimePoint cache_events_lost_until_;
+  // Events sent, by server.
+  std::map<std::string, std::uint64_t> cache_events_;
   // Servers ended by one request, by its fingerprint.
   std::map<std::string, int> crashes_;
 };
