Let callers state budgets and check histories by the answers

Cause: against the daemons, 4 of 34 programs ended with budget_exhausted, because a sub-agent without a stated budget asks for its class's default, which the parent does not have left. The history lists answers only, so that looking for the request's reference would have reported every model turn as misordered. Change: each program states a budget that covers it and its sub-agents; a history entry is recognised by the answer's mark or, for services, its reference. The entry stub of the tests lists answers only, too.

--- a/tests/load/src/program_plan.cc
+++ b/tests/load/src/program_plan.cc
@@ -144,6 +144,24 @@
   return count;
 }
 
+std::int64_t PlannedProgram::budget() const {
+  // Bytes of one message's JSON form around its content, and per generated
+  // token.
+  constexpr std::int64_t kMessageBytes = 100;
+  constexpr std::int64_t kBytesPerToken = 8;
+  std::int64_t conversation = 0;
+  std::int64_t total = 0;
+  for (const PlannedTurn& turn : turns) {
+    conversation += kMessageBytes +
+                    static_cast<std::int64_t>(turn.prompt_bytes) +
+                    turn.output_tokens * kBytesPerToken;
+    total += conversation;
+  }
+  for (const PlannedProgram& child : children)
+    total += child.budget();
+  return total;
+}
+
 PlannedProgram DrawProgram(Workload workload,
                            const std::string& key,
                            base::Random& random) {
--- a/tests/load/src/program_plan.h
+++ b/tests/load/src/program_plan.h
@@ -46,6 +46,10 @@
 
   // Number of programs including sub-agents.
   std::size_t size() const;
+
+  // Budget in tokens that covers every call, counted with one token per byte,
+  // and the budgets of the sub-agents, which are taken out of it.
+  std::int64_t budget() const;
 };
 
 // Draws a program of the workload.
--- a/tests/load/src/program_runner.h
+++ b/tests/load/src/program_runner.h
@@ -57,6 +57,8 @@
                    const std::string& ref,
                    const EntryAnswer& answer);
   void CheckHistory();
+  // Whether the text of a history entry holds the answer to this turn.
+  bool IsOwnHistory(std::size_t index, const std::string& text) const;
   void End();
 
   EntryClient& client_;
