Read cache event gaps without a shared lock

Cause: every lookup of cache holders took one lock for all servers' event sequences, so lookups of different programs contended. Change: gap counts are atomics in a fixed array of streams; only events take the lock.

--- a/packages/scheduling/include/vanillalever/scheduling/cache_index.h
+++ b/packages/scheduling/include/vanillalever/scheduling/cache_index.h
@@ -2,6 +2,8 @@
 #define VANILLALEVER_SCHEDULING_CACHE_INDEX_H_
 
 #include <array>
+#include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <mutex>
 #include <unordered_map>
@@ -21,8 +23,8 @@
   double gap_confidence = 0.98;
 };
 
-// One cache event of an engine. Events of one server are numbered without
-// gaps when they are sent; some are lost on the way.
+// One cache event of an engine. Events of one server are numbered from 1
+// without gaps when they are sent; some are lost on the way.
 struct CacheEvent {
   ServerIndex server = 0;
   std::uint64_t sequence = 0;
@@ -81,12 +83,16 @@
     std::unordered_map<ProgramKey, std::vector<Entry>> programs;
   };
 
+  // Events of one server. Lookups read `gaps` only, without a lock.
   struct Stream {
     std::uint64_t last_sequence = 0;
-    std::uint64_t gaps = 0;
+    std::atomic<std::uint64_t> gaps{0};
   };
 
   static constexpr std::size_t kShards = 16;
+  // Servers whose indexes differ by a multiple of this share a stream; a gap
+  // of one then lowers the confidence in the other too.
+  static constexpr std::size_t kStreams = 2048;
 
   Shard& ShardOf(ProgramKey program);
   const Shard& ShardOf(ProgramKey program) const;
@@ -97,8 +103,9 @@
 
   CacheIndexSettings settings_;
   std::array<Shard, kShards> shards_;
-  mutable std::mutex streams_mutex_;
-  std::unordered_map<ServerIndex, Stream> streams_;
+  // Guards the sequences of all streams, which only events change.
+  std::mutex streams_mutex_;
+  std::vector<Stream> streams_{kStreams};
 };
 
 }  // namespace vanillalever::scheduling
--- a/packages/scheduling/src/cache_index.cc
+++ b/packages/scheduling/src/cache_index.cc
@@ -26,20 +26,19 @@
 }
 
 std::uint64_t CacheIndex::Gaps(ServerIndex server) const {
-  std::lock_guard lock(streams_mutex_);
-  auto found = streams_.find(server);
-  return found == streams_.end() ? 0 : found->second.gaps;
+  return streams_[server % kStreams].gaps.load(std::memory_order_relaxed);
 }
 
 void CacheIndex::CountGap(const CacheEvent& event) {
   std::lock_guard lock(streams_mutex_);
-  auto [found, first] = streams_.try_emplace(event.server);
-  Stream& stream = found->second;
+  Stream& stream = streams_[event.server % kStreams];
   // Events may arrive out of order; only a jump ahead shows a gap.
   if (event.sequence <= stream.last_sequence)
     return;
-  if (!first)
-    stream.gaps += event.sequence - stream.last_sequence - 1;
+  if (stream.last_sequence != 0) {
+    stream.gaps.fetch_add(event.sequence - stream.last_sequence - 1,
+                          std::memory_order_relaxed);
+  }
   stream.last_sequence = event.sequence;
 }
 
@@ -95,7 +94,7 @@
     }
   }
   std::lock_guard lock(streams_mutex_);
-  streams_.erase(server);
+  streams_[server % kStreams].last_sequence = 0;
 }
 
 std::vector<CacheHolder> CacheIndex::Holders(ProgramKey program,
