--- a/bench/src/experiment.h
+++ b/bench/src/experiment.h
@@ -1,10 +1,10 @@
 #ifndef VANILLALEVER_BENCH_EXPERIMENT_H_
 #define VANILLALEVER_BENCH_EXPERIMENT_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "run_result.h"
@@ -34,7 +34,10 @@
   // "normal", "slowed", "outage" or "overload".
   std::string scenario;
 
-  auto operator<=>(const CellKey&) const = default;
+  bool operator<(const CellKey& other) const {
+    return std::tie(workload, policy, load, scenario) <
+           std::tie(other.workload, other.policy, other.load, other.scenario);
+  }
 };
 
 // Load of the outage scenario, and of the overload scenario, as shares of
--- a/bench/src/workload.h
+++ b/bench/src/workload.h
@@ -70,7 +70,7 @@
   // Tool pause after the answer.
   base::Duration pause{0};
   // Sub-agents started after the answer; the next turn waits for all of them.
-  std::vector<ProgramShape> children{};
+  std::vector<ProgramShape> children;
 };
 
 // A program as it will unfold; policies see a turn only when it is issued.
