--- a/tests/load/src/program_runner.cc
+++ b/tests/load/src/program_runner.cc
@@ -222,24 +222,11 @@
   return whole && !mixed;
 }
 
-<<<<<<< HEAD
 // The history entry of a turn whose outcome nobody knows has no answer.
 bool ProgramRunner::IsOwnEntry(const TurnRecord& turn, const json& entry) {
   if (turn.outcome == TurnOutcome::kUnknown)
     return entry.value("outcome", "") == "unknown";
   return entry.dump().find(turn.mark) != std::string::npos;
-=======
-bool ProgramRunner::IsOwnHistory(std::size_t index,
-                                 const std::string& text) const {
-  const TurnRecord& record = record_.turns[index];
-  // The answer is an error, which refers to nothing.
-  if (record.outcome != TurnOutcome::kDone)
-    return true;
-  const PlannedTurn& turn = plan_.turns[index];
-  std::string evidence =
-      turn.model ? fakes::AnswerMark(PromptOf(turn, record.ref)) : record.ref;
-  return text.find(evidence) != std::string::npos;
->>>>>>> platform
 }
 
 void ProgramRunner::CheckHistory() {
@@ -255,11 +242,7 @@
   for (const json& entry : turns) {
     std::size_t number = entry.value("turn", std::size_t{0});
     bool known = number >= 1 && number <= record_.turns.size();
-<<<<<<< HEAD
     bool own = known && IsOwnEntry(record_.turns[number - 1], entry);
-=======
-    bool own = known && IsOwnHistory(number - 1, entry.dump());
->>>>>>> platform
     if (!own || number <= last)
       ++record_.history_misordered;
     else
--- a/tests/load/src/program_runner.h
+++ b/tests/load/src/program_runner.h
@@ -58,8 +58,6 @@
                    const EntryAnswer& answer);
   static bool IsOwnEntry(const TurnRecord& turn, const nlohmann::json& entry);
   void CheckHistory();
-  // Whether the text of a history entry holds the answer to this turn.
-  bool IsOwnHistory(std::size_t index, const std::string& text) const;
   void End();
 
   EntryClient& client_;
