--- a/tests/load/src/program_plan.cc
+++ b/tests/load/src/program_plan.cc
@@ -89,7 +89,7 @@
 }
 
 PlannedProgram DrawCasca(const std::string& key, base::Random& random) {
-  PlannedProgram program{key, "floor-check", {}, {}};
+  PlannedProgram program{key, "quick-check", {}, {}};
   Builder builder(Workload::kCasca, random);
   std::uint64_t draw = random.Below(100);
   if (draw < 60) {
@@ -100,7 +100,7 @@
     Review(builder, 3 + random.Below(4), 60);
     AddChildren(Workload::kCasca, program, random.Below(3), random);
   } else {
-    program.program_class = "grower-payment";
+    program.program_class = "settlement";
     builder.Think(300, 20);
     builder.Act("record_weighing");
     builder.Act("enter_lot");
@@ -113,7 +113,7 @@
 }
 
 PlannedProgram DrawTan(const std::string& key, base::Random& random) {
-  PlannedProgram program{key, "counter-quote", {}, {}};
+  PlannedProgram program{key, "repair-quote", {}, {}};
   Builder builder(Workload::kTan, random);
   std::uint64_t draw = random.Below(100);
   if (draw < 65) {
@@ -125,7 +125,7 @@
     Review(builder, 5 + random.Below(6), 80);
     AddChildren(Workload::kTan, program, 1 + random.Below(3), random);
   } else {
-    program.program_class = "refund";
+    program.program_class = "after-sales";
     builder.Think(300, 20);
     builder.Act("refund");
     builder.Act("book_courier");
--- a/tests/system/system_test.py
+++ b/tests/system/system_test.py
@@ -121,9 +121,9 @@
         return status, json.loads(text)
 
     def create(self, key, entry=0, **fields):
-        """Creates a program of the counter-quote class; returns its id."""
+        """Creates a program of the repair-quote class; returns its id."""
         for _ in range(100):
-            status, body = self.call(entry, "/v1/programs", {"key": key, "class": "counter-quote", **fields})
+            status, body = self.call(entry, "/v1/programs", {"key": key, "class": "repair-quote", **fields})
             if status in (200, 201):
                 return body["id"]
             time.sleep(0.1)
