--- a/apps/vanillaleverd/main.cc
+++ b/apps/vanillaleverd/main.cc
@@ -50,6 +50,10 @@
 DEFINE_int32(group_window_ms,
              2,
              "Entry: time that a commit waits for further records, in ms.");
+DEFINE_int32(
+    subset_size,
+    24,
+    "Entry: most sidecars of one pool that it exchanges reports with.");
 DEFINE_string(kind,
               "engine",
               "Sidecar: kind of the backend server, engine or service.");
@@ -145,6 +149,9 @@
       FLAGS_report_interval_ms > 0 && FLAGS_report_interval_ms <= 1500,
       "report_interval_ms",
       "must be 1 to 1500: leaving servers get no work after 3 s");
+  settings.subset_size = static_cast<std::size_t>(FLAGS_subset_size);
+  check.Require(FLAGS_subset_size >= 1 && FLAGS_subset_size <= 256,
+                "subset_size", "must be 1 to 256");
   settings.group_window = milliseconds(FLAGS_group_window_ms);
   check.Require(FLAGS_group_window_ms >= 0, "group_window_ms",
                 "must not be negative");
--- a/packages/entry/include/vanillalever/entry/entry_settings.h
+++ b/packages/entry/include/vanillalever/entry/entry_settings.h
@@ -34,6 +34,8 @@
   base::Duration config_poll = base::seconds(2);
   // Time between load reports of a sidecar.
   base::Duration report_interval = base::seconds(1);
+  // Most sidecars of one pool that this entry exchanges reports with.
+  std::size_t subset_size = 24;
   // Time that a commit waits for further records.
   base::Duration group_window = base::milliseconds(2);
   // Programs with changes that are not durable; beyond it new turns are refused
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -114,6 +114,7 @@
       servers_(loop_,
                settings.shared_key,
                settings.data_centre,
+               settings.subset_size,
                config_,
                counters_),
       settler_(threads_.context(), servers_),
--- a/packages/entry/src/server_directory.h
+++ b/packages/entry/src/server_directory.h
@@ -67,6 +67,7 @@
   ServerDirectory(protocol::RpcLoop& loop,
                   std::string shared_key,
                   std::string data_centre,
+                  std::size_t subset_size,
                   ConfigService& config,
                   base::CounterRegistry& counters);
 
