Split request parsing, the call plan and cache releases into files of their own

Change: CallParser, CallPlan and CacheReleaser are classes with one job each; behaviour is unchanged. Ruled out: splitting CallRunner by phase, because its phases share all of its state.

--- a/packages/entry/src/call_runner.cc
+++ b/packages/entry/src/call_runner.cc
@@ -256,8 +256,13 @@
     sent_at_ = now();
     context_.servers.OnSend(query_, *choice_);
     auto timeout = plan_.deadline - now() + kReplyGrace;
+    protocol::ExecuteRequest request =
+        MakeExecuteRequest(plan_, key_, *shard_, now());
+    request.sidecar_incarnation = choice_->incarnation;
+    request.expected_tokens = static_cast<std::uint32_t>(query_.output_tokens);
+    request.alone = alone_;
     choice_->client->Execute(
-        MakeRequest(), timeout,
+        request, timeout,
         [this, self = shared_from_this(),
          key = key_](const protocol::StreamPiece& piece) {
           context_.waiters.Token(plan_.id, plan_.call.turn, key.attempt,
@@ -274,39 +279,6 @@
   });
 }
 
-protocol::ExecuteRequest CallRunner::MakeRequest() const {
-  protocol::ExecuteRequest request;
-  request.organisation = plan_.organisation;
-  request.program = plan_.id.text();
-  request.program_incarnation = plan_.program_incarnation;
-  request.shard = shard_->shard();
-  request.fence = shard_->fence();
-  request.turn = key_.turn;
-  request.attempt = key_.attempt;
-  request.work_token = key_.work_token;
-  request.sidecar_incarnation = choice_->incarnation;
-  request.pool = plan_.call.pool;
-  request.operation = plan_.call.operation;
-  request.repeatable = plan_.call.repeatable;
-  request.priority = plan_.priority;
-  request.program_class = plan_.program_class;
-  auto left =
-      std::chrono::duration_cast<base::milliseconds>(plan_.deadline - now());
-  request.deadline_ms =
-      static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
-  request.max_tokens = plan_.max_tokens;
-  request.expected_tokens = static_cast<std::uint32_t>(query_.output_tokens);
-  request.short_work = plan_.short_work;
-  if (plan_.engine)
-    request.prefix_key = plan_.id.text() + "#" + plan_.program_incarnation;
-  request.body = plan_.body;
-  request.program_age_ms =
-      static_cast<std::uint64_t>(plan_.program_age.count());
-  request.alone = alone_;
-  request.stream = plan_.stream;
-  return request;
-}
-
 void CallRunner::OnReply(protocol::Outcome<protocol::ExecuteResult> outcome) {
   context_.servers.OnEnd(query_.pool, *choice_);
   if (outcome.error)
--- a/packages/entry/src/call_runner.h
+++ b/packages/entry/src/call_runner.h
@@ -10,37 +10,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include "call_plan.h"
 #include "entry_context.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/scheduling/admission_control.h"
 
 namespace vanillalever::entry {
 
-// Everything about a call that was admitted as a new turn.
-struct CallPlan {
-  program::ProgramId id;
-  program::CallRequest call;
-  std::string organisation;
-  std::string program_incarnation;
-  std::string program_class;
-  std::string body;
-  base::TimePoint deadline;
-  base::milliseconds program_age{0};
-  // Level at the servers' queues; lower is more urgent.
-  std::uint32_t priority = 0;
-  std::uint32_t max_tokens = 0;
-  std::int64_t operation_cost = 0;
-  // Number that stands for the class in estimates.
-  int class_key = 0;
-  // Expected output before there is a history (tokens); zero if unknown.
-  std::int64_t expected_tokens = 0;
-  bool engine = true;
-  bool short_work = false;
-  bool stream = false;
-  // Whether the program has completed turns before.
-  bool in_progress = false;
-};
-
 // Runs one open turn: chooses a server, makes the intent durable where the call
 // may not be repeated, sends it, settles lost replies, and makes the answer
 // durable before the caller gets it. Lives until the turn has ended.
@@ -72,7 +48,6 @@
   bool Admitted(const ServerChoice& choice);
   void StartAttempt();
   void Send();
-  protocol::ExecuteRequest MakeRequest() const;
   void OnReply(protocol::Outcome<protocol::ExecuteResult> outcome);
   void OnTransportError(const base::ErrorInfo& error);
   void Settle();
--- a/packages/entry/src/program_api.cc
+++ b/packages/entry/src/program_api.cc
@@ -4,9 +4,6 @@
 #include <utility>
 
 #include "turn_answer.h"
-#include "vanillalever/base/hash.h"
-#include "vanillalever/guard/fingerprint.h"
-#include "vanillalever/http/json_body.h"
 #include "vanillalever/http/message.h"
 #include "vanillalever/program/program_codec.h"
 
@@ -20,68 +17,12 @@
 
 // Part of a parent's remaining budget that a child gets by default.
 constexpr std::int64_t kChildBudgetDivisor = 4;
-constexpr std::size_t kMaxKeyBytes = 256;
 // Entries that a request may pass on its way to the owner.
 constexpr std::uint32_t kMaxHops = 2;
 // Longest time for which a request is forwarded.
 constexpr base::Duration kForwardTimeout = std::chrono::minutes(30);
-constexpr base::milliseconds kMaxDeadline = std::chrono::minutes(15);
-constexpr base::milliseconds kFallbackDeadline = std::chrono::seconds(60);
 constexpr char kRoot[] = "/v1/programs";
 
-base::Error Invalid(const std::string& message) {
-  return base::NotRun(ErrorCode::kInvalidRequest, Step::kParse, message);
-}
-
-std::string RequiredText(const Json& body, const char* field) {
-  auto found = body.find(field);
-  if (found == body.end() || !found->is_string() ||
-      found->get_ref<const std::string&>().empty())
-    throw Invalid(std::string("field '") + field +
-                  "' must be a non-empty string");
-  return *found;
-}
-
-std::string OptionalText(const Json& body, const char* field) {
-  return body.contains(field) ? RequiredText(body, field) : "";
-}
-
-std::int64_t OptionalNumber(const Json& body,
-                            const char* field,
-                            std::int64_t fallback) {
-  auto found = body.find(field);
-  if (found == body.end())
-    return fallback;
-  if (!found->is_number_integer() || found->get<std::int64_t>() < 1)
-    throw Invalid(std::string("field '") + field +
-                  "' must be a positive integer");
-  return *found;
-}
-
-void CheckFields(const Json& body, std::initializer_list<const char*> known) {
-  for (const auto& item : body.items()) {
-    const std::string& name = item.key();
-    bool found = std::any_of(known.begin(), known.end(),
-                             [&](const char* k) { return name == k; });
-    if (!found)
-      throw Invalid("unknown field '" + name + "'");
-  }
-}
-
-// Level of a priority at the servers' queues, which know only a few: the
-// declared ranks are spread over them in order.
-std::uint32_t PriorityLevel(const config::ConfigSet& set,
-                            const std::string& name) {
-  const auto* own = set.Find<config::Priority>(name);
-  if (own == nullptr)
-    return scheduling::kPriorityCount - 1;
-  std::size_t before = 0;
-  for (const auto& [other_name, other] : set.priorities())
-    before += other.rank < own->rank ? 1 : 0;
-  return static_cast<std::uint32_t>(before * scheduling::kPriorityCount /
-                                    set.priorities().size());
-}
-
 base::ErrorInfo ForwardError(const std::string& message, Ran ran) {
   base::ErrorInfo info;
   info.code = ErrorCode::kUnavailable;
@@ -121,6 +62,7 @@
     : context_(context),
       recovery_(recovery),
       loop_(loop),
+      parser_(context.config),
       calls_(context.counters.counter("vl_entry_calls_total",
                                       "Turns that were opened.")),
       repeats_(context.counters.counter("vl_entry_repeated_calls_total",
@@ -159,7 +101,7 @@
 void ProgramApi::Route(const CallerRequest& request, const ReplyPtr& reply) {
   std::uint32_t shard = 0;
   if (IsCreate(request))
-    shard = program::ProgramShard::IdFor(ParseCreate(request)).shard();
+    shard = program::ProgramShard::IdFor(parser_.ParseCreate(request)).shard();
   else
     shard = ParsePath(request).id.shard();
   if (context_.shards.Find(shard) && context_.membership.lease_held())
@@ -171,7 +113,7 @@
                        const CallerRequest& request,
                        const ReplyPtr& reply) {
   if (IsCreate(request)) {
-    program::CreateRequest create = ParseCreate(request);
+    program::CreateRequest create = parser_.ParseCreate(request);
     return Block(
         reply, [this, shard, create, reply] { Create(shard, create, reply); });
   }
@@ -230,43 +172,6 @@
   });
 }
 
-program::CreateRequest ProgramApi::ParseCreate(const CallerRequest& request) {
-  Json body = http::ParseJsonObject(request.body);
-  CheckFields(body, {"key", "class", "budget", "parent"});
-  program::CreateRequest create;
-  create.organisation = request.organisation;
-  create.key = RequiredText(body, "key");
-  if (create.key.size() > kMaxKeyBytes)
-    throw Invalid("field 'key' is longer than " + std::to_string(kMaxKeyBytes) +
-                  " bytes");
-  create.program_class = RequiredText(body, "class");
-  if (std::string parent = OptionalText(body, "parent"); !parent.empty())
-    create.parent = program::ProgramId::Parse(parent);
-  ConfigView config = context_.config.Current();
-  const config::ConfigSet& set = config.body->set;
-  const auto* organisation =
-      set.Find<config::Organisation>(request.organisation);
-  const auto* program_class =
-      set.Find<config::ProgramClass>(create.program_class);
-  bool allowed =
-      organisation != nullptr && program_class != nullptr &&
-      std::find(organisation->classes.begin(), organisation->classes.end(),
-                create.program_class) != organisation->classes.end();
-  if (!allowed)
-    throw base::NotRun(ErrorCode::kForbidden, Step::kAdmit,
-                       "class '" + create.program_class +
-                           "' is not one of the organisation's");
-  std::int64_t fallback = 0;
-  if (const auto* budget =
-          set.Find<config::Budget>(program_class->default_budget))
-    fallback = budget->tokens;
-  create.default_budget = !body.contains("budget");
-  create.budget = OptionalNumber(body, "budget", fallback);
-  if (create.budget < 1)
-    throw Invalid("field 'budget' is required: the class has no default");
-  return create;
-}
-
 void ProgramApi::CheckCapacity() const {
   if (context_.committer.uncommitted() < context_.settings.max_uncommitted)
     return;
@@ -342,92 +247,7 @@
                       const CallerRequest& request,
                       const ReplyPtr& reply) {
   CheckCapacity();
-  Admit(shard, ParseCall(shard, id, request), reply);
-}
-
-CallPlan ProgramApi::ParseCall(const ShardPtr& shard,
-                               const program::ProgramId& id,
-                               const CallerRequest& request) {
-  Json body = http::ParseJsonObject(request.body);
-  CheckFields(body, {"turn", "pool", "operation", "body", "max_tokens",
-                     "deadline_ms", "stream"});
-  CallPlan plan;
-  plan.id = id;
-  plan.organisation = request.organisation;
-  auto turn = OptionalNumber(body, "turn", 0);
-  if (turn < 1 || turn > INT32_MAX)
-    throw Invalid("field 'turn' must be a positive integer");
-  plan.call.turn = static_cast<std::uint32_t>(turn);
-  plan.call.pool = RequiredText(body, "pool");
-  plan.call.operation = RequiredText(body, "operation");
-  if (body.contains("stream") && !body["stream"].is_boolean())
-    throw Invalid("field 'stream' must be true or false");
-  plan.stream = body.value("stream", false);
-  if (!body.contains("body"))
-    throw Invalid("field 'body' is required");
-  plan.body = body["body"].dump();
-  shard->With(id, [&](program::Program& program) {
-    plan.program_class = program.spec().program_class;
-    plan.program_incarnation = program.spec().incarnation;
-    plan.program_age = program.elapsed(std::chrono::steady_clock::now());
-    plan.in_progress = program.last_turn() > 0;
-  });
-  ConfigView config = context_.config.Current();
-  const auto* program_class =
-      config.body->set.Find<config::ProgramClass>(plan.program_class);
-  if (program_class == nullptr)
-    throw base::NotRun(ErrorCode::kForbidden, Step::kAdmit,
-                       "class '" + plan.program_class + "' was deleted");
-  FillLimits(config.body->set, *program_class, body, plan);
-  plan.call.fingerprint =
-      guard::RequestFingerprint(plan.call.pool, plan.call.operation, plan.body);
-  return plan;
-}
-
-void ProgramApi::FillLimits(const config::ConfigSet& set,
-                            const config::ProgramClass& program_class,
-                            const Json& body,
-                            CallPlan& plan) {
-  const auto& pools = program_class.pools;
-  const auto* pool = set.Find<config::Pool>(plan.call.pool);
-  if (pool == nullptr ||
-      std::find(pools.begin(), pools.end(), plan.call.pool) == pools.end())
-    throw base::NotRun(ErrorCode::kNotFound, Step::kAdmit,
-                       "class '" + plan.program_class + "' has no pool '" +
-                           plan.call.pool + "'");
-  const config::Operation* operation = pool->operation(plan.call.operation);
-  if (operation == nullptr)
-    throw base::NotRun(ErrorCode::kNotFound, Step::kAdmit,
-                       "pool '" + plan.call.pool + "' has no operation '" +
-                           plan.call.operation + "'");
-  plan.engine = pool->kind == config::PoolKind::kEngine;
-  if (plan.engine && !body["body"].is_object())
-    throw Invalid("field 'body' must be an object for a model engine");
-  plan.call.repeatable = operation->repeatable;
-  plan.operation_cost = operation->cost_tokens;
-  if (plan.engine) {
-    std::int64_t max_tokens =
-        OptionalNumber(body, "max_tokens", pool->max_tokens_per_call);
-    plan.max_tokens = static_cast<std::uint32_t>(
-        std::min(max_tokens, pool->max_tokens_per_call));
-  }
-  // A token is at least one byte, so the body's size bounds its tokens.
-  plan.call.worst_case_cost = plan.operation_cost + plan.max_tokens;
-  if (plan.engine)
-    plan.call.worst_case_cost += static_cast<std::int64_t>(plan.body.size());
-  base::milliseconds fallback = operation->deadline.count() > 0
-                                    ? operation->deadline
-                                    : program_class.default_deadline;
-  if (fallback.count() <= 0)
-    fallback = kFallbackDeadline;
-  base::milliseconds deadline(
-      OptionalNumber(body, "deadline_ms", fallback.count()));
-  plan.deadline =
-      std::chrono::steady_clock::now() + std::min(deadline, kMaxDeadline);
-  plan.priority = PriorityLevel(set, program_class.priority);
-  plan.short_work = program_class.short_work;
-  plan.expected_tokens = program_class.expected_tokens;
-  plan.class_key = static_cast<int>(base::Hash64(plan.program_class) >> 33);
+  Admit(shard, parser_.ParseCall(shard, id, request), reply);
 }
 
 void ProgramApi::Admit(const ShardPtr& shard,
--- a/packages/entry/src/program_api.h
+++ b/packages/entry/src/program_api.h
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "call_parser.h"
 #include "call_runner.h"
 #include "caller_reply.h"
 #include "entry_context.h"
@@ -49,7 +50,6 @@
   // Runs `task` on a worker thread; errors go to the reply.
   void Block(const ReplyPtr& reply, Task task);
 
-  program::CreateRequest ParseCreate(const CallerRequest& request);
   static void LimitChildBudget(const ShardPtr& shard,
                                program::CreateRequest& create);
   void Create(const ShardPtr& shard,
@@ -61,13 +61,6 @@
             const CallerRequest& request,
             const ReplyPtr& reply);
   void Admit(const ShardPtr& shard, CallPlan plan, const ReplyPtr& reply);
-  CallPlan ParseCall(const ShardPtr& shard,
-                     const program::ProgramId& id,
-                     const CallerRequest& request);
-  void FillLimits(const config::ConfigSet& set,
-                  const config::ProgramClass& program_class,
-                  const Json& body,
-                  CallPlan& plan);
   void AnswerFromHistory(const ShardPtr& shard,
                          const CallPlan& plan,
                          const ReplyPtr& reply);
@@ -99,6 +92,7 @@
   EntryContext& context_;
   Recovery& recovery_;
   protocol::RpcLoop& loop_;
+  CallParser parser_;
   base::Counter& calls_;
   base::Counter& repeats_;
   base::Counter& forwarded_;
--- a/packages/sidecar/src/sidecar.cc
+++ b/packages/sidecar/src/sidecar.cc
@@ -33,7 +33,8 @@
         incarnation_(base::RandomId()),
         client_(threads_, {}),
         backend_(MakeBackend(settings, client_)),
-        executor_(incarnation_, *backend_, counters_) {
+        releaser_(*backend_, counters_),
+        executor_(incarnation_, *backend_, releaser_, counters_) {
     AddRoutes();
     http::ServerSettings http_settings;
     http_settings.host = settings.host;
@@ -95,7 +96,7 @@
   void OnRelease(
       protocol::ReleaseRequest request,
       protocol::Responder<std::optional<base::ErrorInfo>> responder) override {
-    executor_.Release(request, std::move(responder));
+    releaser_.Release(request, std::move(responder));
   }
   protocol::LoadReport OnReport(std::uint64_t /*config_version*/) override {
     ExecutorLoad load = executor_.load();
@@ -181,6 +182,7 @@
   http::Client client_;
   std::unique_ptr<Backend> backend_;
   protocol::RpcLoop loop_;
+  CacheReleaser releaser_;
   WorkExecutor executor_;
   http::Router router_;
   std::unique_ptr<http::Server> http_server_;
--- a/packages/sidecar/src/work_executor.cc
+++ b/packages/sidecar/src/work_executor.cc
@@ -1,7 +1,6 @@
 #include "work_executor.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "vanillalever/base/logging.h"
@@ -61,20 +60,15 @@
   return {request.program, request.program_incarnation};
 }
 
-// Program ids begin with their shard.
-std::uint32_t ShardOf(const std::string& program) {
-  std::uint32_t shard = 0;
-  std::from_chars(program.data(), program.data() + program.size(), shard);
-  return shard;
-}
-
 }  // namespace
 
 WorkExecutor::WorkExecutor(std::string incarnation,
                            Backend& backend,
+                           CacheReleaser& releaser,
                            base::CounterRegistry& counters)
     : incarnation_(std::move(incarnation)),
       backend_(backend),
+      releaser_(releaser),
       executed_(counters.counter("vl_sidecar_executed_total",
                                  "Calls handed to the backend server.")),
       refused_(counters.counter("vl_sidecar_refused_total",
@@ -82,11 +76,7 @@
       crashes_(counters.counter("vl_sidecar_server_crashes_total",
                                 "Crashes of the backend server that hit "
                                 "running calls.")),
-      releases_(counters.counter("vl_sidecar_releases_total",
-                                 "Cache releases that the backend server "
-                                 "confirmed.")),
       ledger_(incarnation_, {}),
-      leases_({}),
       drain_({}),
       queue_(
           scheduling::MakeRequestQueue(scheduling::QueueKind::kRemainingWork)) {
@@ -138,7 +128,7 @@
       Admission admission = ledger_.Admit(KeyOf(request));
       switch (admission) {
         case Admission::kAccepted:
-          fences_.Check(request.shard, request.fence);
+          releaser_.NoteFence(request.shard, request.fence);
           Enqueue(std::move(request), responder, now);
           break;
         case Admission::kOpen:
@@ -238,7 +228,7 @@
   if (work->long_work)
     ++running_long_;
   if (IsEngineCall(work->request))
-    leases_.Begin(HolderOf(work->request), now);
+    releaser_.Begin(HolderOf(work->request), now);
   executed_.Add();
   base::Duration timeout =
       std::max<base::Duration>(work->deadline - now, base::milliseconds(1));
@@ -339,8 +329,8 @@
     if (work->request.alone)
       alone_running_ = false;
     if (IsEngineCall(work->request))
-      leases_.End(HolderOf(work->request),
-                  result.prompt_tokens + result.output_tokens, now);
+      releaser_.End(HolderOf(work->request),
+                    result.prompt_tokens + result.output_tokens, now);
     execution::WorkResult retained;
     retained.error = reply.error;
     retained.body = reply.body;
@@ -421,7 +411,7 @@
 protocol::SettleReply WorkExecutor::Settle(
     const protocol::SettleRequest& request) {
   std::lock_guard lock(mutex_);
-  fences_.Check(request.shard, request.fence);
+  releaser_.NoteFence(request.shard, request.fence);
   protocol::SettleReply reply;
   reply.sidecar_incarnation = incarnation_;
   switch (
@@ -460,76 +450,10 @@
 
 void WorkExecutor::ShardSettled(std::uint32_t shard, std::uint64_t fence) {
   std::lock_guard lock(mutex_);
-  fences_.Check(shard, fence);
+  releaser_.NoteFence(shard, fence);
   ledger_.AcknowledgeFormer(shard, fence);
 }
 
-void WorkExecutor::Release(const protocol::ReleaseRequest& request,
-                           ReleaseResponder responder) {
-  base::TimePoint now = std::chrono::steady_clock::now();
-  Actions actions;
-  {
-    std::lock_guard lock(mutex_);
-    execution::CacheHolder holder = {request.program,
-                                     request.program_incarnation};
-    if (fences_.Check(request.shard, request.fence) ==
-        membership::FenceCheck::kStale) {
-      actions.emplace_back([responder] {
-        responder.done(Refusal(ErrorCode::kNotOwner, "stale fencing token"));
-      });
-    } else if (leases_.Release(holder, now) ==
-               execution::ReleaseOutcome::kDeferred) {
-      actions.emplace_back([responder] {
-        responder.done(
-            Refusal(ErrorCode::kUnavailable, "a call of the program runs"));
-      });
-    } else {
-      release_waiters_[holder].push_back(std::move(responder));
-    }
-    SendReleases(now, actions);
-  }
-  RunActions(actions);
-}
-
-void WorkExecutor::SendReleases(base::TimePoint now, Actions& actions) {
-  for (execution::ReleaseCommand& command : leases_.DueReleases(now)) {
-    CacheRelease release;
-    release.cache_key =
-        command.holder.program + "#" + command.holder.incarnation;
-    release.shard = ShardOf(command.holder.program);
-    release.fence = fences_.highest(release.shard);
-    actions.emplace_back([this, command, release] {
-      backend_.Release(release, [this, command](bool confirmed) {
-        OnReleaseAnswered(command, confirmed);
-      });
-    });
-  }
-}
-
-// Owners that wait for the release learn the backend server's answer; after a
-// failure they ask again.
-void WorkExecutor::OnReleaseAnswered(const execution::ReleaseCommand& command,
-                                     bool confirmed) {
-  std::vector<ReleaseResponder> waiters;
-  {
-    std::lock_guard lock(mutex_);
-    if (confirmed) {
-      releases_.Add();
-      leases_.Confirm(command);
-    }
-    auto entry = release_waiters_.extract(command.holder);
-    if (!entry.empty())
-      waiters = std::move(entry.mapped());
-  }
-  std::optional<base::ErrorInfo> error;
-  if (!confirmed) {
-    error = Refusal(ErrorCode::kUnavailable,
-                    "the backend server did not confirm the release");
-  }
-  for (const ReleaseResponder& waiter : waiters)
-    waiter.done(error);
-}
-
 void WorkExecutor::SetConfigured() {
   std::lock_guard lock(mutex_);
   configured_ = true;
@@ -563,7 +487,6 @@
       slowness_.OnSample(running_, sampled_work_, now - last_sample_);
     sampled_work_ = 0;
     last_sample_ = now;
-    SendReleases(now, actions);
     drain_.Update(ledger_.open(), ledger_.unacknowledged(), now);
     if (!server_reachable_ && now - last_probe_ > kProbeInterval) {
       last_probe_ = now;
--- a/packages/sidecar/src/work_executor.h
+++ b/packages/sidecar/src/work_executor.h
@@ -11,11 +11,10 @@
 #include <vector>
 
 #include "backend.h"
+#include "cache_releaser.h"
 #include "vanillalever/base/counters.h"
-#include "vanillalever/execution/cache_leases.h"
 #include "vanillalever/execution/drain_state.h"
 #include "vanillalever/execution/work_ledger.h"
-#include "vanillalever/membership/fence_table.h"
 #include "vanillalever/protocol/node_handler.h"
 #include "vanillalever/scheduling/concurrency_limiter.h"
 #include "vanillalever/scheduling/request_queue.h"
@@ -45,6 +44,7 @@
 
   WorkExecutor(std::string incarnation,
                Backend& backend,
+               CacheReleaser& releaser,
                base::CounterRegistry& counters);
 
   // Runs the request, or answers why not.
@@ -54,8 +54,6 @@
   protocol::SettleReply Settle(const protocol::SettleRequest& request);
   void Acknowledge(const std::vector<std::string>& work_tokens);
   void ShardSettled(std::uint32_t shard, std::uint64_t fence);
-  void Release(const protocol::ReleaseRequest& request,
-               ReleaseResponder responder);
 
   // Serves calls from now on; until then they are refused, because no
   // configuration is known.
@@ -64,7 +62,7 @@
   void BeginDrain();
   execution::DrainPhase drain_phase() const;
 
-  // Expires waiting calls, sends due release commands, samples rates.
+  // Expires waiting calls and samples rates.
   void Tick(base::TimePoint now);
 
   ExecutorLoad load() const;
@@ -116,22 +114,17 @@
                     const base::ErrorInfo& info,
                     Actions& actions);
   protocol::ExecuteResult RetainedResult(const std::string& token) const;
-  void SendReleases(base::TimePoint now, Actions& actions);
-  void OnReleaseAnswered(const execution::ReleaseCommand& command,
-                         bool confirmed);
 
   const std::string incarnation_;
   Backend& backend_;
+  CacheReleaser& releaser_;
   base::Counter& executed_;
   base::Counter& refused_;
   base::Counter& crashes_;
-  base::Counter& releases_;
 
   mutable std::mutex mutex_;
   execution::WorkLedger ledger_;
-  execution::CacheLeases leases_;
   execution::DrainState drain_;
-  membership::FenceTable fences_;
   std::unique_ptr<scheduling::RequestQueue> queue_;
   scheduling::ConcurrencyLimiter limiter_;
   scheduling::SlownessDetector slowness_;
@@ -140,9 +133,6 @@
   std::map<std::uint64_t, WorkPtr> queued_;
   // Suspect calls that wait until nothing else runs.
   std::deque<WorkPtr> alone_queue_;
-  // Owners that wait for a release, by holder.
-  std::map<execution::CacheHolder, std::vector<ReleaseResponder>>
-      release_waiters_;
   std::uint64_t next_queue_id_ = 1;
   std::size_t running_ = 0;
   std::size_t running_long_ = 0;
