Compute short prompts first in the engine

Cause: an evicted history of up to 20,000 tokens holds up the short prompts of other programs of its level for seconds, because the engine computes prompts in order of arrival within a priority. Change: EnginePriority orders normal and low calls by the prompt to compute.

--- a/bench/src/sidecar_model.cc
+++ b/bench/src/sidecar_model.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "vanillalever/scheduling/engine_priority.h"
+
 namespace vanillalever::bench {
 namespace {
 
@@ -62,8 +64,10 @@
     if (!next)
       break;
     const CallMessage& message = calls_.at(next->id);
-    int priority =
-        policy_.engine_priority ? static_cast<int>(message.priority) : 0;
+    double missing = message.prompt_tokens - engine_.Cached(message.program);
+    int priority = policy_.engine_priority
+                       ? scheduling::EnginePriority(message.priority, missing)
+                       : 0;
     double prefill = engine_.Start({.id = message.id,
                                     .program = message.program,
                                     .prompt_tokens = message.prompt_tokens,
--- a/packages/scheduling/tests/queue_test.cc
+++ b/packages/scheduling/tests/queue_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "vanillalever/scheduling/engine_priority.h"
 #include "vanillalever/scheduling/fifo_queue.h"
 #include "vanillalever/scheduling/remaining_work_queue.h"
 
@@ -102,6 +103,17 @@
   CHECK(PopId(queue, kStart, slots) == 1);
 }
 
+// Guards against a recomputed history that holds up short prompts in the
+// engine, and against a level that reaches into the next.
+TEST_CASE("engine priority follows the level, then the prompt to compute") {
+  CHECK(EnginePriority(Priority::kNormal, 600) <
+        EnginePriority(Priority::kNormal, 20000));
+  CHECK(EnginePriority(Priority::kNormal, 1e9) <
+        EnginePriority(Priority::kLow, 0));
+  CHECK(EnginePriority(Priority::kHigh, 1e9) <
+        EnginePriority(Priority::kNormal, -5));
+}
+
 // Guards against old programs, and parents, that wait behind new ones.
 TEST_CASE("among equals the older program and the blocked parent go first") {
   RemainingWorkQueue queue;
