Start fewer long programs on a full pool

Cause: at 3x, tan's histories in progress filled the KV memory that counter quotes need, and their recomputed prompts took the engines' time. Change: programs start up to a KV fill of 0.6 (normal, was 0.7) and 0.55 (low, was 0.6). Adding the class's recent run time to the deadline test lowers goodput at 3x and 1.2 slowed.

--- a/packages/scheduling/include/vanillalever/scheduling/admission_control.h
+++ b/packages/scheduling/include/vanillalever/scheduling/admission_control.h
@@ -17,7 +17,7 @@
   // Share of the pool's KV memory in use up to which a program of each priority
   // may start. Programs grow while they run; beyond the memory each turn evicts
   // another program's prefix, which must then be recomputed.
-  std::array<double, kPriorityCount> max_cache_fill = {2.0, 0.7, 0.6};
+  std::array<double, kPriorityCount> max_cache_fill = {2.0, 0.6, 0.55};
   // Share of the time left to the deadline that waiting may use up.
   double deadline_share = 0.8;
   // Bounds of the retry-after that a refusal carries.
