--- a/bench/src/report.cc
+++ b/bench/src/report.cc
@@ -5,6 +5,7 @@
 #include <fstream>
 #include <functional>
 #include <iomanip>
+#include <numeric>
 #include <string_view>
 
 #include "policy.h"
@@ -79,6 +80,11 @@
     Column{"utilisation", [](const RunResult& r) { return r.utilisation; }},
     Column{"throughput_per_s", [](const RunResult& r) { return r.throughput; },
            true},
+    Column{"retries",
+           [](const RunResult& r) {
+             return std::accumulate(r.retries_at.begin(), r.retries_at.end(),
+                                    0.0);
+           }},
     Column{"programs", [](const RunResult& r) { return Count(r.arrived); }},
 };
 
