Keep small budgets usable after an owner's crash and planned hand-overs free of cost

Cause: the process-level test of a paused owner left 3 to 4 of 61 programs refused for their budget: the allowance set aside for the next call was lost at every change of owner, and could be the whole of a small budget. Change: at most an eighth of a budget is set aside; a planned hand-over says so in the shard row, and the new owner then counts nothing as spent. Ruled out: asking sidecars what ran since the last commit, because a dead sidecar cannot answer. Conclusion: a crash costs a program at most an eighth of its budget, a hand-over nothing.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -18,8 +18,8 @@
 add_compile_options(-fmacro-prefix-map=${CMAKE_SOURCE_DIR}/= -fdebug-prefix-map=${CMAKE_SOURCE_DIR}=.)
 
 if(VL_SANITIZER)
-  # GCC 12 reports false positives of this warning in instrumented code.
-  add_compile_options(-fsanitize=${VL_SANITIZER} -fno-sanitize-recover=all -Wno-maybe-uninitialized)
+  # GCC 12 reports false positives of the first warning in instrumented code; the second is about fences in Boost.
+  add_compile_options(-fsanitize=${VL_SANITIZER} -fno-sanitize-recover=all -Wno-maybe-uninitialized -Wno-tsan)
   add_link_options(-fsanitize=${VL_SANITIZER})
 endif()
 
--- a/packages/entry/src/membership_rows.cc
+++ b/packages/entry/src/membership_rows.cc
@@ -48,8 +48,10 @@
 }
 
 std::string EncodeShardRow(const membership::ShardRow& row) {
-  return Json{
-      {"owner", row.owner}, {"address", row.address}, {"fence", row.fence}}
+  return Json{{"owner", row.owner},
+              {"address", row.address},
+              {"fence", row.fence},
+              {"handed_over", row.handed_over}}
       .dump();
 }
 
@@ -60,6 +62,7 @@
     shard.owner = value.at("owner");
     shard.address = value.at("address");
     shard.fence = value.at("fence");
+    shard.handed_over = value.at("handed_over");
     shard.shard = static_cast<membership::ShardId>(
         std::stoul(row.key.substr(sizeof(kShardPrefix) - 1)));
   } catch (const std::exception& error) {
--- a/packages/entry/src/membership_service.cc
+++ b/packages/entry/src/membership_service.cc
@@ -96,6 +96,7 @@
   term_ = membership::LeaseTerm(settings_);
   frozen_.clear();
   loaded_.clear();
+  first_loaded_.clear();
   doubtful_tokens_.clear();
 }
 
@@ -210,8 +211,12 @@
       return;
     for (std::uint32_t shard : map_.owned(self_.incarnation)) {
       const ShardRow& row = map_.row(shard);
-      if (std::exchange(loaded_[shard], row.fence) != row.fence)
-        rows.push_back(row);
+      if (std::exchange(loaded_[shard], row.fence) == row.fence)
+        continue;
+      rows.push_back(row);
+      // Loaded once more after a failed hand-over: this entry has served it.
+      bool first = std::exchange(first_loaded_[shard], row.fence) != row.fence;
+      rows.back().handed_over = row.handed_over && first;
     }
   }
   for (const ShardRow& row : rows) {
@@ -303,6 +308,8 @@
       after.address = self_.address;
     }
     after.fence = take.row.fence + 1;
+    // Nobody served a shard that was handed over to nobody.
+    after.handed_over = owner.empty() && take.row.handed_over;
     WriteShard(take.row, after);
   }
   AdoptShards();
@@ -326,6 +333,8 @@
     after.address = move.to.address;
     after.fence = move.row.fence + 1;
     shards_.Drop(number);
+    // A call that came in after the check may have been sent.
+    after.handed_over = shard != nullptr && shards_.calls(number) == 0;
     if (WriteShard(move.row, after)) {
       handed_over_.Add();
       moved[after.address].push_back(number);
--- a/packages/entry/src/membership_service.h
+++ b/packages/entry/src/membership_service.h
@@ -102,6 +102,8 @@
   std::set<std::uint32_t> frozen_;
   // Fencing token under which each shard was passed to the TakenCallback.
   std::map<std::uint32_t, std::uint64_t> loaded_;
+  // As loaded_, but never forgotten within an incarnation.
+  std::map<std::uint32_t, std::uint64_t> first_loaded_;
 };
 
 }  // namespace vanillalever::entry
--- a/packages/entry/src/recovery.cc
+++ b/packages/entry/src/recovery.cc
@@ -87,7 +87,10 @@
       program::ProgramShardSettings{});
   for (const auto& [id, rows] : by_program) {
     try {
-      program::Program program = program::ProgramCodec::Recover(rows, Now());
+      program::Program program = program::ProgramCodec::Recover(
+          rows, Now(),
+          row.handed_over ? program::FormerOwner::kHandedOver
+                          : program::FormerOwner::kCrashed);
       program.TrimHistory(program::ProgramShardSettings{}.history_turns);
       shard->Insert(std::move(program));
       programs_.Add();
--- a/packages/program/include/vanillalever/program/budget_ledger.h
+++ b/packages/program/include/vanillalever/program/budget_ledger.h
@@ -6,6 +6,12 @@
 
 namespace vanillalever::program {
 
+// How the former owner of a program ended its ownership.
+enum class FormerOwner {
+  kCrashed,     // calls may have been dispatched since its last commit
+  kHandedOver,  // everything was settled and committed before
+};
+
 // Durable form of a ledger, as stored in the program's head row. All amounts
 // are in tokens.
 struct BudgetImage {
@@ -34,10 +40,13 @@
   explicit BudgetLedger(std::int64_t limit);
 
   // Ledger recovered from a row. `open_intents` is the part of `held` that
-  // belongs to intents which are still to be settled; the rest of `held` counts
-  // as spent. Throws base::Error if the amounts contradict one another.
+  // belongs to intents which are still to be settled. After a crash the rest of
+  // `held` counts as spent; after a hand-over nothing was dispatched under it,
+  // and it is available again. Throws base::Error if the amounts contradict one
+  // another.
   static BudgetLedger Recover(const BudgetImage& image,
-                              std::int64_t open_intents);
+                              std::int64_t open_intents,
+                              FormerOwner former = FormerOwner::kCrashed);
 
   std::int64_t limit() const { return limit_; }
   std::int64_t spent() const { return spent_; }
--- a/packages/program/include/vanillalever/program/program.h
+++ b/packages/program/include/vanillalever/program/program.h
@@ -21,6 +21,11 @@
 
 namespace vanillalever::program {
 
+// Part of a program's budget that may be set aside for the next call. A crash
+// of the owner costs the program what is set aside; a call that needs more
+// waits for a commit instead.
+inline constexpr std::int64_t kAllowanceDivisor = 8;
+
 // Whether an attempt may be sent.
 enum class DispatchState {
   kReady,        // MarkDispatched(), then send
@@ -53,7 +58,8 @@
   static Program Recover(const ProgramHead& head,
                          std::vector<TurnRecord> turns,
                          std::uint64_t head_version,
-                         base::TimePoint now);
+                         base::TimePoint now,
+                         FormerOwner former = FormerOwner::kCrashed);
 
   const ProgramSpec& spec() const { return spec_; }
   const ProgramId& id() const { return spec_.id; }
--- a/packages/program/include/vanillalever/program/program_codec.h
+++ b/packages/program/include/vanillalever/program/program_codec.h
@@ -70,7 +70,8 @@
   // order. Throws if the head row is missing, a row is duplicated or rows of
   // another program or a turn after the last one are among them.
   static Program Recover(const std::vector<StoredRow>& rows,
-                         base::TimePoint now);
+                         base::TimePoint now,
+                         FormerOwner former = FormerOwner::kCrashed);
 };
 
 }  // namespace vanillalever::program
--- a/packages/program/src/budget_ledger.cc
+++ b/packages/program/src/budget_ledger.cc
@@ -23,7 +23,8 @@
 }
 
 BudgetLedger BudgetLedger::Recover(const BudgetImage& image,
-                                   std::int64_t open_intents) {
+                                   std::int64_t open_intents,
+                                   FormerOwner former) {
   bool valid = image.limit >= 0 && image.spent >= 0 && image.held >= 0 &&
                image.shared >= 0 && image.spent <= image.limit &&
                image.held <= image.limit - image.spent &&
@@ -34,7 +35,9 @@
                        "the stored budget amounts contradict one another");
   }
   BudgetLedger ledger(image.limit);
-  ledger.spent_ = image.spent + image.held - open_intents;
+  ledger.spent_ = image.spent;
+  if (former == FormerOwner::kCrashed)
+    ledger.spent_ += image.held - open_intents;
   ledger.reserved_ = open_intents;
   ledger.shared_ = image.shared;
   ledger.durable_ceiling_ = image.spent + image.held;
--- a/packages/program/src/program_codec.cc
+++ b/packages/program/src/program_codec.cc
@@ -398,7 +398,8 @@
 }
 
 Program ProgramCodec::Recover(const std::vector<StoredRow>& rows,
-                              base::TimePoint now) {
+                              base::TimePoint now,
+                              FormerOwner former) {
   const StoredRow* head_row = nullptr;
   for (const StoredRow& row : rows) {
     if (ParseKey(row.key).turn)
@@ -420,7 +421,8 @@
       FailKey(row.key);
     turns.push_back(DecodeTurn(row.key, row.value, head.spec.incarnation));
   }
-  return Program::Recover(head, std::move(turns), head_row->version, now);
+  return Program::Recover(head, std::move(turns), head_row->version, now,
+                          former);
 }
 
 }  // namespace vanillalever::program
--- a/packages/program/src/program_commit.cc
+++ b/packages/program/src/program_commit.cc
@@ -39,7 +39,8 @@
 Program Program::Recover(const ProgramHead& head,
                          std::vector<TurnRecord> turns,
                          std::uint64_t head_version,
-                         base::TimePoint now) {
+                         base::TimePoint now,
+                         FormerOwner former) {
   std::sort(
       turns.begin(), turns.end(),
       [](const TurnRecord& a, const TurnRecord& b) { return a.turn < b.turn; });
@@ -75,7 +76,7 @@
           {intent.target.server, intent.target.sidecar_incarnation});
     }
   }
-  program.budget_ = BudgetLedger::Recover(head.budget, open_intents);
+  program.budget_ = BudgetLedger::Recover(head.budget, open_intents, former);
   program.revision_ = 1;
   program.durable_revision_ = 1;
   program.durable_turn_ = head.last_turn;
@@ -93,7 +94,8 @@
   head.last_turn = last_turn_;
   head.elapsed = elapsed(now);
   bool running = state_ == ProgramState::kRunning;
-  head.budget = budget_.BeginCommit(running ? allowance_ : 0);
+  std::int64_t most = spec_.budget / kAllowanceDivisor;
+  head.budget = budget_.BeginCommit(running ? std::min(allowance_, most) : 0);
   auto intent = std::find_if(
       attempts_.begin(), attempts_.end(), [](const Attempt& attempt) {
         return !attempt.repeatable && !attempt.superseded;
--- a/packages/program/tests/budget_ledger_test.cc
+++ b/packages/program/tests/budget_ledger_test.cc
@@ -63,6 +63,14 @@
   CHECK_FALSE(ledger.covers(1));
   ledger.Release(100);
   CHECK(ledger.covers(100));
+  // Guards against a planned hand-over that costs programs their allowance.
+  BudgetLedger handed = BudgetLedger::Recover({1000, 50, 300, 200}, 100,
+                                              FormerOwner::kHandedOver);
+  CHECK(handed.spent() == 50);
+  CHECK(handed.reserved() == 100);
+  CHECK(handed.available() == 650);
+  CHECK(handed.covers(200));
+  CHECK_FALSE(handed.covers(201));
   CHECK_THROWS_AS(BudgetLedger::Recover({100, 50, 51, 0}, 0), base::Error);
   CHECK_THROWS_AS(BudgetLedger::Recover({100, 0, 50, 0}, 51), base::Error);
   CHECK_THROWS_AS(BudgetLedger::Recover({100, -1, 0, 0}, 0), base::Error);
--- a/packages/program/tests/program_test.cc
+++ b/packages/program/tests/program_test.cc
@@ -25,6 +25,12 @@
   return program;
 }
 
+// Guards against one crash of the owner that uses up a small budget.
+TEST_CASE("an allowance is at most an eighth of the budget") {
+  Program program(MakeSpec(800), kStart, 4096);
+  CHECK(program.BeginCommit(kStart).head.budget.held == 100);
+}
+
 // Guards against calls that run out of order, twice, or under a used number.
 TEST_CASE("turns are admitted in order and repeats are answered") {
   Program program = Stored();
--- a/tests/path/vl_path_main.cc
+++ b/tests/path/vl_path_main.cc
@@ -95,6 +95,7 @@
 void Measure(const char* name, bool direct) {
   std::vector<CallerResult> results(static_cast<std::size_t>(FLAGS_callers));
   std::vector<std::thread> threads;
+  threads.reserve(results.size());
   auto start = std::chrono::steady_clock::now();
   for (CallerResult& result : results)
     threads.emplace_back([&result, direct] { result = RunCaller(direct); });
