Let the fault matrix's caller go on after an early answer

The trace shows the caller model: it had sent turn 2 early and got its answer while turn 1 was open; when turn 2 became its current turn, a lost reply to the repeated request left it without a next step. The owner held nothing open. Change: the caller goes on when the answer of its current turn is known; a repeatable attempt above the allowance also schedules a commit in the model; the new member of ShardRow stands last, because tests fill the aggregate by position. Ruled out: a lost reply in the owner; its state at the end had no open call, no attempt and nothing to commit.

--- a/packages/membership/include/vanillalever/membership/shard_map.h
+++ b/packages/membership/include/vanillalever/membership/shard_map.h
@@ -24,11 +24,11 @@
   // The owner's address for forwarded requests, "ip:port".
   std::string address;
   FencingToken fence = 0;
+  // Version of the row in the platform's table; zero when it does not exist.
+  std::uint64_t version = 0;
   // Whether the former owner wrote this row as a hand-over, with everything
   // settled and committed.
   bool handed_over = false;
-  // Version of the row in the platform's table; zero when it does not exist.
-  std::uint64_t version = 0;
 };
 
 // A shard that this entry should take over by a conditional write.
--- a/tests/faultmatrix/caller_model.cc
+++ b/tests/faultmatrix/caller_model.cc
@@ -132,8 +132,13 @@
     ++(error.ran == base::Ran::kNotRun ? turn.not_run : turn.unknown);
     // An early call is not repeated before its turn; a late reply to a turn
     // that has been answered changes nothing.
-    if (request.turn != current_ || turn.answer || ending_)
+    if (request.turn != current_ || ending_)
       return;
+    // Its answer came early, while the turn before it was still open.
+    if (turn.answer) {
+      Next();
+      return;
+    }
     bool gave_up = turn.crashes && turn.unknown >= kMaxCrashes;
     if (error.code == base::ErrorCode::kBudgetExhausted ||
         error.code == base::ErrorCode::kQuarantined || gave_up) {
--- a/tests/faultmatrix/entry_attempts.cc
+++ b/tests/faultmatrix/entry_attempts.cc
@@ -136,6 +136,7 @@
     return;
   std::vector<AttemptKey> ready;
   std::vector<std::pair<AttemptKey, std::string>> waiting;
+  bool uncovered = false;
   Try(id, [&](Program& program) {
     for (const Attempt& attempt : program.attempts()) {
       if (attempt.dispatched)
@@ -146,8 +147,13 @@
         ready.push_back(attempt.key());
       else if (!attempt.repeatable)
         waiting.emplace_back(attempt.key(), attempt.target.server);
+      else
+        uncovered = true;
     }
   });
+  // A repeatable attempt above the allowance waits for a commit as well.
+  if (uncovered)
+    ScheduleCommit();
   for (const auto& [key, server] : waiting) {
     world_.Probe(PathStep::kIntent, host_, this, server, false,
                  [this] { ScheduleCommit(); });
