--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "vanillalever/base/random.h"
 #include "vanillalever/http/blocking_client.h"
 #include "vanillalever/http/event_parser.h"
 #include "vanillalever/http/json_body.h"
@@ -160,6 +161,27 @@
   CHECK(result.status == 200);
 }
 
+// Guards against input that crashes the server or disturbs other callers.
+TEST_CASE("mutated requests are answered or closed") {
+  ServerSettings settings;
+  settings.request_timeout = base::milliseconds(50);
+  TestServer test(settings);
+  const std::string valid =
+      "POST /echo/a HTTP/1.1\r\nHost: a\r\nContent-Length: 12\r\n\r\n"
+      "{\"turn\": 1}\r\n";
+  base::Random random(11);
+  for (int round = 0; round < 200; ++round) {
+    INFO("seed 11, round " << round);
+    std::string bytes = valid;
+    for (std::uint64_t i = 0; i <= random.Below(6); ++i)
+      bytes[random.Below(bytes.size())] = static_cast<char>(random.Below(256));
+    bytes.resize(bytes.size() - random.Below(20));
+    std::string answer = test.SendRaw(bytes, true);
+    CHECK((answer.empty() || answer.starts_with("HTTP/1.1 ")));
+  }
+  CHECK(test.client.Send(test.Make("POST", "/echo/a", "b")).body == "a:b");
+}
+
 // Guards against stack overflow by deeply nested input.
 TEST_CASE("deeply nested JSON is refused") {
   std::string deep = "{\"a\":" + std::string(100000, '[');
--- a/packages/sidecar/src/backend.cc
+++ b/packages/sidecar/src/backend.cc
@@ -23,6 +23,11 @@
   return info;
 }
 
+bool IsConnectionLost(const base::ErrorInfo& error) {
+  return error.code == base::ErrorCode::kUnavailable &&
+         error.step != base::Step::kConnect;
+}
+
 void ProbeServer(http::Client& client,
                  const std::string& address,
                  std::function<void(bool reachable)> on_done) {
--- a/packages/sidecar/src/backend.h
+++ b/packages/sidecar/src/backend.h
@@ -70,6 +70,10 @@
                             const std::string& body,
                             const std::string& address);
 
+// Whether the connection ended after the request was sent and before its answer
+// was complete.
+bool IsConnectionLost(const base::ErrorInfo& error);
+
 // Checks reachability by a request for the server's load.
 void ProbeServer(http::Client& client,
                  const std::string& address,
--- a/packages/sidecar/src/engine_backend.cc
+++ b/packages/sidecar/src/engine_backend.cc
@@ -93,9 +93,7 @@
   BackendResult result;
   if (answer.error) {
     result.error = std::move(answer.error);
-    result.connection_lost =
-        result.error->code == base::ErrorCode::kUnavailable &&
-        result.error->step != base::Step::kConnect;
+    result.connection_lost = IsConnectionLost(*result.error);
   } else if (answer.status / 100 != 2) {
     result.error = StatusError(answer.status, answer.body, address);
   } else if (!stream.complete()) {
