Remove dead code and give row prefixes one function

Cause: a read of the whole change found code that nothing uses and one key cut out of another twice. Change: removed the entry's hedge windows (kept up at every call, read by nobody), an unused plan field, accessor, global, parameter and includes, two pass-through functions, and three Boost components left from the rejected coroutines; ProgramCodec::ProgramPrefix replaces cutting the head key in recovery and in the history.

--- a/apps/vanillaleverd/main.cc
+++ b/apps/vanillaleverd/main.cc
@@ -73,8 +73,6 @@
 using vanillalever::base::LogLevel;
 using vanillalever::base::SettingsCheck;
 
-volatile std::sig_atomic_t g_stop_signal = 0;
-
 std::string ReadSecret(const std::string& value,
                        const std::string& file,
                        const std::string& flag,
@@ -184,7 +182,6 @@
 void WaitForStop(const sigset_t& signals) {
   int signal = 0;
   sigwait(&signals, &signal);
-  g_stop_signal = signal;
 }
 
 template <typename Process>
--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -6,14 +6,14 @@
 endif()
 
 find_package(Threads REQUIRED)
-find_package(Boost 1.74 REQUIRED COMPONENTS context coroutine system thread)
+find_package(Boost 1.74 REQUIRED COMPONENTS system)
 find_package(CapnProto REQUIRED)
 find_package(gflags REQUIRED)
 find_package(nlohmann_json 3.11 REQUIRED)
 find_package(benchmark REQUIRED)
 
 add_compile_options(-Wall -Wextra -Wpedantic -Werror -fno-omit-frame-pointer)
-add_compile_definitions(BOOST_ASIO_DISABLE_CO_AWAIT BOOST_COROUTINES_NO_DEPRECATION_WARNING)
+add_compile_definitions(BOOST_ASIO_DISABLE_CO_AWAIT)
 # Relative paths in debug information let ccache share results between checkouts.
 add_compile_options(-fmacro-prefix-map=${CMAKE_SOURCE_DIR}/= -fdebug-prefix-map=${CMAKE_SOURCE_DIR}=.)
 
--- a/packages/entry/src/call_parser.cc
+++ b/packages/entry/src/call_parser.cc
@@ -193,7 +193,6 @@
       std::chrono::steady_clock::now() + std::min(deadline, kMaxDeadline);
   plan.priority = PriorityLevel(set, program_class.priority);
   plan.short_work = program_class.short_work;
-  plan.expected_tokens = program_class.expected_tokens;
   plan.class_key = static_cast<int>(base::Hash64(plan.program_class) >> 33);
 }
 
--- a/packages/entry/src/call_plan.h
+++ b/packages/entry/src/call_plan.h
@@ -28,8 +28,6 @@
   std::int64_t operation_cost = 0;
   // Number that stands for the class in estimates.
   int class_key = 0;
-  // Expected output before there is a history (tokens); zero if unknown.
-  std::int64_t expected_tokens = 0;
   bool engine = true;
   bool short_work = false;
   bool stream = false;
--- a/packages/entry/src/call_runner.cc
+++ b/packages/entry/src/call_runner.cc
@@ -7,7 +7,6 @@
 
 #include "turn_answer.h"
 #include "vanillalever/base/hash.h"
-#include "vanillalever/base/logging.h"
 #include "vanillalever/http/message.h"
 #include "vanillalever/program/program_codec.h"
 
@@ -199,9 +198,7 @@
       return key;
     });
   } catch (const base::Error& error) {
-    if (alone_)
-      context_.strikes.table().EndAlone(plan_.call.fingerprint, alone_token_,
-                                        now());
+    EndAttempt();
     return Withdraw(error.info());
   }
   phase_ = Phase::kIntent;
@@ -253,7 +250,6 @@
           });
     }
     phase_ = Phase::kRunning;
-    sent_at_ = now();
     context_.servers.OnSend(query_, *choice_);
     auto timeout = plan_.deadline - now() + kReplyGrace;
     protocol::ExecuteRequest request =
@@ -339,7 +335,6 @@
     return OnError(*result.error);
   context_.strikes.table().RecordCompletion(plan_.call.fingerprint, now());
   context_.servers.OnSuccess(query_.pool);
-  context_.servers.OnLatency(query_.pool, plan_.class_key, now() - sent_at_);
   if (plan_.engine) {
     context_.servers.OnLength(plan_.class_key, result.output_tokens);
     context_.servers.OnResult(query_, *choice_,
@@ -575,9 +570,8 @@
       // it; the reply's own timeout bounds the wait.
       return;
     case Phase::kCommitting:
-      // The work is done, only its record is not durable: the caller repeats
-      // the turn. The run goes on.
-      // A sidecar's word about the deadline arrives just after it.
+      // A sidecar's word about the deadline arrives just after it; after a
+      // grace the caller is told to repeat the turn, and the run goes on.
       deadline_timer_.expires_after(kCommitGrace);
       deadline_timer_.async_wait(boost::asio::bind_executor(
           strand_,
--- a/packages/entry/src/call_runner.h
+++ b/packages/entry/src/call_runner.h
@@ -91,7 +91,6 @@
   std::optional<ServerChoice> choice_;
   program::AttemptKey key_;
   std::uint64_t attempt_revision_ = 0;
-  base::TimePoint sent_at_;
   int retries_ = 0;
   int free_retries_ = 0;
   bool admitted_ = false;
--- a/packages/entry/src/membership_service.cc
+++ b/packages/entry/src/membership_service.cc
@@ -15,11 +15,6 @@
 using membership::EntryState;
 using membership::ShardRow;
 
-std::vector<platform::Row> ScanAll(platform::PlatformStore& store,
-                                   const char* prefix) {
-  return store.Scan(prefix);
-}
-
 }  // namespace
 
 MembershipService::MembershipService(platform::PlatformStore& store,
@@ -175,11 +170,11 @@
     last_scan_ = sent;
   }
   std::vector<EntryRow> entries;
-  for (const platform::Row& row : ScanAll(store_, kEntryPrefix))
+  for (const platform::Row& row : store_.Scan(kEntryPrefix))
     entries.push_back(DecodeEntryRow(row));
   base::TimePoint arrived = clock_.now();
   std::vector<ShardRow> shards;
-  for (const platform::Row& row : ScanAll(store_, kShardPrefix))
+  for (const platform::Row& row : store_.Scan(kShardPrefix))
     shards.push_back(DecodeShardRow(row));
   std::lock_guard lock(mutex_);
   observer_.ReadSucceeded(sent, arrived, entries);
--- a/packages/entry/src/program_api.cc
+++ b/packages/entry/src/program_api.cc
@@ -291,14 +291,12 @@
       });
     case program::AdmitAction::kReadHistory:
       repeats_.Add();
-      return Block(reply, [this, shard, plan, reply] {
-        AnswerFromHistory(shard, plan, reply);
-      });
+      return Block(reply,
+                   [this, plan, reply] { AnswerFromHistory(plan, reply); });
   }
 }
 
-void ProgramApi::AnswerFromHistory(const ShardPtr& /*shard*/,
-                                   const CallPlan& plan,
+void ProgramApi::AnswerFromHistory(const CallPlan& plan,
                                    const ReplyPtr& reply) {
   std::string key = program::ProgramCodec::TurnKey(plan.id, plan.call.turn);
   auto row = context_.store.Read(key);
@@ -325,8 +323,7 @@
                          const ReplyPtr& reply) {
   std::string incarnation = shard->With(
       id, [](program::Program& program) { return program.spec().incarnation; });
-  std::string head = program::ProgramCodec::HeadKey(id);
-  std::string prefix = head.substr(0, head.rfind('/')) + "/t/";
+  std::string prefix = program::ProgramCodec::ProgramPrefix(id) + "t/";
   std::map<std::uint32_t, Json> turns;
   for (const platform::Row& row : context_.store.Scan(prefix)) {
     program::TurnRecord record =
--- a/packages/entry/src/program_api.h
+++ b/packages/entry/src/program_api.h
@@ -61,9 +61,7 @@
             const CallerRequest& request,
             const ReplyPtr& reply);
   void Admit(const ShardPtr& shard, CallPlan plan, const ReplyPtr& reply);
-  void AnswerFromHistory(const ShardPtr& shard,
-                         const CallPlan& plan,
-                         const ReplyPtr& reply);
+  void AnswerFromHistory(const CallPlan& plan, const ReplyPtr& reply);
   void CheckCapacity() const;
 
   void Show(const ShardPtr& shard,
--- a/packages/entry/src/recovery.cc
+++ b/packages/entry/src/recovery.cc
@@ -105,8 +105,8 @@
 
 bool Recovery::LoadProgram(const ShardPtr& shard,
                            const program::ProgramId& id) {
-  std::string head = program::ProgramCodec::HeadKey(id);
-  auto rows = ReadRows(context_.store, head.substr(0, head.rfind('/') + 1));
+  auto rows =
+      ReadRows(context_.store, program::ProgramCodec::ProgramPrefix(id));
   if (rows.empty())
     return false;
   program::Program program = program::ProgramCodec::Recover(rows, Now());
--- a/packages/entry/src/server_directory.cc
+++ b/packages/entry/src/server_directory.cc
@@ -283,7 +283,6 @@
   double work =
       query.prompt_tokens + scheduling::kDecodeWeight * query.output_tokens;
   pool.load.OnSend(choice.index, work, now);
-  pool.hedges.OnDispatch(work);
   pool.cache.OnDispatch(KeyOf(query.program), choice.index, now);
 }
 
@@ -312,13 +311,6 @@
   return lengths_.Expected(program_class);
 }
 
-void ServerDirectory::OnLatency(const std::string& pool,
-                                int program_class,
-                                base::Duration latency) {
-  std::lock_guard lock(mutex_);
-  PoolOf(pool).hedges.OnLatency(program_class, latency);
-}
-
 void ServerDirectory::EndProgram(const std::string& program) {
   std::lock_guard lock(mutex_);
   for (auto& [name, pool] : pools_)
@@ -346,19 +338,6 @@
   PoolOf(pool).retries.OnSuccess();
 }
 
-std::optional<base::Duration> ServerDirectory::HedgeDelay(
-    const std::string& pool,
-    int program_class,
-    double work) {
-  std::lock_guard lock(mutex_);
-  return PoolOf(pool).hedges.Delay(program_class, work);
-}
-
-bool ServerDirectory::TryHedge(const std::string& pool, double work) {
-  std::lock_guard lock(mutex_);
-  return PoolOf(pool).hedges.TryHedge(work);
-}
-
 std::vector<Server> ServerDirectory::servers() const {
   std::lock_guard lock(mutex_);
   std::vector<Server> servers;
--- a/packages/entry/src/server_directory.h
+++ b/packages/entry/src/server_directory.h
@@ -15,7 +15,6 @@
 #include "vanillalever/platform/platform_store.h"
 #include "vanillalever/protocol/node_client.h"
 #include "vanillalever/scheduling/cache_index.h"
-#include "vanillalever/scheduling/hedge_policy.h"
 #include "vanillalever/scheduling/length_estimator.h"
 #include "vanillalever/scheduling/load_table.h"
 #include "vanillalever/scheduling/retry_budget.h"
@@ -61,7 +60,7 @@
 };
 
 // Everything an entry knows about backend servers: instances, load reports,
-// held cache, and the budgets of retries and hedges of each pool. Thread-safe.
+// held cache, and the retry budget of each pool. Thread-safe.
 class ServerDirectory {
  public:
   ServerDirectory(protocol::RpcLoop& loop,
@@ -95,9 +94,6 @@
                 double cached_tokens);
   void OnLength(int program_class, double tokens);
   double ExpectedLength(int program_class) const;
-  void OnLatency(const std::string& pool,
-                 int program_class,
-                 base::Duration latency);
   void EndProgram(const std::string& program);
   // A server refused a call because it is leaving.
   void MarkLeaving(const std::string& address);
@@ -107,11 +103,6 @@
                                          base::TimePoint deadline,
                                          int attempt);
   void OnSuccess(const std::string& pool);
-  // Time after which a call may be hedged; nothing for never.
-  std::optional<base::Duration> HedgeDelay(const std::string& pool,
-                                           int program_class,
-                                           double work);
-  bool TryHedge(const std::string& pool, double work);
 
   // Copies of all servers, for the status.
   std::vector<Server> servers() const;
@@ -130,7 +121,6 @@
     scheduling::CacheIndex cache;
     std::unique_ptr<scheduling::ServerPicker> picker;
     scheduling::RetryBudget retries;
-    scheduling::HedgePolicy hedges;
     // Servers by slot; a slot keeps its address for ever.
     std::vector<std::string> slots;
   };
--- a/packages/program/include/vanillalever/program/program_codec.h
+++ b/packages/program/include/vanillalever/program/program_codec.h
@@ -38,6 +38,8 @@
  public:
   // "prog/<shard>/": prefix of all rows of a shard.
   static std::string ShardPrefix(std::uint32_t shard);
+  // "prog/<shard>/<program>/": prefix of all rows of a program.
+  static std::string ProgramPrefix(const ProgramId& id);
   // "prog/<shard>/<program>/head".
   static std::string HeadKey(const ProgramId& id);
   // "prog/<shard>/<program>/t/<turn>".
--- a/packages/program/src/program_codec.cc
+++ b/packages/program/src/program_codec.cc
@@ -32,10 +32,6 @@
                      std::string(key.substr(0, 128)));
 }
 
-std::string RowPrefix(const ProgramId& id) {
-  return ProgramCodec::ShardPrefix(id.shard()) + id.text();
-}
-
 // Takes the text up to the next slash off `rest`.
 std::string_view NextPart(std::string_view& rest) {
   std::size_t slash = rest.find('/');
@@ -217,18 +213,22 @@
   return std::string(kProgramPrefix) + std::to_string(shard) + "/";
 }
 
+std::string ProgramCodec::ProgramPrefix(const ProgramId& id) {
+  return ShardPrefix(id.shard()) + id.text() + "/";
+}
+
 std::string ProgramCodec::HeadKey(const ProgramId& id) {
-  return RowPrefix(id) + "/head";
+  return ProgramPrefix(id) + "head";
 }
 
 std::string ProgramCodec::TurnKey(const ProgramId& id, std::uint32_t turn) {
-  return RowPrefix(id) + "/t/" + std::to_string(turn);
+  return ProgramPrefix(id) + "t/" + std::to_string(turn);
 }
 
 std::string ProgramCodec::ObjectName(const ProgramId& id,
                                      std::string_view incarnation,
                                      std::uint32_t turn) {
-  return RowPrefix(id) + "/" + std::string(incarnation) + "/t/" +
+  return ProgramPrefix(id) + std::string(incarnation) + "/t/" +
          std::to_string(turn);
 }
 
--- a/packages/sidecar/src/engine_backend.cc
+++ b/packages/sidecar/src/engine_backend.cc
@@ -42,8 +42,6 @@
       result.cached_tokens = details->value("cached_tokens", 0U);
   }
 
-  std::uint32_t pieces() const { return pieces_; }
-
  private:
   void TakeEvent(const std::string& data) {
     if (data == "[DONE]") {
--- a/packages/sidecar/src/work_executor.cc
+++ b/packages/sidecar/src/work_executor.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "vanillalever/base/logging.h"
 #include "vanillalever/scheduling/candidate.h"
 
 namespace vanillalever::sidecar {
@@ -272,16 +271,10 @@
     return Complete(work, std::move(result), false);
   // A lost connection alone does not show that the process died.
   backend_.Probe([this, work, result = std::move(result)](bool reachable) {
-    OnProbed(work, result, reachable);
+    Complete(work, result, !reachable);
   });
 }
 
-void WorkExecutor::OnProbed(const WorkPtr& work,
-                            BackendResult result,
-                            bool reachable) {
-  Complete(work, std::move(result), !reachable);
-}
-
 // Gives all requests that one crash hit the same identity and the number of
 // calls that ran when it struck.
 protocol::ExecuteResult WorkExecutor::CrashDetails(base::TimePoint now) {
--- a/packages/sidecar/src/work_executor.h
+++ b/packages/sidecar/src/work_executor.h
@@ -104,7 +104,6 @@
   void Start(const WorkPtr& work, base::TimePoint now, Actions& actions);
   void OnToken(const WorkPtr& work, std::string text);
   void OnDone(const WorkPtr& work, BackendResult result);
-  void OnProbed(const WorkPtr& work, BackendResult result, bool reachable);
   void Complete(const WorkPtr& work, BackendResult result, bool crashed);
   void RecordRates(const Work& work,
                    const BackendResult& result,
