--- /dev/null
+++ b/apps/vanillalever_gateway/main.cc
@@ -0,0 +1,193 @@
+// Gateway: forwards callers' requests to backend servers on the users'
+// platform.
+
+#include <unistd.h>
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <memory>
+#include <string>
+
+#include <gflags/gflags.h>
+#include <boost/asio/signal_set.hpp>
+
+#include "platform/header_codec.h"
+#include "platform/node_settings.h"
+#include "platform/operator_config.h"
+#include "platform/server_entry.h"
+#include "platform/store_client.h"
+#include "platform/store_feeds.h"
+#include "vanillalever/base/counters.h"
+#include "vanillalever/base/hash.h"
+#include "vanillalever/base/logging.h"
+#include "vanillalever/base/random.h"
+#include "vanillalever/forwarding/gateway.h"
+#include "vanillalever/forwarding/table_watcher.h"
+#include "vanillalever/http/server.h"
+
+DEFINE_double(log_lines_per_second,
+              400,
+              "Most log lines a second; further ones are dropped and counted.");
+
+namespace {
+
+namespace adapter = vanillalever::platform_adapter;
+namespace base = vanillalever::base;
+namespace forwarding = vanillalever::forwarding;
+namespace http = vanillalever::http;
+
+// The whole process: one event loop with the gateway, the store and the
+// readiness listener.
+class Process {
+ public:
+  explicit Process(adapter::NodeSettings settings)
+      : settings_(std::move(settings)),
+        // One thread, the main one, runs the loop.
+        threads_(0),
+        signals_(threads_.context(), SIGTERM, SIGINT, SIGHUP),
+        seed_(base::Hash64(base::RandomId())),
+        store_calls_(counters_.counter("vanillalever_store_calls_total",
+                                       "Calls to the platform's store.")),
+        store_failures_(counters_.counter("vanillalever_store_failures_total",
+                                          "Calls to the store that failed.")),
+        store_(threads_,
+               {.address = settings_.store_address},
+               store_calls_,
+               store_failures_),
+        gateway_(threads_.context(),
+                 MakeGatewaySettings(settings_),
+                 codec_,
+                 store_,
+                 counters_,
+                 seed_),
+        config_feed_(gateway_),
+        server_feed_(gateway_),
+        config_watcher_(threads_.context(),
+                        store_,
+                        adapter::kOperatorTable,
+                        config_feed_,
+                        seed_ + 1),
+        server_watcher_(threads_.context(),
+                        store_,
+                        adapter::kServerTable,
+                        server_feed_,
+                        seed_ + 2) {}
+
+  int Run() {
+    base::LogEvent(base::LogLevel::kInfo, "started",
+                   {{"instance", settings_.instance},
+                    {"callers", settings_.callers_address},
+                    {"readiness", settings_.readiness_address},
+                    {"store", settings_.store_address}});
+    gateway_.Listen();
+    ServeReadiness();
+    config_watcher_.Start();
+    server_watcher_.Start();
+    AwaitSignal();
+    threads_.context().run();
+    base::LogEvent(base::LogLevel::kInfo, "stopped");
+    return 0;
+  }
+
+ private:
+  static forwarding::GatewaySettings MakeGatewaySettings(
+      const adapter::NodeSettings& node) {
+    forwarding::GatewaySettings settings;
+    settings.listen = node.callers_address;
+    settings.instance = node.instance;
+    settings.data_centre = node.data_centre;
+    settings.grace = node.grace;
+    return settings;
+  }
+
+  void ServeReadiness() {
+    router_.Add("GET", "/readiness",
+                [this](const std::shared_ptr<http::Exchange>& exchange) {
+                  http::Response response;
+                  response.status = gateway_.ready() ? 200 : 503;
+                  response.content_type = "text/plain";
+                  exchange->Send(std::move(response));
+                });
+    router_.Add("GET", "/metrics",
+                [this](const std::shared_ptr<http::Exchange>& exchange) {
+                  http::Response response;
+                  response.content_type = "text/plain; version=0.0.4";
+                  response.body = counters_.Render();
+                  exchange->Send(std::move(response));
+                });
+    http::ServerSettings server;
+    const std::string& address = settings_.readiness_address;
+    std::size_t colon = address.rfind(':');
+    server.host = address.substr(0, colon);
+    server.port =
+        static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
+    readiness_ = std::make_unique<http::Server>(threads_, server, router_);
+  }
+
+  void AwaitSignal() {
+    signals_.async_wait([this](boost::system::error_code error, int signal) {
+      if (error)
+        return;
+      if (signal == SIGHUP)
+        Reload();
+      else
+        gateway_.Drain([this] { threads_.context().stop(); });
+      AwaitSignal();
+    });
+  }
+
+  // The platform changes settings at run time; those in use here are fixed for
+  // the life of a process, so that a change only shows in the log.
+  void Reload() {
+    try {
+      adapter::NodeSettings settings = adapter::ReadNodeSettings();
+      base::LogEvent(base::LogLevel::kInfo, "settings_reloaded",
+                     {{"store", settings.store_address}});
+    } catch (const base::Error& error) {
+      base::LogEvent(base::LogLevel::kError, "settings_unreadable",
+                     {{"reason", base::Describe(error.info())}});
+    }
+  }
+
+  adapter::NodeSettings settings_;
+  http::IoThreads threads_;
+  boost::asio::signal_set signals_;
+  const std::uint64_t seed_;
+  base::CounterRegistry counters_;
+  base::Counter& store_calls_;
+  base::Counter& store_failures_;
+  adapter::HeaderCodec codec_;
+  adapter::StoreClient store_;
+  forwarding::Gateway gateway_;
+  adapter::ConfigFeed config_feed_;
+  adapter::ServerFeed server_feed_;
+  forwarding::TableWatcher config_watcher_;
+  forwarding::TableWatcher server_watcher_;
+  http::Router router_;
+  std::unique_ptr<http::Server> readiness_;
+};
+
+int RunGateway() {
+  adapter::NodeSettings settings = adapter::ReadNodeSettings();
+  base::InitBoundedLogging(settings.instance,
+                           {.lines_per_second = FLAGS_log_lines_per_second});
+  std::signal(SIGPIPE, SIG_IGN);
+  Process process(std::move(settings));
+  return process.Run();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "vanillalever_gateway [flags]\n\nReads its settings from the file that "
+      "VANILLALEVER_NODE_FILE names.");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  try {
+    return RunGateway();
+  } catch (const std::exception& error) {
+    std::cerr << "error: " << error.what() << "\n";
+    return 1;
+  }
+}
--- a/packages/base/include/vanillalever/base/logging.h
+++ b/packages/base/include/vanillalever/base/logging.h
@@ -21,7 +21,18 @@
 // "time level event=<event> key=value ...". Call once, before the first line.
 void InitLogging(std::string_view process_name);
 
-// Writes one line for a change of state. Requests are counted, not logged.
+// Limits of the lines that InitBoundedLogging() lets through.
+struct LogLimits {
+  // Lines a second over a longer time, and the most in a burst.
+  double lines_per_second = 400;
+  double burst_lines = 2000;
+};
+
+// As InitLogging(), to standard output. Never blocks: lines beyond the limits,
+// or that the reader does not take, are dropped and counted in a later line.
+void InitBoundedLogging(std::string_view process_name, LogLimits limits = {});
+
+// Writes one line for a decision or a change of state.
 void LogEvent(LogLevel level,
               std::string_view event,
               std::initializer_list<LogField> fields = {});
--- a/packages/base/src/logging.cc
+++ b/packages/base/src/logging.cc
@@ -7,6 +7,9 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
+
+#include "bounded_appender.h"
 
 namespace vanillalever::base {
 namespace {
@@ -44,14 +47,10 @@
   return log4cplus::ERROR_LOG_LEVEL;
 }
 
-}  // namespace
-
-void InitLogging(std::string_view process_name) {
+void InstallAppender(log4cplus::SharedAppenderPtr appender,
+                     std::string_view process_name) {
   log4cplus::Logger& logger = RootLogger();
   logger.removeAllAppenders();
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
-                                     /*immediateFlush=*/true));
   std::string pattern = "%D{%Y-%m-%dT%H:%M:%S.%q} level=%p process=";
   pattern += process_name;
   pattern += " %m%n";
@@ -60,6 +59,20 @@
   logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
 }
 
+}  // namespace
+
+void InitLogging(std::string_view process_name) {
+  InstallAppender(log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(
+                      /*logToStdErr=*/true, /*immediateFlush=*/true)),
+                  process_name);
+}
+
+void InitBoundedLogging(std::string_view process_name, LogLimits limits) {
+  InstallAppender(
+      log4cplus::SharedAppenderPtr(new BoundedAppender(STDOUT_FILENO, limits)),
+      process_name);
+}
+
 void LogEvent(LogLevel level,
               std::string_view event,
               std::initializer_list<LogField> fields) {
--- /dev/null
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -0,0 +1,37 @@
+#ifndef VANILLALEVER_FORWARDING_FORWARDING_CONTEXT_H_
+#define VANILLALEVER_FORWARDING_FORWARDING_CONTEXT_H_
+
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+#include "vanillalever/base/random.h"
+#include "vanillalever/forwarding/budget_service.h"
+#include "vanillalever/forwarding/gateway_metrics.h"
+#include "vanillalever/forwarding/placement.h"
+#include "vanillalever/forwarding/retry_policy.h"
+#include "vanillalever/forwarding/route_config.h"
+#include "vanillalever/forwarding/server_pool.h"
+#include "vanillalever/forwarding/server_registry.h"
+#include "vanillalever/forwarding/wire_codec.h"
+
+namespace vanillalever::forwarding {
+
+// What requests share within one process.
+struct ForwardingContext {
+  boost::asio::io_context& io;
+  const WireCodec& codec;
+  // Configuration in force; null until the first one is known.
+  std::shared_ptr<const RouteConfig> config;
+  ServerRegistry& registry;
+  Placer& placer;
+  ServerPool& pool;
+  BudgetService& budgets;
+  GatewayMetrics& metrics;
+  base::Random& random;
+  RetryPolicy retries;
+};
+
+}  // namespace vanillalever::forwarding
+
+#endif  // VANILLALEVER_FORWARDING_FORWARDING_CONTEXT_H_
--- /dev/null
+++ b/packages/forwarding/include/vanillalever/forwarding/server_connection.h
@@ -0,0 +1,111 @@
+#ifndef VANILLALEVER_FORWARDING_SERVER_CONNECTION_H_
+#define VANILLALEVER_FORWARDING_SERVER_CONNECTION_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "vanillalever/base/clock.h"
+#include "vanillalever/forwarding/wire_codec.h"
+
+namespace vanillalever::forwarding {
+
+// Receives the answer to one request.
+class ResponseHandler {
+ public:
+  virtual ~ResponseHandler() = default;
+  // Head of the answer; body and end follow.
+  virtual void OnResponseHead(int status,
+                              const HttpFields& fields,
+                              const ResponseFacts& facts) = 0;
+  virtual void OnResponseBody(std::string_view data) = 0;
+  // The answer is complete.
+  virtual void OnResponseEnd() = 0;
+  // The connection failed. `sent` tells whether any byte of the request may
+  // have reached the server.
+  virtual void OnConnectionFailed(const std::string& reason, bool sent) = 0;
+};
+
+// One connection to a backend server, which carries one request at a time. All
+// calls and callbacks on the event loop's thread.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(boost::asio::io_context& context,
+                   const WireCodec& codec,
+                   std::string server_id);
+
+  // Connects to "ip:port" and sends `text`.
+  void Open(const std::string& address,
+            base::Duration timeout,
+            std::string text,
+            std::string request_id,
+            bool head_only,
+            ResponseHandler* handler);
+  // Sends on an idle connection.
+  void Send(std::string text,
+            std::string request_id,
+            bool head_only,
+            ResponseHandler* handler);
+  // Ends the connection; no handler is called afterwards.
+  void Close();
+
+  // Watches an idle connection; `on_closed` is called once when the server
+  // closes it or sends bytes nobody asked for.
+  void WatchIdle(std::function<void()> on_closed);
+
+  // Whether the connection can carry a further request.
+  bool reusable() const { return reusable_; }
+  const std::string& server_id() const { return server_id_; }
+  // When the last answer was complete.
+  base::TimePoint idle_since() const { return idle_since_; }
+  std::optional<base::seconds> idle_timeout() const { return idle_timeout_; }
+
+ private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Write();
+  void Read();
+  void OnRead(boost::system::error_code error, std::size_t size);
+  void OnEof();
+  // Parses what is in the buffer. Returns whether more bytes are wanted.
+  bool Parse();
+  bool OnHead();
+  void Finish();
+  void Fail(const std::string& reason);
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer connect_timer_;
+  const WireCodec& codec_;
+  std::string server_id_;
+  std::string text_;
+  std::string request_id_;
+  bool head_only_ = false;
+  ResponseHandler* handler_ = nullptr;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::function<void()> on_idle_closed_;
+  bool sent_ = false;
+  bool written_ = false;
+  bool reading_ = false;
+  bool head_seen_ = false;
+  // The answer being read belongs to another request.
+  bool skipping_ = false;
+  int skipped_ = 0;
+  bool reusable_ = false;
+  bool closed_ = false;
+  base::TimePoint idle_since_{};
+  std::optional<base::seconds> idle_timeout_;
+};
+
+}  // namespace vanillalever::forwarding
+
+#endif  // VANILLALEVER_FORWARDING_SERVER_CONNECTION_H_
--- /dev/null
+++ b/packages/forwarding/include/vanillalever/forwarding/server_load.h
@@ -0,0 +1,79 @@
+#ifndef VANILLALEVER_FORWARDING_SERVER_LOAD_H_
+#define VANILLALEVER_FORWARDING_SERVER_LOAD_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "vanillalever/base/clock.h"
+
+namespace vanillalever::forwarding {
+
+// Load that a server reported with an answer.
+struct LoadReport {
+  int running = 0;
+  int waiting = 0;
+  int slots = 1;
+  // How long work takes on the server's machine now; 1 is as usual.
+  double slowness = 1;
+};
+
+// What another entry says it has open at a server.
+struct PeerLoad {
+  int open = 0;
+  // Prompt tokens sent and not yet computed.
+  std::int64_t prefill_tokens = 0;
+  base::TimePoint seen{};
+};
+
+// Load of one server as this process knows it: its own open requests exactly,
+// those of other entries as they were last told, and the server's own reports.
+// Not thread-safe.
+class ServerLoad {
+ public:
+  // A request with `prefill_tokens` prompt tokens to compute was sent.
+  void OnSend(std::int64_t prefill_tokens);
+  // Its first output arrived, so that its prompt is computed.
+  void OnFirstOutput(std::int64_t prefill_tokens);
+  // It ended. `prefill_tokens` as for OnSend if no output has arrived, else 0.
+  void OnEnd(std::int64_t prefill_tokens);
+
+  void OnReport(const LoadReport& report, base::TimePoint now);
+  void OnPeer(const std::string& peer, const PeerLoad& load);
+  void ForgetPeer(const std::string& peer);
+
+  // The server refused a request because it was full.
+  void OnRefused(base::TimePoint now);
+  // A connection to the server could not be made or broke.
+  void OnUnreachable(base::TimePoint now);
+  // An answer arrived.
+  void OnReachable();
+
+  // Requests open at the server, of all entries.
+  int open(base::TimePoint now) const;
+  int own_open() const { return own_open_; }
+  std::int64_t own_prefill_tokens() const { return own_prefill_; }
+  // Prompt tokens still to be computed before a new request's prompt.
+  std::int64_t prefill_tokens(base::TimePoint now) const;
+  // Factor on the time of all work; 1 is as usual.
+  double slowness(base::TimePoint now) const;
+  // The server should not be tried before others now.
+  bool suspect(base::TimePoint now) const;
+  // The server said recently that it is full.
+  bool full(base::TimePoint now) const;
+
+ private:
+  int own_open_ = 0;
+  std::int64_t own_prefill_ = 0;
+  std::map<std::string, PeerLoad> peers_;
+  std::optional<LoadReport> report_;
+  base::TimePoint reported_{};
+  std::optional<base::TimePoint> refused_;
+  std::optional<base::TimePoint> suspect_until_;
+  int failures_in_row_ = 0;
+};
+
+}  // namespace vanillalever::forwarding
+
+#endif  // VANILLALEVER_FORWARDING_SERVER_LOAD_H_
--- /dev/null
+++ b/packages/forwarding/include/vanillalever/forwarding/shared_table.h
@@ -0,0 +1,101 @@
+#ifndef VANILLALEVER_FORWARDING_SHARED_TABLE_H_
+#define VANILLALEVER_FORWARDING_SHARED_TABLE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "vanillalever/base/clock.h"
+
+namespace vanillalever::forwarding {
+
+// Name of one row. Rows of one partition can change together.
+struct RowName {
+  std::string table;
+  std::string partition;
+  std::string key;
+};
+
+// One row of the shared table.
+struct TableRow {
+  RowName name;
+  std::string value;
+  // Version of the transaction that wrote it; zero if it does not exist.
+  std::uint64_t version = 0;
+  // The change removed the row.
+  bool deleted = false;
+};
+
+// Conditional write of one row.
+struct TableWrite {
+  RowName name;
+  // Version that the row must have; zero requires that it does not exist.
+  std::uint64_t expected_version = 0;
+  // Absent to delete the row.
+  std::optional<std::string> value;
+};
+
+// What is known of a call to the store.
+enum class StoreOutcome {
+  kDone,
+  // The row had another version: not written.
+  kConflict,
+  // Refused or never sent: not written, and never will be.
+  kNotDone,
+  // No answer: may have been written, or may be later.
+  kUnknown,
+};
+
+// Outcome of a write.
+struct WriteResult {
+  StoreOutcome outcome = StoreOutcome::kNotDone;
+  // New version on kDone.
+  std::uint64_t version = 0;
+  // The row as it is, on kConflict.
+  std::optional<TableRow> current;
+};
+
+// Outcome of a read.
+struct ReadResult {
+  StoreOutcome outcome = StoreOutcome::kNotDone;
+  std::vector<TableRow> rows;
+  // Version of the store that the rows show.
+  std::uint64_t version = 0;
+};
+
+// Outcome of waiting for changes.
+struct ChangesResult {
+  StoreOutcome outcome = StoreOutcome::kNotDone;
+  // The changes since the given version are no longer kept: list the table.
+  bool history_lost = false;
+  // Changed rows in order, deleted ones too.
+  std::vector<TableRow> rows;
+  // Version from which to go on.
+  std::uint64_t version = 0;
+};
+
+// Table shared by all processes; linearizable and durable. Calls do not block;
+// callbacks run on the caller's event loop, never inside the call.
+class SharedTable {
+ public:
+  virtual ~SharedTable() = default;
+  virtual void Write(TableWrite write,
+                     std::function<void(WriteResult)> done) = 0;
+  virtual void Read(RowName name, std::function<void(ReadResult)> done) = 0;
+  // All rows of a partition, in order of their keys.
+  virtual void List(std::string table,
+                    std::string partition,
+                    std::function<void(ReadResult)> done) = 0;
+  // Changes of a table after `version`, as soon as there is one, or none after
+  // `wait`.
+  virtual void AwaitChanges(std::string table,
+                            std::uint64_t version,
+                            base::milliseconds wait,
+                            std::function<void(ChangesResult)> done) = 0;
+};
+
+}  // namespace vanillalever::forwarding
+
+#endif  // VANILLALEVER_FORWARDING_SHARED_TABLE_H_
--- /dev/null
+++ b/packages/forwarding/src/event_framer.cc
@@ -0,0 +1,56 @@
+#include "vanillalever/forwarding/event_framer.h"
+
+#include <cstddef>
+
+namespace vanillalever::forwarding {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+// End of the first event in `text`, past its blank line; npos if incomplete.
+std::size_t EventEnd(std::string_view text, std::size_t from) {
+  std::size_t lf = text.find("\n\n", from);
+  std::size_t crlf = text.find("\r\n\r\n", from);
+  if (lf == std::string_view::npos && crlf == std::string_view::npos)
+    return std::string_view::npos;
+  return lf < crlf ? lf + 2 : crlf + 4;
+}
+
+std::string_view Trim(std::string_view text) {
+  while (!text.empty() && text.front() == ' ')
+    text.remove_prefix(1);
+  while (!text.empty() && (text.back() == '\r' || text.back() == ' '))
+    text.remove_suffix(1);
+  return text;
+}
+
+}  // namespace
+
+std::string EventFramer::Feed(std::string_view data) {
+  partial_ += data;
+  std::size_t taken = 0;
+  for (std::size_t end = EventEnd(partial_, 0); end != std::string::npos;
+       end = EventEnd(partial_, taken)) {
+    TakeEvent(std::string_view(partial_).substr(taken, end - taken));
+    taken = end;
+  }
+  std::string complete = partial_.substr(0, taken);
+  partial_.erase(0, taken);
+  return complete;
+}
+
+void EventFramer::TakeEvent(std::string_view event) {
+  while (!event.empty()) {
+    std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.starts_with(kIdField)) {
+      last_id_ = Trim(line.substr(kIdField.size()));
+      ++events_;
+    }
+    if (end == std::string_view::npos)
+      break;
+    event.remove_prefix(end + 1);
+  }
+}
+
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -0,0 +1,465 @@
+#include "vanillalever/forwarding/forwarded_request.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include "vanillalever/base/logging.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+namespace http = boost::beast::http;
+using base::milliseconds;
+
+// Share of the time that a request has after which it is refused if no server
+// has taken it: the caller then has time for another attempt.
+constexpr double kWaitShare = 0.35;
+// Pause before the next placement when no server can take a request, and its
+// random part.
+constexpr milliseconds kPlacePause{15};
+constexpr std::uint64_t kPlaceJitterMs = 15;
+// Servers that may refuse a request before it waits for a moment.
+constexpr std::size_t kRefusalsInRow = 3;
+// Retry-After of refusals, and its random part.
+constexpr milliseconds kRetryAfter{250};
+constexpr std::uint64_t kRetryJitterMs = 250;
+// Retry-After while this process knows no configuration or no store.
+constexpr milliseconds kNotReadyRetryAfter{500};
+// Largest answer that is passed on whole, in bytes.
+constexpr std::size_t kMaxWholeAnswer = 16 << 20;
+// Urgency of the most important route; each step of priority adds one.
+constexpr int kFirstUrgency = 3;
+constexpr int kLastUrgency = 9;
+
+std::string Ms(base::Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+}  // namespace
+
+ForwardedRequest::ForwardedRequest(ForwardingContext& context,
+                                   CallerRequest request,
+                                   std::shared_ptr<ResponseSink> sink)
+    : context_(context),
+      request_(std::move(request)),
+      sink_(std::move(sink)),
+      arrived_(base::TimePoint::clock::now()),
+      timer_(context.io),
+      wait_timer_(context.io) {}
+
+ForwardedRequest::~ForwardedRequest() {
+  if (connection_)
+    connection_->Close();
+}
+
+void ForwardedRequest::Start() {
+  context_.metrics.requests.Add();
+  profile_ = context_.codec.DecodeRequest(request_);
+  if (!TakeRoute())
+    return;
+  base::Duration limit = route_->timeout;
+  if (profile_.wait_limit)
+    limit = std::min<base::Duration>(limit, *profile_.wait_limit);
+  deadline_ = arrived_ + limit;
+  timer_.expires_at(deadline_);
+  timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+    if (auto self = weak.lock(); !error && self)
+      self->OnTimeout();
+  });
+  if (service_->engine)
+    chain_ = MakePromptChain(profile_.prompt_parts);
+  AskBudget();
+}
+
+bool ForwardedRequest::TakeRoute() {
+  config_ = context_.config;
+  if (!config_) {
+    Refuse("no configuration is known yet", kNotReadyRetryAfter);
+    return false;
+  }
+  route_ = config_->Match(View(request_[http::field::host]),
+                          PathOf(View(request_.target())));
+  if (route_ == nullptr) {
+    AnswerOwn(404, "no route matches");
+    return false;
+  }
+  const std::string& key =
+      profile_.session.empty() ? profile_.request_id : profile_.session;
+  const std::string& name = config_->ChooseService(*route_, key);
+  auto service = config_->services.find(name);
+  if (service == config_->services.end()) {
+    Refuse("the route's service is not configured", kNotReadyRetryAfter);
+    return false;
+  }
+  service_ = &service->second;
+  return true;
+}
+
+void ForwardedRequest::AskBudget() {
+  bool limited =
+      service_->engine && profile_.token_budget && !profile_.program.empty();
+  if (!limited)
+    return Place();
+  context_.budgets.Begin(profile_.program, *profile_.token_budget,
+                         profile_.max_output_tokens,
+                         [self = shared_from_this()](BudgetAnswer answer) {
+                           self->OnBudget(answer);
+                         });
+}
+
+void ForwardedRequest::OnBudget(BudgetAnswer answer) {
+  if (answer == BudgetAnswer::kGranted) {
+    if (done_) {
+      context_.budgets.End(profile_.program, profile_.max_output_tokens, 0);
+      return;
+    }
+    holds_budget_ = true;
+    return Place();
+  }
+  if (done_)
+    return;
+  if (answer == BudgetAnswer::kSpent) {
+    context_.metrics.budget_spent.Add();
+    return AnswerOwn(402, "the program's token budget is spent");
+  }
+  Refuse("the budget cannot be checked: the store is away",
+         kNotReadyRetryAfter);
+}
+
+void ForwardedRequest::Place() {
+  if (done_)
+    return;
+  auto now = base::TimePoint::clock::now();
+  PlacementRequest request{profile_, chain_, *service_, route_->sticky,
+                           excluded_};
+  Placement placement = context_.placer.Place(
+      context_.registry.servers(service_->name), request, now);
+  if (!placement.slot || excluded_.size() >= kRefusalsInRow)
+    return WaitForServer();
+  Send(placement);
+}
+
+void ForwardedRequest::WaitForServer() {
+  auto now = base::TimePoint::clock::now();
+  auto limit = std::chrono::duration_cast<base::Duration>(
+      kWaitShare * (deadline_ - arrived_));
+  if (now - arrived_ >= limit && servers_used_.empty() && !relaying_) {
+    return Refuse(
+        "no server can take the request",
+        kRetryAfter + milliseconds(context_.random.Below(kRetryJitterMs)));
+  }
+  ++waits_;
+  excluded_.clear();
+  wait_timer_.expires_after(
+      kPlacePause + milliseconds(context_.random.Below(kPlaceJitterMs)));
+  wait_timer_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code error) {
+        if (auto self = weak.lock(); !error && self)
+          self->Place();
+      });
+}
+
+bool ForwardedRequest::must_not_repeat() const {
+  return route_->kind == RequestKind::kNonIdempotent ||
+         (route_->kind == RequestKind::kStreaming && !route_->resumable);
+}
+
+std::string ForwardedRequest::RequestText(const ServerSlot& slot) const {
+  HttpFields fields = request_.base();
+  RemoveConnectionFields(fields);
+  SendOrders orders;
+  orders.time_left = std::chrono::duration_cast<milliseconds>(time_left());
+  orders.expected_server = slot.server.id;
+  orders.urgency =
+      std::clamp(kFirstUrgency + route_->priority, 0, kLastUrgency);
+  orders.last_event_id =
+      framer_.last_id().empty() ? profile_.last_event_id : framer_.last_id();
+  context_.codec.PrepareSend(fields, orders);
+  std::string text;
+  text.reserve(1024 + request_.body().size());
+  text.append(View(request_.method_string())).append(" ");
+  text.append(View(request_.target())).append(" HTTP/1.1\r\n");
+  AppendFields(fields, &text);
+  bool has_length = !request_.body().empty() ||
+                    request_.method() == http::verb::post ||
+                    request_.method() == http::verb::put;
+  if (has_length) {
+    text.append("Content-Length: ")
+        .append(std::to_string(request_.body().size()))
+        .append("\r\n");
+  }
+  text.append("\r\n").append(request_.body());
+  return text;
+}
+
+void ForwardedRequest::Send(const Placement& placement) {
+  auto now = base::TimePoint::clock::now();
+  slot_ = placement.slot;
+  prefill_tokens_ = placement.prefill_tokens;
+  slot_->load.OnSend(prefill_tokens_);
+  context_.placer.OnPromptSent(*slot_, *service_, chain_);
+  ++sends_;
+  context_.metrics.sends.Add();
+  answer_ = Answer::kNone;
+  framer_.DropPartial();
+  body_.clear();
+  const std::string& id = slot_->server.id;
+  bool head_only = request_.method() == http::verb::head;
+  connection_ = context_.pool.Take(id, must_not_repeat(), now);
+  kept_connection_ = connection_ != nullptr;
+  std::string text = RequestText(*slot_);
+  if (kept_connection_)
+    return connection_->Send(std::move(text), profile_.request_id, head_only,
+                             this);
+  context_.metrics.new_connections.Add();
+  connection_ =
+      std::make_shared<ServerConnection>(context_.io, context_.codec, id);
+  connection_->Open(slot_->server.address,
+                    context_.pool.settings().connect_timeout, std::move(text),
+                    profile_.request_id, head_only, this);
+}
+
+void ForwardedRequest::EndSend(bool keep_connection) {
+  if (slot_) {
+    slot_->load.OnEnd(prefill_tokens_);
+    prefill_tokens_ = 0;
+  }
+  if (auto connection = std::exchange(connection_, nullptr)) {
+    if (keep_connection)
+      context_.pool.Give(std::move(connection), base::TimePoint::clock::now());
+    else
+      connection->Close();
+  }
+}
+
+void ForwardedRequest::OnResponseHead(int status,
+                                      const HttpFields& fields,
+                                      const ResponseFacts& facts) {
+  auto now = base::TimePoint::clock::now();
+  slot_->load.OnReachable();
+  if (facts.load)
+    slot_->load.OnReport(*facts.load, now);
+  status_ = status;
+  if (facts.not_run && (status == 503 || status == 429 || status == 421)) {
+    answer_ = Answer::kRefusal;
+    slot_->load.OnRefused(now);
+    return;
+  }
+  bool success = status / 100 == 2;
+  bool stream = success && route_->kind == RequestKind::kStreaming;
+  answer_ = stream ? Answer::kStream : Answer::kWhole;
+  // A resumed stream keeps the head of its first server.
+  if (!relaying_) {
+    answer_fields_ = fields;
+    RemoveConnectionFields(answer_fields_);
+  }
+}
+
+void ForwardedRequest::OnResponseBody(std::string_view data) {
+  if (answer_ == Answer::kRefusal)
+    return;
+  if (answer_ == Answer::kWhole) {
+    body_.append(data);
+    if (body_.size() > kMaxWholeAnswer)
+      GiveUp(502, "the answer is too large");
+    return;
+  }
+  if (prefill_tokens_ > 0) {
+    slot_->load.OnFirstOutput(prefill_tokens_);
+    prefill_tokens_ = 0;
+  }
+  std::string events = framer_.Feed(data);
+  if (events.empty())
+    return;
+  RelayStart();
+  sink_->SendPiece(events);
+}
+
+void ForwardedRequest::RelayStart() {
+  if (relaying_)
+    return;
+  relaying_ = true;
+  sink_->StartStream(status_, answer_fields_);
+}
+
+void ForwardedRequest::OnResponseEnd() {
+  auto self = shared_from_this();
+  if (answer_ == Answer::kRefusal) {
+    EndSend(true);
+    return OnSendFailed(SendFailure::kRefused,
+                        "status " + std::to_string(status_));
+  }
+  EndSend(true);
+  if (answer_ == Answer::kWhole) {
+    if (relaying_) {
+      // The server that was to continue a stream answered with a failure.
+      return GiveUp(502, "the stream could not be resumed");
+    }
+    context_.metrics.answered.Add();
+    sink_->SendWhole(status_, answer_fields_, body_);
+    return Finish("answered", "");
+  }
+  RelayStart();
+  sink_->SendPiece(framer_.partial());
+  sink_->FinishStream();
+  context_.metrics.answered.Add();
+  Finish("answered", "");
+}
+
+void ForwardedRequest::OnConnectionFailed(const std::string& reason,
+                                          bool sent) {
+  auto self = shared_from_this();
+  bool answered = answer_ != Answer::kNone;
+  bool refusal = answer_ == Answer::kRefusal;
+  EndSend(false);
+  if (!sent || (!answered && !kept_connection_))
+    slot_->load.OnUnreachable(base::TimePoint::clock::now());
+  SendFailure failure = SendFailure::kNoAnswer;
+  if (!sent)
+    failure = SendFailure::kNotSent;
+  else if (refusal)
+    failure = SendFailure::kRefused;
+  else if (answered)
+    failure = SendFailure::kBroken;
+  OnSendFailed(failure, reason);
+}
+
+void ForwardedRequest::OnSendFailed(SendFailure failure,
+                                    const std::string& reason) {
+  context_.metrics.send_failures.Add();
+  const std::string id = slot_->server.id;
+  bool may_have_run =
+      failure == SendFailure::kNoAnswer || failure == SendFailure::kBroken;
+  if (may_have_run)
+    servers_used_.insert(id);
+  RetryState state;
+  state.kind = route_->kind;
+  state.resumable = route_->resumable;
+  state.servers_used = static_cast<int>(servers_used_.size());
+  state.max_servers = route_->max_attempts;
+  state.server_gone = slot_->removed || failure == SendFailure::kNotSent;
+  state.same_server_tries = same_server_tries_;
+  NextStep step = context_.retries.Decide(failure, state);
+  base::LogEvent(base::LogLevel::kInfo, "send_failed",
+                 {{"request", profile_.request_id},
+                  {"server", id},
+                  {"failure", std::string(kSendFailureNames.name(failure))},
+                  {"reason", reason},
+                  {"sends", std::to_string(sends_)},
+                  {"left_ms", Ms(time_left())}});
+  switch (step) {
+    case NextStep::kTryElsewhere:
+      excluded_.push_back(id);
+      return Place();
+    case NextStep::kTrySameServer: {
+      ++same_server_tries_;
+      Placement placement;
+      placement.slot = slot_;
+      return Send(placement);
+    }
+    case NextStep::kRefuse:
+      return Refuse(reason, kRetryAfter);
+    case NextStep::kGiveUp:
+      return GiveUp(502, reason);
+  }
+}
+
+void ForwardedRequest::OnTimeout() {
+  if (done_)
+    return;
+  auto self = shared_from_this();
+  bool sent = connection_ != nullptr || !servers_used_.empty() || relaying_;
+  if (!sent)
+    return Refuse(
+        "the time limit passed before a server could take the request",
+        kRetryAfter);
+  GiveUp(504, "the time limit passed");
+}
+
+void ForwardedRequest::Refuse(std::string_view reason,
+                              base::Duration retry_after) {
+  if (!servers_used_.empty() || relaying_)
+    return GiveUp(502, reason);
+  context_.metrics.refused.Add();
+  AnswerOwn(503, reason, retry_after);
+}
+
+void ForwardedRequest::AnswerOwn(int status,
+                                 std::string_view reason,
+                                 std::optional<base::Duration> retry_after) {
+  HttpFields fields;
+  context_.codec.LabelOwnAnswer(fields, profile_.request_id);
+  if (retry_after) {
+    char text[32];
+    std::snprintf(text, sizeof(text), "%.3f",
+                  std::chrono::duration<double>(*retry_after).count());
+    fields.set(http::field::retry_after, text);
+  }
+  sink_->SendWhole(status, fields, "");
+  Finish("own_" + std::to_string(status), reason);
+}
+
+void ForwardedRequest::GiveUp(int status, std::string_view reason) {
+  auto self = shared_from_this();
+  context_.metrics.gave_up.Add();
+  EndSend(false);
+  if (relaying_) {
+    sink_->Abort();
+    return Finish("broken_off", reason);
+  }
+  AnswerOwn(status, reason);
+}
+
+void ForwardedRequest::OnCallerLeft() {
+  if (done_)
+    return;
+  auto self = shared_from_this();
+  context_.metrics.caller_left.Add();
+  EndSend(false);
+  Finish("caller_left", "");
+}
+
+void ForwardedRequest::Finish(std::string_view outcome,
+                              std::string_view reason) {
+  if (std::exchange(done_, true))
+    return;
+  if (connection_)
+    EndSend(false);
+  timer_.cancel();
+  wait_timer_.cancel();
+  if (std::exchange(holds_budget_, false)) {
+    std::int64_t event_tokens = service_->engine->event_tokens;
+    context_.budgets.End(profile_.program, profile_.max_output_tokens,
+                         framer_.events() * event_tokens);
+  }
+  auto now = base::TimePoint::clock::now();
+  base::LogEvent(base::LogLevel::kInfo, "request",
+                 {{"request", profile_.request_id},
+                  {"program", profile_.program},
+                  {"route", route_ == nullptr ? "" : route_->name},
+                  {"config", std::to_string(config_ ? config_->version : 0)},
+                  {"server", slot_ ? slot_->server.id : ""},
+                  {"outcome", std::string(outcome)},
+                  {"status", std::to_string(status_)},
+                  {"reason", std::string(reason)},
+                  {"sends", std::to_string(sends_)},
+                  {"waits", std::to_string(waits_)},
+                  {"events", std::to_string(framer_.events())},
+                  {"took_ms", Ms(now - arrived_)}});
+}
+
+base::Duration ForwardedRequest::time_left() const {
+  return std::max(base::Duration(0), deadline_ - base::TimePoint::clock::now());
+}
+
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/forwarding/src/gateway.cc
@@ -0,0 +1,217 @@
+#include "vanillalever/forwarding/gateway.h"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "vanillalever/base/error.h"
+#include "vanillalever/base/logging.h"
+#include "vanillalever/forwarding/forwarded_request.h"
+#include "vanillalever/forwarding/socket_options.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+using base::milliseconds;
+using boost::asio::ip::tcp;
+
+// Interval of housekeeping.
+constexpr milliseconds kTick{100};
+// Interval between sweeps of idle connections and forgotten programs.
+constexpr milliseconds kSweepInterval{1000};
+// Pause after a failed accept, for example without free descriptors.
+constexpr milliseconds kAcceptPause{50};
+// How long a program's budget is remembered after its last turn.
+constexpr base::seconds kBudgetRetention{90};
+
+}  // namespace
+
+Gateway::Gateway(boost::asio::io_context& io,
+                 GatewaySettings settings,
+                 const WireCodec& codec,
+                 SharedTable& table,
+                 base::CounterRegistry& counters,
+                 std::uint64_t seed)
+    : io_(io),
+      settings_(std::move(settings)),
+      acceptor_(io),
+      tick_timer_(io),
+      accept_timer_(io),
+      metrics_(counters),
+      random_(seed),
+      registry_(settings_.registry),
+      placer_(settings_.placement, settings_.data_centre, random_.Next()),
+      pool_(settings_.pool),
+      budgets_(io, table, random_.Next(), settings_.budget),
+      context_{io,    codec,    nullptr,  registry_, placer_,
+               pool_, budgets_, metrics_, random_,   RetryPolicy()} {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::Listen() {
+  auto endpoint = ParseEndpoint(settings_.listen);
+  boost::system::error_code error = boost::asio::error::invalid_argument;
+  if (endpoint) {
+    acceptor_.open(endpoint->protocol(), error);
+    if (!error)
+      acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+      acceptor_.bind(*endpoint, error);
+    if (!error)
+      acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    throw base::NotRun(base::ErrorCode::kUnavailable, base::Step::kConnect,
+                       "cannot listen: " + error.message(), settings_.listen);
+  }
+  Accept();
+  Tick();
+}
+
+void Gateway::Accept() {
+  acceptor_.async_accept([this](boost::system::error_code error,
+                                tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted)
+      return;
+    if (error) {
+      base::LogEvent(base::LogLevel::kWarning, "accept_failed",
+                     {{"reason", error.message()}});
+      accept_timer_.expires_after(kAcceptPause);
+      accept_timer_.async_wait([this](boost::system::error_code cancelled) {
+        if (!cancelled)
+          Accept();
+      });
+      return;
+    }
+    if (sessions_.size() < settings_.max_sessions) {
+      auto session = std::make_shared<CallerSession>(std::move(socket), *this);
+      sessions_.emplace(session.get(), session);
+      session->Start();
+    }
+    Accept();
+  });
+}
+
+bool Gateway::ApplyConfig(std::shared_ptr<const RouteConfig> config) {
+  std::uint64_t present = context_.config ? context_.config->version : 0;
+  if (context_.config && config->version <= present)
+    return config->version == present;
+  base::LogEvent(base::LogLevel::kInfo, "config_applied",
+                 {{"version", std::to_string(config->version)},
+                  {"previous", std::to_string(present)},
+                  {"routes", std::to_string(config->routes.size())}});
+  context_.config = std::move(config);
+  return true;
+}
+
+void Gateway::OnServerPut(BackendServer server) {
+  ServerSlotPtr known = registry_.find(server.id);
+  bool changed = !known || known->server.state != server.state ||
+                 known->server.address != server.address ||
+                 known->server.started_at_ms != server.started_at_ms;
+  if (changed) {
+    base::LogEvent(
+        base::LogLevel::kInfo, "server_changed",
+        {{"server", server.id},
+         {"address", server.address},
+         {"service", server.service},
+         {"state",
+          server.state == ServerState::kReady ? "ready" : "draining"}});
+    pool_.Drop(server.id);
+    if (known && known->server.started_at_ms != server.started_at_ms)
+      placer_.ForgetServer(server.id);
+  }
+  registry_.Put(std::move(server));
+}
+
+void Gateway::OnServerRemoved(const std::string& id, bool may_return) {
+  base::LogEvent(
+      base::LogLevel::kInfo, "server_removed",
+      {{"server", id}, {"may_return", may_return ? "true" : "false"}});
+  if (may_return)
+    return registry_.Lapse(id, base::TimePoint::clock::now());
+  registry_.Remove(id);
+  pool_.Drop(id);
+  placer_.ForgetServer(id);
+}
+
+void Gateway::OnServersListed(std::vector<BackendServer> servers) {
+  base::LogEvent(base::LogLevel::kInfo, "servers_listed",
+                 {{"listed", std::to_string(servers.size())},
+                  {"known", std::to_string(registry_.size())}});
+  servers_known_ = true;
+  registry_.Replace(std::move(servers), base::TimePoint::clock::now());
+}
+
+bool Gateway::ready() const {
+  return context_.config && servers_known_ && !draining_;
+}
+
+void Gateway::Tick() {
+  auto now = base::TimePoint::clock::now();
+  for (const std::string& id : registry_.ExpireLapsed(now)) {
+    base::LogEvent(base::LogLevel::kInfo, "server_lapsed", {{"server", id}});
+    pool_.Drop(id);
+    placer_.ForgetServer(id);
+  }
+  if (now - last_sweep_ >= kSweepInterval) {
+    last_sweep_ = now;
+    pool_.Sweep(now);
+    budgets_.Sweep(kBudgetRetention);
+  }
+  if (draining_)
+    CheckDrained();
+  tick_timer_.expires_after(kTick);
+  tick_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error)
+      Tick();
+  });
+}
+
+void Gateway::Drain(std::function<void()> done) {
+  if (draining_)
+    return;
+  draining_ = true;
+  drain_started_ = base::TimePoint::clock::now();
+  on_drained_ = std::move(done);
+  base::LogEvent(base::LogLevel::kInfo, "drain_started",
+                 {{"sessions", std::to_string(sessions_.size())}});
+}
+
+void Gateway::CheckDrained() {
+  auto elapsed = base::TimePoint::clock::now() - drain_started_;
+  if (elapsed < settings_.linger)
+    return;
+  std::size_t busy = 0;
+  for (const auto& [raw, session] : sessions_)
+    busy += session->idle() ? 0 : 1;
+  bool forced = elapsed >= settings_.grace - settings_.stop_margin;
+  if ((busy > 0 && !forced) || !on_drained_)
+    return;
+  base::LogEvent(
+      base::LogLevel::kInfo, "drain_ended",
+      {{"busy", std::to_string(busy)}, {"forced", forced ? "true" : "false"}});
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  std::exchange(on_drained_, nullptr)();
+}
+
+std::shared_ptr<RequestInProgress> Gateway::OnRequest(
+    CallerRequest request,
+    std::shared_ptr<ResponseSink> sink) {
+  auto forwarded = std::make_shared<ForwardedRequest>(
+      context_, std::move(request), std::move(sink));
+  forwarded->Start();
+  return forwarded;
+}
+
+void Gateway::OnSessionEnded(CallerSession* session) {
+  sessions_.erase(session);
+}
+
+const IngressLimits& Gateway::ingress_limits() const {
+  static const IngressLimits kDefaults;
+  return context_.config ? context_.config->limits : kDefaults;
+}
+
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/forwarding/src/placement.cc
@@ -0,0 +1,156 @@
+#include "vanillalever/forwarding/placement.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+#include "vanillalever/base/hash.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+// Two estimates closer than this count as equal and are decided at random, so
+// that several entries do not all choose the same server, in ms.
+constexpr double kTieMs = 0.5;
+// Estimates of servers that are suspect or full rank behind all others, in ms.
+constexpr double kLastResortMs = 1e6;
+
+// Server that handles this object in every entry's view while the set of
+// servers stays the same: highest random weight.
+const ServerSlot* PreferredServer(const std::vector<ServerSlotPtr>& servers,
+                                  std::string_view key) {
+  const ServerSlot* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const ServerSlotPtr& slot : servers) {
+    if (!slot->accepts_requests())
+      continue;
+    std::uint64_t weight = base::Hash64(slot->server.id, base::Hash64(key));
+    if (best == nullptr || weight > best_weight) {
+      best = slot.get();
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+Placer::Placer(PlacementSettings settings,
+               std::string data_centre,
+               std::uint64_t seed)
+    : settings_(settings),
+      data_centre_(std::move(data_centre)),
+      random_(seed) {}
+
+Placement Placer::Place(const std::vector<ServerSlotPtr>& servers,
+                        const PlacementRequest& request,
+                        base::TimePoint now) {
+  // The line of turns prefers one server in all entries, so that a turn that
+  // arrives elsewhere finds its prefix.
+  std::string_view object = request.service.engine
+                                ? request.profile.session
+                                : request.profile.affinity_key;
+  const ServerSlot* preferred = nullptr;
+  if (request.sticky && !object.empty())
+    preferred = PreferredServer(servers, object);
+
+  Placement best;
+  double best_ms = 0;
+  std::uint64_t ties = 1;
+  for (const ServerSlotPtr& slot : servers) {
+    const auto& excluded = request.excluded;
+    if (!slot->accepts_requests() ||
+        std::find(excluded.begin(), excluded.end(), slot->server.id) !=
+            excluded.end())
+      continue;
+    ++best.candidates;
+    Estimate estimate =
+        request.service.engine
+            ? EstimateEngine(*slot, request, now)
+            : EstimatePlain(*slot, request, slot.get() == preferred, now);
+    // A small bonus decides between servers without a cached prefix.
+    if (slot.get() == preferred && request.service.engine)
+      estimate.total_ms -= 2 * kTieMs;
+    if (slot->load.suspect(now) || slot->load.full(now))
+      estimate.total_ms += kLastResortMs;
+    if (best.slot && estimate.total_ms > best_ms + kTieMs)
+      continue;
+    bool tie = best.slot && estimate.total_ms > best_ms - kTieMs;
+    ties = tie ? ties + 1 : 1;
+    if (tie && random_.Below(ties) != 0)
+      continue;
+    best.slot = slot;
+    best_ms = estimate.total_ms;
+    best.estimate_ms = estimate.total_ms;
+    best.prefill_tokens = estimate.prefill_tokens;
+    best.open = slot->load.open(now);
+  }
+  return best;
+}
+
+void Placer::OnPromptSent(const ServerSlot& slot,
+                          const Service& service,
+                          const PromptChain& chain) {
+  if (!service.engine || chain.links.empty())
+    return;
+  auto [found, added] =
+      prompts_.try_emplace(slot.server.id, service.engine->kv_capacity);
+  found->second.Touch(chain);
+}
+
+void Placer::ForgetServer(const std::string& id) {
+  prompts_.erase(id);
+}
+
+Placer::Estimate Placer::EstimateEngine(const ServerSlot& slot,
+                                        const PlacementRequest& request,
+                                        base::TimePoint now) const {
+  std::int64_t cached = 0;
+  if (auto found = prompts_.find(slot.server.id); found != prompts_.end())
+    cached = found->second.CachedTokens(request.chain);
+  Estimate estimate;
+  estimate.prefill_tokens =
+      std::max<std::int64_t>(0, request.profile.prompt_tokens - cached);
+  int open = slot.load.open(now);
+  int slots = std::max(1, slot.server.slots);
+  double step = settings_.step_ms +
+                settings_.step_ms_per_request * std::min(open + 1, slots);
+  double decode = settings_.output_share *
+                  static_cast<double>(request.profile.max_output_tokens) * step;
+  double prefill = settings_.recompute_weight *
+                   static_cast<double>(estimate.prefill_tokens +
+                                       slot.load.prefill_tokens(now)) /
+                   settings_.prefill_tokens_per_ms;
+  double wait = 0;
+  if (open >= slots)
+    wait = decode * (open - slots + 1) / slots;
+  estimate.total_ms =
+      (wait + prefill + decode) * slot.load.slowness(now) + RoundTripMs(slot);
+  return estimate;
+}
+
+Placer::Estimate Placer::EstimatePlain(const ServerSlot& slot,
+                                       const PlacementRequest&,
+                                       bool preferred,
+                                       base::TimePoint now) const {
+  Estimate estimate;
+  int slots = std::max(1, slot.server.slots);
+  int open = slot.load.open(now);
+  double work = settings_.plain_work_ms;
+  if (preferred)
+    work *= settings_.preferred_factor;
+  double wait = open >= slots ? work * (open - slots + 1) / slots : 0;
+  // A share of the open requests' count keeps the servers evenly loaded.
+  double spread =
+      static_cast<double>(open) / slots * settings_.plain_work_ms / 10;
+  estimate.total_ms =
+      (wait + work + spread) * slot.load.slowness(now) + RoundTripMs(slot);
+  return estimate;
+}
+
+double Placer::RoundTripMs(const ServerSlot& slot) const {
+  return slot.server.data_centre == data_centre_ ? settings_.near_round_trip_ms
+                                                 : settings_.far_round_trip_ms;
+}
+
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/forwarding/src/retry_policy.cc
@@ -0,0 +1,26 @@
+#include "vanillalever/forwarding/retry_policy.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+// A stream goes on at the server that ran it this often.
+constexpr int kMaxSameServerTries = 2;
+
+}  // namespace
+
+NextStep RetryPolicy::Decide(SendFailure failure,
+                             const RetryState& state) const {
+  if (failure == SendFailure::kNotSent || failure == SendFailure::kRefused)
+    return NextStep::kTryElsewhere;
+  bool repeatable = state.kind == RequestKind::kIdempotent ||
+                    (state.kind == RequestKind::kStreaming && state.resumable);
+  if (!repeatable)
+    return NextStep::kGiveUp;
+  if (state.server_gone || state.servers_used < state.max_servers)
+    return NextStep::kTryElsewhere;
+  if (state.same_server_tries < kMaxSameServerTries)
+    return NextStep::kTrySameServer;
+  return NextStep::kGiveUp;
+}
+
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/forwarding/src/server_connection.cc
@@ -0,0 +1,257 @@
+#include "vanillalever/forwarding/server_connection.h"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "vanillalever/forwarding/socket_options.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Bytes read at a time.
+constexpr std::size_t kReadSize = 8192;
+// Largest head of a server's answer, in bytes.
+constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
+// Answers to other requests that are skipped before the connection is given up.
+constexpr int kMaxSkipped = 3;
+constexpr int kInformational = 200;
+
+}  // namespace
+
+ServerConnection::ServerConnection(boost::asio::io_context& context,
+                                   const WireCodec& codec,
+                                   std::string server_id)
+    : socket_(context),
+      connect_timer_(context),
+      codec_(codec),
+      server_id_(std::move(server_id)) {}
+
+void ServerConnection::Open(const std::string& address,
+                            base::Duration timeout,
+                            std::string text,
+                            std::string request_id,
+                            bool head_only,
+                            ResponseHandler* handler) {
+  text_ = std::move(text);
+  request_id_ = std::move(request_id);
+  head_only_ = head_only;
+  handler_ = handler;
+  auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->Fail("the server's address is malformed");
+    });
+    return;
+  }
+  connect_timer_.expires_after(timeout);
+  connect_timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->sent_ && !self->closed_)
+          self->Fail("connect timed out");
+      });
+  socket_.async_connect(
+      *endpoint, [self = shared_from_this()](boost::system::error_code error) {
+        if (self->closed_)
+          return;
+        self->connect_timer_.cancel();
+        if (error)
+          return self->Fail("connect: " + error.message());
+        ConfigureSocket(self->socket_);
+        self->Write();
+        self->Read();
+      });
+}
+
+void ServerConnection::Send(std::string text,
+                            std::string request_id,
+                            bool head_only,
+                            ResponseHandler* handler) {
+  text_ = std::move(text);
+  request_id_ = std::move(request_id);
+  head_only_ = head_only;
+  handler_ = handler;
+  on_idle_closed_ = nullptr;
+  Write();
+  Read();
+}
+
+void ServerConnection::Write() {
+  sent_ = true;
+  written_ = false;
+  reusable_ = false;
+  head_seen_ = false;
+  skipping_ = false;
+  skipped_ = 0;
+  parser_.reset();
+  boost::asio::async_write(socket_, boost::asio::buffer(text_),
+                           [self = shared_from_this()](
+                               boost::system::error_code error, std::size_t) {
+                             // A server may answer before it has read the whole
+                             // request, so a failed write is reported by the
+                             // read.
+                             if (!error)
+                               self->written_ = true;
+                           });
+}
+
+void ServerConnection::Read() {
+  if (reading_ || closed_)
+    return;
+  reading_ = true;
+  socket_.async_read_some(buffer_.prepare(kReadSize),
+                          [self = shared_from_this()](
+                              boost::system::error_code error,
+                              std::size_t size) { self->OnRead(error, size); });
+}
+
+void ServerConnection::OnRead(boost::system::error_code error,
+                              std::size_t size) {
+  reading_ = false;
+  if (closed_)
+    return;
+  buffer_.commit(size);
+  if (handler_ == nullptr) {
+    // Idle: the server closed the connection, or sent an answer that belongs
+    // to nobody.
+    auto on_closed = std::move(on_idle_closed_);
+    Close();
+    if (on_closed)
+      on_closed();
+    return;
+  }
+  if (error == boost::asio::error::eof)
+    return OnEof();
+  if (error)
+    return Fail("read: " + error.message());
+  auto self = shared_from_this();
+  if (Parse())
+    Read();
+}
+
+void ServerConnection::OnEof() {
+  auto self = shared_from_this();
+  bool complete_later =
+      parser_ && parser_->is_header_done() && parser_->need_eof() && !skipping_;
+  if (!complete_later)
+    return Fail(head_seen_ ? "the answer broke off"
+                           : "the server closed the connection");
+  boost::system::error_code error;
+  parser_->put_eof(error);
+  if (error)
+    return Fail("the answer broke off: " + error.message());
+  Finish();
+}
+
+bool ServerConnection::Parse() {
+  while (handler_ != nullptr && !closed_) {
+    if (!parser_) {
+      parser_.emplace();
+      parser_->eager(true);
+      parser_->header_limit(kMaxHeaderBytes);
+      parser_->body_limit(boost::none);
+      parser_->skip(head_only_);
+    }
+    boost::system::error_code error;
+    std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+    if (error && error != boost::beast::http::error::need_more) {
+      Fail("malformed answer: " + error.message());
+      return false;
+    }
+    if (!parser_->is_header_done())
+      return true;
+    if (!head_seen_ && !skipping_ && !OnHead())
+      return false;
+    if (closed_ || handler_ == nullptr)
+      return false;
+    if (skipping_) {
+      parser_->get().body().clear();
+    } else if (std::string& body = parser_->get().body(); !body.empty()) {
+      std::string data;
+      data.swap(body);
+      handler_->OnResponseBody(data);
+      if (closed_ || handler_ == nullptr)
+        return false;
+    }
+    if (parser_->is_done()) {
+      if (!skipping_) {
+        Finish();
+        return false;
+      }
+      skipping_ = false;
+      parser_.reset();
+      if (buffer_.size() == 0)
+        return true;
+      continue;
+    }
+    if (error == boost::beast::http::error::need_more || buffer_.size() == 0)
+      return true;
+  }
+  return false;
+}
+
+bool ServerConnection::OnHead() {
+  const auto& message = parser_->get();
+  int status = static_cast<int>(message.result_int());
+  if (status < kInformational) {
+    skipping_ = true;
+    return true;
+  }
+  ResponseFacts facts = codec_.DecodeResponse(status, message);
+  if (facts.request_id != request_id_) {
+    if (facts.request_id.empty() || parser_->need_eof() ||
+        ++skipped_ > kMaxSkipped) {
+      Fail("the answer belongs to another request");
+      return false;
+    }
+    skipping_ = true;
+    return true;
+  }
+  head_seen_ = true;
+  idle_timeout_ = facts.idle_timeout;
+  handler_->OnResponseHead(status, message, facts);
+  return true;
+}
+
+void ServerConnection::Finish() {
+  const auto& message = parser_->get();
+  reusable_ = written_ && message.keep_alive() && buffer_.size() == 0 &&
+              !parser_->need_eof();
+  idle_since_ = base::TimePoint::clock::now();
+  text_.clear();
+  auto* handler = std::exchange(handler_, nullptr);
+  handler->OnResponseEnd();
+}
+
+void ServerConnection::WatchIdle(std::function<void()> on_closed) {
+  on_idle_closed_ = std::move(on_closed);
+  buffer_.shrink_to_fit();
+  Read();
+}
+
+void ServerConnection::Close() {
+  if (closed_)
+    return;
+  closed_ = true;
+  handler_ = nullptr;
+  on_idle_closed_ = nullptr;
+  connect_timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+void ServerConnection::Fail(const std::string& reason) {
+  if (closed_)
+    return;
+  auto self = shared_from_this();
+  auto* handler = std::exchange(handler_, nullptr);
+  Close();
+  if (handler != nullptr)
+    handler->OnConnectionFailed(reason, sent_);
+}
+
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/forwarding/src/server_load.cc
@@ -0,0 +1,114 @@
+#include "vanillalever/forwarding/server_load.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace vanillalever::forwarding {
+namespace {
+
+using base::milliseconds;
+
+// What another entry said counts for this long: three times the longest
+// interval between its messages.
+constexpr milliseconds kPeerLifetime{1000};
+// The load on a server's machine changes many times a second.
+constexpr milliseconds kReportLifetime{300};
+// Reported counts are replaced by own and peers' counts after this time: about
+// the time of one short request.
+constexpr milliseconds kCountLifetime{100};
+// How long a refusing server is taken to be full: about the time in which one
+// of its requests ends.
+constexpr milliseconds kFullTime{60};
+// Suspicion after the first failure; doubles with each further one.
+constexpr milliseconds kFirstSuspicion{250};
+constexpr milliseconds kLongestSuspicion{2000};
+// Failures after which the time of suspicion no longer grows.
+constexpr int kSuspicionSteps = 3;
+
+}  // namespace
+
+void ServerLoad::OnSend(std::int64_t prefill_tokens) {
+  ++own_open_;
+  own_prefill_ += prefill_tokens;
+}
+
+void ServerLoad::OnFirstOutput(std::int64_t prefill_tokens) {
+  own_prefill_ -= prefill_tokens;
+  assert(own_prefill_ >= 0);
+}
+
+void ServerLoad::OnEnd(std::int64_t prefill_tokens) {
+  --own_open_;
+  own_prefill_ -= prefill_tokens;
+  assert(own_open_ >= 0 && own_prefill_ >= 0);
+}
+
+void ServerLoad::OnReport(const LoadReport& report, base::TimePoint now) {
+  report_ = report;
+  reported_ = now;
+}
+
+void ServerLoad::OnPeer(const std::string& peer, const PeerLoad& load) {
+  if (load.open == 0)
+    peers_.erase(peer);
+  else
+    peers_[peer] = load;
+}
+
+void ServerLoad::ForgetPeer(const std::string& peer) {
+  peers_.erase(peer);
+}
+
+void ServerLoad::OnRefused(base::TimePoint now) {
+  refused_ = now;
+}
+
+void ServerLoad::OnUnreachable(base::TimePoint now) {
+  failures_in_row_ = std::min(failures_in_row_ + 1, kSuspicionSteps + 1);
+  auto time = kFirstSuspicion * (1 << (failures_in_row_ - 1));
+  suspect_until_ = now + std::min<milliseconds>(time, kLongestSuspicion);
+}
+
+void ServerLoad::OnReachable() {
+  failures_in_row_ = 0;
+  suspect_until_.reset();
+}
+
+int ServerLoad::open(base::TimePoint now) const {
+  int count = own_open_;
+  for (const auto& [peer, load] : peers_) {
+    if (now - load.seen < kPeerLifetime)
+      count += load.open;
+  }
+  if (report_ && now - reported_ < kCountLifetime)
+    count = std::max(count, report_->running + report_->waiting);
+  return count;
+}
+
+std::int64_t ServerLoad::prefill_tokens(base::TimePoint now) const {
+  std::int64_t tokens = own_prefill_;
+  for (const auto& [peer, load] : peers_) {
+    if (now - load.seen < kPeerLifetime)
+      tokens += load.prefill_tokens;
+  }
+  return tokens;
+}
+
+double ServerLoad::slowness(base::TimePoint now) const {
+  if (!report_)
+    return 1;
+  double age = std::chrono::duration<double>(now - reported_).count();
+  double lifetime = std::chrono::duration<double>(kReportLifetime).count();
+  double trust = std::max(0.0, 1 - age / (4 * lifetime));
+  return 1 + trust * (report_->slowness - 1);
+}
+
+bool ServerLoad::suspect(base::TimePoint now) const {
+  return suspect_until_ && now < *suspect_until_;
+}
+
+bool ServerLoad::full(base::TimePoint now) const {
+  return refused_ && now - *refused_ < kFullTime;
+}
+
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/forwarding/src/server_registry.cc
@@ -0,0 +1,95 @@
+#include "vanillalever/forwarding/server_registry.h"
+
+#include <set>
+#include <utility>
+
+namespace vanillalever::forwarding {
+
+ServerRegistry::ServerRegistry(RegistrySettings settings)
+    : settings_(settings) {}
+
+void ServerRegistry::Put(BackendServer server) {
+  ServerSlotPtr& slot = by_id_[server.id];
+  bool restarted = slot && (slot->server.address != server.address ||
+                            slot->server.service != server.service ||
+                            slot->server.started_at_ms != server.started_at_ms);
+  if (restarted)
+    Erase(server.id);
+  ServerSlotPtr& current = by_id_[server.id];
+  std::string service = server.service;
+  if (current) {
+    current->server = std::move(server);
+    current->lapse_deadline.reset();
+    return;
+  }
+  current = std::make_shared<ServerSlot>();
+  current->server = std::move(server);
+  RebuildService(service);
+}
+
+void ServerRegistry::Remove(const std::string& id) {
+  Erase(id);
+}
+
+void ServerRegistry::Lapse(const std::string& id, base::TimePoint now) {
+  ServerSlotPtr slot = find(id);
+  if (slot && !slot->lapse_deadline)
+    slot->lapse_deadline = now + settings_.lapse_grace;
+}
+
+void ServerRegistry::Replace(std::vector<BackendServer> servers,
+                             base::TimePoint now) {
+  std::set<std::string> listed;
+  for (BackendServer& server : servers) {
+    listed.insert(server.id);
+    Put(std::move(server));
+  }
+  for (auto& [id, slot] : by_id_) {
+    if (!listed.contains(id) && !slot->lapse_deadline)
+      slot->lapse_deadline = now + settings_.lapse_grace;
+  }
+}
+
+std::vector<std::string> ServerRegistry::ExpireLapsed(base::TimePoint now) {
+  std::vector<std::string> expired;
+  for (const auto& [id, slot] : by_id_) {
+    if (slot->lapse_deadline && *slot->lapse_deadline <= now)
+      expired.push_back(id);
+  }
+  for (const std::string& id : expired)
+    Erase(id);
+  return expired;
+}
+
+const std::vector<ServerSlotPtr>& ServerRegistry::servers(
+    const std::string& service) const {
+  static const std::vector<ServerSlotPtr> kNone;
+  auto found = by_service_.find(service);
+  return found == by_service_.end() ? kNone : found->second;
+}
+
+ServerSlotPtr ServerRegistry::find(const std::string& id) const {
+  auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : found->second;
+}
+
+void ServerRegistry::Erase(const std::string& id) {
+  auto found = by_id_.find(id);
+  if (found == by_id_.end())
+    return;
+  ServerSlotPtr slot = found->second;
+  slot->removed = true;
+  by_id_.erase(found);
+  RebuildService(slot->server.service);
+}
+
+void ServerRegistry::RebuildService(const std::string& service) {
+  std::vector<ServerSlotPtr>& list = by_service_[service];
+  list.clear();
+  for (const auto& [id, slot] : by_id_) {
+    if (slot->server.service == service)
+      list.push_back(slot);
+  }
+}
+
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/forwarding/src/socket_options.cc
@@ -0,0 +1,59 @@
+#include "vanillalever/forwarding/socket_options.h"
+
+#include <charconv>
+#include <cstdint>
+#include <string>
+#include <system_error>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace vanillalever::forwarding {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Time after which unacknowledged data breaks the connection, in ms. Well above
+// any round trip, below the time that callers wait.
+constexpr unsigned kUserTimeoutMs = 2000;
+// Idle time before the first keep-alive probe, the time between probes, in
+// seconds, and the number of probes: a silent peer is noticed after 3 s.
+constexpr int kKeepAliveIdleS = 1;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveProbes = 2;
+
+template <typename T>
+void SetOption(int socket, int level, int name, T value) {
+  ::setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+std::optional<tcp::endpoint> ParseEndpoint(std::string_view address) {
+  std::size_t colon = address.rfind(':');
+  if (colon == std::string_view::npos)
+    return std::nullopt;
+  boost::system::error_code error;
+  auto host = boost::asio::ip::make_address(
+      std::string(address.substr(0, colon)), error);
+  std::uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  auto [rest, parse_error] =
+      std::from_chars(address.data() + colon + 1, end, port);
+  if (error || parse_error != std::errc() || rest != end)
+    return std::nullopt;
+  return tcp::endpoint(host, port);
+}
+
+void ConfigureSocket(tcp::socket& socket) {
+  int handle = socket.native_handle();
+  SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  SetOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleS);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalS);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+}
+
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/forwarding/src/table_watcher.cc
@@ -0,0 +1,121 @@
+#include "vanillalever/forwarding/table_watcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "vanillalever/base/logging.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+// Rows deleted this soon after the store's return may have lapsed while it was
+// away.
+constexpr base::milliseconds kGapWindow{1000};
+
+}  // namespace
+
+TableWatcher::TableWatcher(boost::asio::io_context& context,
+                           SharedTable& table,
+                           std::string name,
+                           Observer& observer,
+                           std::uint64_t seed,
+                           WatcherSettings settings)
+    : timer_(context),
+      table_(table),
+      name_(std::move(name)),
+      observer_(observer),
+      random_(seed),
+      settings_(settings) {}
+
+void TableWatcher::Start() {
+  List();
+}
+
+void TableWatcher::Resync() {
+  listed_ = false;
+  timer_.cancel();
+  List();
+}
+
+void TableWatcher::List() {
+  std::uint64_t turn = ++turn_;
+  table_.List(name_, "", [this, turn](const ReadResult& result) {
+    OnListed(result, turn);
+  });
+}
+
+void TableWatcher::OnListed(const ReadResult& result, std::uint64_t turn) {
+  if (turn != turn_)
+    return;
+  if (result.outcome != StoreOutcome::kDone)
+    return OnFailure("list");
+  OnAnswer();
+  version_ = result.version;
+  listed_ = true;
+  observer_.OnRows(result.rows);
+  Await();
+}
+
+void TableWatcher::Await() {
+  std::uint64_t turn = ++turn_;
+  table_.AwaitChanges(
+      name_, version_, settings_.wait,
+      [this, turn](const ChangesResult& result) { OnChanges(result, turn); });
+}
+
+void TableWatcher::OnChanges(const ChangesResult& result, std::uint64_t turn) {
+  if (turn != turn_)
+    return;
+  if (result.history_lost) {
+    base::LogEvent(base::LogLevel::kInfo, "store_history_lost",
+                   {{"table", name_}, {"version", std::to_string(version_)}});
+    OnAnswer();
+    return List();
+  }
+  if (result.outcome != StoreOutcome::kDone)
+    return OnFailure("changes");
+  OnAnswer();
+  version_ = std::max(version_, result.version);
+  bool after_gap = lost_before_ && last_answer_ - regained_ < kGapWindow;
+  for (const TableRow& row : result.rows)
+    observer_.OnChange(row, after_gap);
+  Await();
+}
+
+void TableWatcher::OnAnswer() {
+  last_answer_ = base::TimePoint::clock::now();
+  failures_ = 0;
+  if (connected_)
+    return;
+  connected_ = true;
+  regained_ = last_answer_;
+  base::LogEvent(base::LogLevel::kInfo, "store_regained",
+                 {{"table", name_}, {"version", std::to_string(version_)}});
+}
+
+void TableWatcher::OnFailure(std::string_view step) {
+  if (connected_) {
+    connected_ = false;
+    lost_before_ = true;
+    base::LogEvent(base::LogLevel::kWarning, "store_lost",
+                   {{"table", name_},
+                    {"step", std::string(step)},
+                    {"version", std::to_string(version_)}});
+  }
+  auto pause = std::min(settings_.longest_pause,
+                        settings_.first_pause * (1 << std::min(failures_, 8)));
+  ++failures_;
+  timer_.expires_after(pause / 2 +
+                       base::milliseconds(random_.Below(
+                           static_cast<std::uint64_t>(pause.count() / 2 + 1))));
+  timer_.async_wait([this, turn = ++turn_](boost::system::error_code error) {
+    if (error || turn != turn_)
+      return;
+    if (listed_)
+      Await();
+    else
+      List();
+  });
+}
+
+}  // namespace vanillalever::forwarding
