--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -98,6 +98,7 @@
     settings.instance = node.instance;
     settings.data_centre = node.data_centre;
     settings.grace = node.grace;
+    settings.peers.address = node.ip + ":" + std::to_string(node.first_port);
     return settings;
   }
 
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -83,6 +83,11 @@
   bool holds_budget_ = false;
   std::shared_ptr<ServerConnection> connection_;
   ServerSlotPtr slot_;
+  // Decision that led to the latest send.
+  Placement placement_;
+  // When it was sent, and when its first output arrived.
+  base::TimePoint sent_at_{};
+  std::optional<base::TimePoint> first_output_;
   // Prompt tokens that the present server has yet to compute.
   std::int64_t prefill_tokens_ = 0;
   // The present send uses a connection that was kept.
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -8,6 +8,7 @@
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/budget_service.h"
 #include "vanillalever/forwarding/gateway_metrics.h"
+#include "vanillalever/forwarding/peer_link.h"
 #include "vanillalever/forwarding/placement.h"
 #include "vanillalever/forwarding/retry_policy.h"
 #include "vanillalever/forwarding/route_config.h"
@@ -27,6 +28,7 @@
   Placer& placer;
   ServerPool& pool;
   BudgetService& budgets;
+  PeerLink& peers;
   GatewayMetrics& metrics;
   base::Random& random;
   RetryPolicy retries;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -23,6 +23,7 @@
   // Name of this instance in logs.
   std::string instance;
   std::string data_centre;
+  PeerLinkSettings peers;
   // Time between SIGTERM and the forced end of the process.
   base::milliseconds grace{8000};
   // Time for which a stopping process goes on although nothing is in progress:
@@ -95,6 +96,7 @@
   Placer placer_;
   ServerPool pool_;
   BudgetService budgets_;
+  PeerLink peers_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   bool servers_known_ = false;
--- /dev/null
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
@@ -0,0 +1,60 @@
+#ifndef VANILLALEVER_FORWARDING_PEER_DIRECTORY_H_
+#define VANILLALEVER_FORWARDING_PEER_DIRECTORY_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "vanillalever/base/clock.h"
+
+namespace vanillalever::forwarding {
+
+// Identity of one run of a gateway process.
+using PeerId = std::uint64_t;
+
+// Settings of PeerDirectory.
+struct PeerDirectorySettings {
+  // Silence after which a peer no longer counts: four of its regular messages.
+  base::milliseconds lifetime{1200};
+};
+
+// Other gateways of the deployment, by address, with what was last heard of
+// them. Not thread-safe.
+class PeerDirectory {
+ public:
+  explicit PeerDirectory(PeerDirectorySettings settings = {});
+
+  // An address at which a gateway registered itself.
+  void AddAddress(const std::string& address);
+  // A message arrived. Returns whether it is newer than all before it of this
+  // run of the sender.
+  bool OnMessage(const std::string& address,
+                 PeerId sender,
+                 std::uint64_t sequence,
+                 base::TimePoint now);
+  // Runs of processes that have fallen silent or were replaced since the last
+  // call.
+  std::vector<PeerId> TakeGone(base::TimePoint now);
+
+  // All known addresses, silent ones too: their messages may be lost.
+  std::vector<std::string> addresses() const;
+  // Gateways heard within the lifetime.
+  std::size_t live() const;
+
+ private:
+  struct Peer {
+    PeerId id = 0;
+    std::uint64_t sequence = 0;
+    base::TimePoint heard{};
+    bool live = false;
+  };
+
+  PeerDirectorySettings settings_;
+  std::map<std::string, Peer> peers_;
+  std::vector<PeerId> gone_;
+};
+
+}  // namespace vanillalever::forwarding
+
+#endif  // VANILLALEVER_FORWARDING_PEER_DIRECTORY_H_
--- /dev/null
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -0,0 +1,90 @@
+#ifndef VANILLALEVER_FORWARDING_PEER_LINK_H_
+#define VANILLALEVER_FORWARDING_PEER_LINK_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "vanillalever/forwarding/peer_directory.h"
+#include "vanillalever/forwarding/server_registry.h"
+#include "vanillalever/forwarding/shared_table.h"
+
+namespace vanillalever::forwarding {
+
+// Settings of PeerLink.
+struct PeerLinkSettings {
+  // Own address "ip:port" for datagrams.
+  std::string address;
+  // Changes of the load wait this long for further ones.
+  base::milliseconds window{20};
+  // Interval of complete messages, which repair what lost ones left out.
+  base::milliseconds interval{300};
+  // Interval at which the list of gateways is read from the store.
+  base::milliseconds list_interval{10000};
+  // As above until the first listing has succeeded.
+  base::milliseconds first_list_interval{500};
+};
+
+// Tells the other gateways what this one has open at the servers, and hears the
+// same from them. Gateways find one another by rows of the shared table. Lost
+// messages only make the view of the load older. Event loop's thread only.
+class PeerLink {
+ public:
+  PeerLink(boost::asio::io_context& context,
+           PeerLinkSettings settings,
+           SharedTable& table,
+           ServerRegistry& registry,
+           std::uint64_t seed);
+
+  // Binds the address. Throws base::Error when it cannot be bound.
+  void Start();
+
+  // The own load of the server has changed.
+  void OnLoadChanged(const ServerSlot& slot);
+  // The server has just reported its slowness.
+  void OnSlowness(const ServerSlot& slot, double slowness);
+
+  // Removes the own registration.
+  void Leave();
+
+  std::size_t live_peers() const { return directory_.live(); }
+
+ private:
+  void Register();
+  void List();
+  void OnListed(const ReadResult& result);
+  void Receive();
+  void OnDatagram(std::size_t size);
+  void ScheduleSend();
+  void SendLoad(bool complete);
+  void Tick();
+
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer send_timer_;
+  boost::asio::steady_timer tick_timer_;
+  PeerLinkSettings settings_;
+  SharedTable& table_;
+  ServerRegistry& registry_;
+  PeerDirectory directory_;
+  const PeerId id_;
+  std::uint64_t sequence_ = 0;
+  // Servers whose load has changed since the last message.
+  std::set<std::string> changed_;
+  // Slowness in percent, as reported since the last message.
+  std::map<std::string, std::uint16_t> slowness_;
+  bool send_scheduled_ = false;
+  bool registered_ = false;
+  bool listed_ = false;
+  base::TimePoint next_list_{};
+  std::array<char, 2048> datagram_{};
+  boost::asio::ip::udp::endpoint from_;
+};
+
+}  // namespace vanillalever::forwarding
+
+#endif  // VANILLALEVER_FORWARDING_PEER_LINK_H_
--- a/packages/forwarding/include/vanillalever/forwarding/placement.h
+++ b/packages/forwarding/include/vanillalever/forwarding/placement.h
@@ -59,6 +59,8 @@
   double estimate_ms = 0;
   // Open requests at the server when it was chosen.
   int open = 0;
+  // Factor on the server's work when it was chosen.
+  double slowness = 1;
   // Servers that were compared.
   int candidates = 0;
 };
--- a/packages/forwarding/include/vanillalever/forwarding/server_load.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_load.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <string>
 
 #include "vanillalever/base/clock.h"
 
@@ -40,8 +39,10 @@
   void OnEnd(std::int64_t prefill_tokens);
 
   void OnReport(const LoadReport& report, base::TimePoint now);
-  void OnPeer(const std::string& peer, const PeerLoad& load);
-  void ForgetPeer(const std::string& peer);
+  void OnPeer(std::uint64_t peer, const PeerLoad& load);
+  void ForgetPeer(std::uint64_t peer);
+  // The slowness as another entry has just seen it.
+  void OnSlowness(double slowness, base::TimePoint now);
 
   // The server refused a request because it was full.
   void OnRefused(base::TimePoint now);
@@ -66,9 +67,11 @@
  private:
   int own_open_ = 0;
   std::int64_t own_prefill_ = 0;
-  std::map<std::string, PeerLoad> peers_;
+  std::map<std::uint64_t, PeerLoad> peers_;
   std::optional<LoadReport> report_;
   base::TimePoint reported_{};
+  double slowness_ = 1;
+  base::TimePoint slowness_seen_{};
   std::optional<base::TimePoint> refused_;
   std::optional<base::TimePoint> suspect_until_;
   int failures_in_row_ = 0;
--- a/packages/forwarding/include/vanillalever/forwarding/server_registry.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_registry.h
@@ -1,10 +1,12 @@
 #ifndef VANILLALEVER_FORWARDING_SERVER_REGISTRY_H_
 #define VANILLALEVER_FORWARDING_SERVER_REGISTRY_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "vanillalever/base/clock.h"
@@ -59,6 +61,12 @@
   // Servers of a service in order of identity, draining ones included.
   const std::vector<ServerSlotPtr>& servers(const std::string& service) const;
   ServerSlotPtr find(const std::string& id) const;
+  // Server whose identity has this hash (base::Hash64); null if there is none.
+  ServerSlotPtr find_by_key(std::uint64_t key) const;
+  // Servers at which this process has requests open.
+  std::vector<ServerSlotPtr> busy() const;
+  // Another entry has ended, or is about to list all its load.
+  void ForgetPeer(std::uint64_t peer);
   std::size_t size() const { return by_id_.size(); }
 
  private:
@@ -67,6 +75,7 @@
 
   RegistrySettings settings_;
   std::map<std::string, ServerSlotPtr> by_id_;
+  std::unordered_map<std::uint64_t, ServerSlotPtr> by_key_;
   std::map<std::string, std::vector<ServerSlotPtr>> by_service_;
 };
 
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -41,6 +41,12 @@
       std::chrono::duration_cast<milliseconds>(duration).count());
 }
 
+std::string Decimal(double value) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.2f", value);
+  return text;
+}
+
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -204,9 +210,13 @@
 
 void ForwardedRequest::Send(const Placement& placement) {
   auto now = base::TimePoint::clock::now();
+  placement_ = placement;
+  sent_at_ = now;
+  first_output_.reset();
   slot_ = placement.slot;
   prefill_tokens_ = placement.prefill_tokens;
   slot_->load.OnSend(prefill_tokens_);
+  context_.peers.OnLoadChanged(*slot_);
   context_.placer.OnPromptSent(*slot_, *service_, chain_);
   ++sends_;
   context_.metrics.sends.Add();
@@ -232,6 +242,7 @@
 void ForwardedRequest::EndSend(bool keep_connection) {
   if (slot_) {
     slot_->load.OnEnd(prefill_tokens_);
+    context_.peers.OnLoadChanged(*slot_);
     prefill_tokens_ = 0;
   }
   if (auto connection = std::exchange(connection_, nullptr)) {
@@ -247,8 +258,10 @@
                                       const ResponseFacts& facts) {
   auto now = base::TimePoint::clock::now();
   slot_->load.OnReachable();
-  if (facts.load)
+  if (facts.load) {
     slot_->load.OnReport(*facts.load, now);
+    context_.peers.OnSlowness(*slot_, facts.load->slowness);
+  }
   status_ = status;
   if (facts.not_run && (status == 503 || status == 429 || status == 421)) {
     answer_ = Answer::kRefusal;
@@ -276,11 +289,14 @@
   }
   if (prefill_tokens_ > 0) {
     slot_->load.OnFirstOutput(prefill_tokens_);
+    context_.peers.OnLoadChanged(*slot_);
     prefill_tokens_ = 0;
   }
   std::string events = framer_.Feed(data);
   if (events.empty())
     return;
+  if (!first_output_)
+    first_output_ = base::TimePoint::clock::now();
   RelayStart();
   sink_->SendPiece(events);
 }
@@ -455,6 +471,12 @@
                   {"sends", std::to_string(sends_)},
                   {"waits", std::to_string(waits_)},
                   {"events", std::to_string(framer_.events())},
+       {"prompt", std::to_string(profile_.prompt_tokens)},
+       {"prefill", std::to_string(placement_.prefill_tokens)},
+       {"open", std::to_string(placement_.open)},
+       {"slowness", Decimal(placement_.slowness)},
+       {"estimate_ms", Decimal(placement_.estimate_ms)},
+       {"first_ms", first_output_ ? Ms(*first_output_ - sent_at_) : "-"},
                   {"took_ms", Ms(now - arrived_)}});
 }
 
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -43,8 +43,9 @@
       placer_(settings_.placement, settings_.data_centre, random_.Next()),
       pool_(settings_.pool),
       budgets_(io, table, random_.Next(), settings_.budget),
-      context_{io,    codec,    nullptr,  registry_, placer_,
-               pool_, budgets_, metrics_, random_,   RetryPolicy()} {}
+      peers_(io, settings_.peers, table, registry_, random_.Next()),
+      context_{io,       codec,  nullptr,  registry_, placer_, pool_,
+               budgets_, peers_, metrics_, random_,   RetryPolicy()} {}
 
 Gateway::~Gateway() = default;
 
@@ -64,6 +65,7 @@
     throw base::NotRun(base::ErrorCode::kUnavailable, base::Step::kConnect,
                        "cannot listen: " + error.message(), settings_.listen);
   }
+  peers_.Start();
   Accept();
   Tick();
 }
@@ -176,6 +178,7 @@
   on_drained_ = std::move(done);
   base::LogEvent(base::LogLevel::kInfo, "drain_started",
                  {{"sessions", std::to_string(sessions_.size())}});
+  peers_.Leave();
 }
 
 void Gateway::CheckDrained() {
--- /dev/null
+++ b/packages/forwarding/src/peer_directory.cc
@@ -0,0 +1,57 @@
+#include "vanillalever/forwarding/peer_directory.h"
+
+#include <utility>
+
+namespace vanillalever::forwarding {
+
+PeerDirectory::PeerDirectory(PeerDirectorySettings settings)
+    : settings_(settings) {}
+
+void PeerDirectory::AddAddress(const std::string& address) {
+  peers_.try_emplace(address);
+}
+
+bool PeerDirectory::OnMessage(const std::string& address,
+                              PeerId sender,
+                              std::uint64_t sequence,
+                              base::TimePoint now) {
+  Peer& peer = peers_[address];
+  if (peer.id != sender) {
+    if (peer.live)
+      gone_.push_back(peer.id);
+    peer.id = sender;
+    peer.sequence = 0;
+  }
+  peer.heard = now;
+  peer.live = true;
+  if (sequence <= peer.sequence)
+    return false;
+  peer.sequence = sequence;
+  return true;
+}
+
+std::vector<PeerId> PeerDirectory::TakeGone(base::TimePoint now) {
+  for (auto& [address, peer] : peers_) {
+    if (peer.live && now - peer.heard > settings_.lifetime) {
+      peer.live = false;
+      gone_.push_back(peer.id);
+    }
+  }
+  return std::exchange(gone_, {});
+}
+
+std::vector<std::string> PeerDirectory::addresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, peer] : peers_)
+    addresses.push_back(address);
+  return addresses;
+}
+
+std::size_t PeerDirectory::live() const {
+  std::size_t count = 0;
+  for (const auto& [address, peer] : peers_)
+    count += peer.live ? 1 : 0;
+  return count;
+}
+
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/forwarding/src/peer_link.cc
@@ -0,0 +1,253 @@
+#include "vanillalever/forwarding/peer_link.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include "peer.capnp.h"
+#include "vanillalever/base/error.h"
+#include "vanillalever/base/hash.h"
+#include "vanillalever/base/logging.h"
+#include "vanillalever/forwarding/socket_options.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+using boost::asio::ip::udp;
+namespace wire = protocol::peer;
+
+constexpr const char* kTable = "gateways";
+// Servers in one message, so that it fits into one packet.
+constexpr std::size_t kMaxServers = 60;
+
+std::uint64_t KeyOf(const std::string& server_id) {
+  return base::Hash64(server_id);
+}
+
+std::optional<udp::endpoint> UdpEndpoint(const std::string& address) {
+  auto endpoint = ParseEndpoint(address);
+  if (!endpoint)
+    return std::nullopt;
+  return udp::endpoint(endpoint->address(), endpoint->port());
+}
+
+std::string AddressText(const udp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" +
+         std::to_string(endpoint.port());
+}
+
+std::string Pack(capnp::MessageBuilder& message) {
+  kj::VectorOutputStream stream;
+  capnp::writePackedMessage(stream, message);
+  auto bytes = stream.getArray();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+}  // namespace
+
+PeerLink::PeerLink(boost::asio::io_context& context,
+                   PeerLinkSettings settings,
+                   SharedTable& table,
+                   ServerRegistry& registry,
+                   std::uint64_t seed)
+    : socket_(context),
+      send_timer_(context),
+      tick_timer_(context),
+      settings_(std::move(settings)),
+      table_(table),
+      registry_(registry),
+      id_(seed | 1) {}
+
+void PeerLink::Start() {
+  auto endpoint = UdpEndpoint(settings_.address);
+  boost::system::error_code error = boost::asio::error::invalid_argument;
+  if (endpoint) {
+    socket_.open(udp::v4(), error);
+    if (!error)
+      socket_.non_blocking(true, error);
+    if (!error)
+      socket_.bind(*endpoint, error);
+  }
+  if (error) {
+    throw base::NotRun(base::ErrorCode::kUnavailable, base::Step::kConnect,
+                       "cannot bind for datagrams: " + error.message(),
+                       settings_.address);
+  }
+  Receive();
+  Tick();
+}
+
+void PeerLink::Register() {
+  TableWrite write;
+  write.name = {kTable, "", settings_.address};
+  write.value = base::HexString(id_);
+  table_.Write(std::move(write), [this](const WriteResult& result) {
+    // A row that exists already belongs to an earlier run at this address; the
+    // address is all that counts.
+    registered_ = result.outcome == StoreOutcome::kDone ||
+                  result.outcome == StoreOutcome::kConflict;
+  });
+}
+
+void PeerLink::List() {
+  next_list_ = base::TimePoint::clock::now() +
+               (listed_ ? settings_.list_interval
+                        : settings_.first_list_interval);
+  if (!registered_)
+    Register();
+  table_.List(kTable, "",
+              [this](const ReadResult& result) { OnListed(result); });
+}
+
+void PeerLink::OnListed(const ReadResult& result) {
+  if (result.outcome != StoreOutcome::kDone)
+    return;
+  if (!std::exchange(listed_, true))
+    next_list_ = base::TimePoint::clock::now() + settings_.list_interval;
+  for (const TableRow& row : result.rows) {
+    if (row.name.key != settings_.address && ParseEndpoint(row.name.key))
+      directory_.AddAddress(row.name.key);
+  }
+  SendLoad(true);
+}
+
+void PeerLink::Leave() {
+  table_.Read({kTable, "", settings_.address}, [this](const ReadResult& read) {
+    if (read.outcome != StoreOutcome::kDone || read.rows.empty())
+      return;
+    TableWrite write;
+    write.name = {kTable, "", settings_.address};
+    write.expected_version = read.rows.front().version;
+    table_.Write(std::move(write), [](const WriteResult&) {});
+  });
+}
+
+void PeerLink::OnLoadChanged(const ServerSlot& slot) {
+  changed_.insert(slot.server.id);
+  ScheduleSend();
+}
+
+void PeerLink::OnSlowness(const ServerSlot& slot, double slowness) {
+  slowness_[slot.server.id] =
+      static_cast<std::uint16_t>(std::clamp(slowness * 100, 1.0, 60000.0));
+}
+
+void PeerLink::ScheduleSend() {
+  if (std::exchange(send_scheduled_, true))
+    return;
+  send_timer_.expires_after(settings_.window);
+  send_timer_.async_wait([this](boost::system::error_code error) {
+    send_scheduled_ = false;
+    if (!error)
+      SendLoad(false);
+  });
+}
+
+void PeerLink::SendLoad(bool complete) {
+  std::vector<ServerSlotPtr> slots;
+  if (complete) {
+    slots = registry_.busy();
+  } else {
+    for (const std::string& id : changed_) {
+      if (ServerSlotPtr slot = registry_.find(id))
+        slots.push_back(std::move(slot));
+    }
+  }
+  changed_.clear();
+  // What does not fit follows with later changes.
+  std::size_t count = std::min(slots.size(), kMaxServers);
+  capnp::MallocMessageBuilder builder;
+  auto message = builder.initRoot<wire::Message>();
+  message.setSender(id_);
+  message.setSequence(++sequence_);
+  auto load = message.initLoad();
+  load.setComplete(complete && count == slots.size());
+  auto servers = load.initServers(static_cast<unsigned>(count));
+  for (unsigned i = 0; i < count; ++i) {
+    const ServerSlot& slot = *slots[i];
+    servers[i].setServer(KeyOf(slot.server.id));
+    servers[i].setOpen(static_cast<std::uint16_t>(slot.load.own_open()));
+    servers[i].setPrefillTokens(
+        static_cast<std::uint32_t>(slot.load.own_prefill_tokens()));
+    if (auto found = slowness_.find(slot.server.id); found != slowness_.end())
+      servers[i].setSlowness(found->second);
+  }
+  slowness_.clear();
+  std::string datagram = Pack(builder);
+  for (const std::string& address : directory_.addresses()) {
+    auto endpoint = UdpEndpoint(address);
+    boost::system::error_code ignored;
+    // A full socket buffer loses the message like the network does.
+    if (endpoint)
+      socket_.send_to(boost::asio::buffer(datagram), *endpoint, 0, ignored);
+  }
+}
+
+void PeerLink::Receive() {
+  socket_.async_receive_from(
+      boost::asio::buffer(datagram_), from_,
+      [this](boost::system::error_code error, std::size_t size) {
+        if (error == boost::asio::error::operation_aborted)
+          return;
+        if (!error)
+          OnDatagram(size);
+        Receive();
+      });
+}
+
+void PeerLink::OnDatagram(std::size_t size) {
+  auto now = base::TimePoint::clock::now();
+  try {
+    kj::ArrayInputStream stream(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(datagram_.data()), size));
+    capnp::PackedMessageReader reader(stream);
+    auto message = reader.getRoot<wire::Message>();
+    if (!directory_.OnMessage(AddressText(from_), message.getSender(),
+                              message.getSequence(), now))
+      return;
+    auto load = message.getLoad();
+    if (load.getComplete())
+      registry_.ForgetPeer(message.getSender());
+    for (auto entry : load.getServers()) {
+      ServerSlotPtr slot = registry_.find_by_key(entry.getServer());
+      if (!slot)
+        continue;
+      slot->load.OnPeer(message.getSender(),
+                        {.open = entry.getOpen(),
+                         .prefill_tokens = entry.getPrefillTokens(),
+                         .seen = now});
+      if (entry.getSlowness() > 0)
+        slot->load.OnSlowness(entry.getSlowness() / 100.0, now);
+    }
+  } catch (const kj::Exception& error) {
+    base::LogEvent(base::LogLevel::kWarning, "peer_message_malformed",
+                   {{"peer", AddressText(from_)},
+                    {"reason", error.getDescription().cStr()}});
+  }
+}
+
+void PeerLink::Tick() {
+  auto now = base::TimePoint::clock::now();
+  for (PeerId gone : directory_.TakeGone(now)) {
+    base::LogEvent(base::LogLevel::kInfo, "peer_lost",
+                   {{"peer", base::HexString(gone)},
+                    {"live", std::to_string(directory_.live())}});
+    registry_.ForgetPeer(gone);
+  }
+  if (now >= next_list_)
+    List();
+  SendLoad(true);
+  tick_timer_.expires_after(settings_.interval);
+  tick_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error)
+      Tick();
+  });
+}
+
+}  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -84,6 +84,7 @@
     best.estimate_ms = estimate.total_ms;
     best.prefill_tokens = estimate.prefill_tokens;
     best.open = slot->load.open(now);
+    best.slowness = slot->load.slowness(now);
   }
   return best;
 }
--- a/packages/forwarding/src/server_load.cc
+++ b/packages/forwarding/src/server_load.cc
@@ -46,16 +46,22 @@
 void ServerLoad::OnReport(const LoadReport& report, base::TimePoint now) {
   report_ = report;
   reported_ = now;
+  OnSlowness(report.slowness, now);
 }
 
-void ServerLoad::OnPeer(const std::string& peer, const PeerLoad& load) {
+void ServerLoad::OnPeer(std::uint64_t peer, const PeerLoad& load) {
   if (load.open == 0)
     peers_.erase(peer);
   else
     peers_[peer] = load;
 }
 
-void ServerLoad::ForgetPeer(const std::string& peer) {
+void ServerLoad::OnSlowness(double slowness, base::TimePoint now) {
+  slowness_ = slowness;
+  slowness_seen_ = now;
+}
+
+void ServerLoad::ForgetPeer(std::uint64_t peer) {
   peers_.erase(peer);
 }
 
@@ -95,12 +101,10 @@
 }
 
 double ServerLoad::slowness(base::TimePoint now) const {
-  if (!report_)
-    return 1;
-  double age = std::chrono::duration<double>(now - reported_).count();
+  double age = std::chrono::duration<double>(now - slowness_seen_).count();
   double lifetime = std::chrono::duration<double>(kReportLifetime).count();
   double trust = std::max(0.0, 1 - age / (4 * lifetime));
-  return 1 + trust * (report_->slowness - 1);
+  return 1 + trust * (slowness_ - 1);
 }
 
 bool ServerLoad::suspect(base::TimePoint now) const {
--- a/packages/forwarding/src/server_registry.cc
+++ b/packages/forwarding/src/server_registry.cc
@@ -3,6 +3,8 @@
 #include <set>
 #include <utility>
 
+#include "vanillalever/base/hash.h"
+
 namespace vanillalever::forwarding {
 
 ServerRegistry::ServerRegistry(RegistrySettings settings)
@@ -24,6 +26,7 @@
   }
   current = std::make_shared<ServerSlot>();
   current->server = std::move(server);
+  by_key_[base::Hash64(current->server.id)] = current;
   RebuildService(service);
 }
 
@@ -73,12 +76,32 @@
   return found == by_id_.end() ? nullptr : found->second;
 }
 
+ServerSlotPtr ServerRegistry::find_by_key(std::uint64_t key) const {
+  auto found = by_key_.find(key);
+  return found == by_key_.end() ? nullptr : found->second;
+}
+
+std::vector<ServerSlotPtr> ServerRegistry::busy() const {
+  std::vector<ServerSlotPtr> slots;
+  for (const auto& [id, slot] : by_id_) {
+    if (slot->load.own_open() > 0)
+      slots.push_back(slot);
+  }
+  return slots;
+}
+
+void ServerRegistry::ForgetPeer(std::uint64_t peer) {
+  for (const auto& [id, slot] : by_id_)
+    slot->load.ForgetPeer(peer);
+}
+
 void ServerRegistry::Erase(const std::string& id) {
   auto found = by_id_.find(id);
   if (found == by_id_.end())
     return;
   ServerSlotPtr slot = found->second;
   slot->removed = true;
+  by_key_.erase(base::Hash64(id));
   by_id_.erase(found);
   RebuildService(slot->server.service);
 }
--- /dev/null
+++ b/packages/protocol/schema/peer.capnp
@@ -0,0 +1,51 @@
+@0xc7d1a80f5e2b9364;
+
+# Datagrams between the gateways of one deployment. Each may be lost, repeated
+# or late. Fields are only added, never renumbered.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("vanillalever::protocol::peer");
+
+struct Message {
+  # Identity of the sender's run of the process.
+  sender @0 :UInt64;
+  # Grows with each message of the sender; older ones are ignored.
+  sequence @1 :UInt64;
+  # Load that the sender has open at servers.
+  load @2 :Load;
+  # Programs whose tokens the sender needs.
+  budgetAsks @3 :List(BudgetAsk);
+  # Tokens that the sender hands over to the receiver.
+  budgetGives @4 :List(BudgetGive);
+}
+
+struct Load {
+  # Servers that are not listed have nothing open; otherwise they are unchanged.
+  complete @0 :Bool;
+  servers @1 :List(ServerLoad);
+}
+
+struct ServerLoad {
+  # Hash of the server's identity.
+  server @0 :UInt64;
+  # Requests that the sender has open there.
+  open @1 :UInt16;
+  # Factor on the server's work in percent, as just reported; 0 if unknown.
+  slowness @2 :UInt16;
+  # Prompt tokens sent there and not yet computed.
+  prefillTokens @3 :UInt32;
+}
+
+struct BudgetAsk {
+  program @0 :Text;
+  # Tokens that are missing.
+  tokens @1 :UInt32;
+}
+
+struct BudgetGive {
+  program @0 :Text;
+  # Tokens that the sender no longer has.
+  tokens @1 :UInt32;
+  # Sequence number of the message that asked.
+  asked @2 :UInt64;
+}
