--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -88,6 +88,8 @@
   // When it was sent, and when its first output arrived.
   base::TimePoint sent_at_{};
   std::optional<base::TimePoint> first_output_;
+  // Load that the server reported with its answer.
+  std::optional<LoadReport> reported_;
   // Prompt tokens that the present server has yet to compute.
   std::int64_t prefill_tokens_ = 0;
   // The present send uses a connection that was kept.
--- a/packages/forwarding/include/vanillalever/forwarding/placement.h
+++ b/packages/forwarding/include/vanillalever/forwarding/placement.h
@@ -24,9 +24,6 @@
   double step_ms_per_request = 0.0893;
   // Prompt tokens computed per ms; from the engines' data sheet.
   double prefill_tokens_per_ms = 56.6;
-  // Factor on prompt tokens to compute: they also delay the other requests of
-  // the server.
-  double recompute_weight = 2.0;
   // Share of the largest output that a turn generates on average.
   double output_share = 0.4;
   // Time of an average plain request, in ms.
@@ -55,6 +52,8 @@
   ServerSlotPtr slot;
   // Prompt tokens that the server has to compute.
   std::int64_t prefill_tokens = 0;
+  // The fewest that any server would have to compute.
+  std::int64_t least_prefill_tokens = 0;
   // Estimated time until the answer is complete, in ms.
   double estimate_ms = 0;
   // Open requests at the server when it was chosen.
@@ -65,8 +64,10 @@
   int candidates = 0;
 };
 
-// Chooses the server with the least estimated completion time. Not
-// thread-safe.
+// Chooses the server at which a request costs the least time: its own until
+// completion, and the delay that it causes to the requests running there.
+// Answers loads in which prompts to be computed take much of the servers' time.
+// Not thread-safe.
 class Placer {
  public:
   Placer(PlacementSettings settings,
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -258,6 +258,7 @@
                                       const ResponseFacts& facts) {
   auto now = base::TimePoint::clock::now();
   slot_->load.OnReachable();
+  reported_ = facts.load;
   if (facts.load) {
     slot_->load.OnReport(*facts.load, now);
     context_.peers.OnSlowness(*slot_, facts.load->slowness);
@@ -473,9 +474,14 @@
                   {"events", std::to_string(framer_.events())},
        {"prompt", std::to_string(profile_.prompt_tokens)},
        {"prefill", std::to_string(placement_.prefill_tokens)},
+       {"least_prefill", std::to_string(placement_.least_prefill_tokens)},
        {"open", std::to_string(placement_.open)},
        {"slowness", Decimal(placement_.slowness)},
        {"estimate_ms", Decimal(placement_.estimate_ms)},
+       {"reported", reported_ ? std::to_string(reported_->running) + "," +
+                                    std::to_string(reported_->waiting) + "," +
+                                    Decimal(reported_->slowness)
+                              : "-"},
        {"first_ms", first_output_ ? Ms(*first_output_ - sent_at_) : "-"},
                   {"took_ms", Ms(now - arrived_)}});
 }
--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -68,6 +68,9 @@
         request.service.engine
             ? EstimateEngine(*slot, request, now)
             : EstimatePlain(*slot, request, slot.get() == preferred, now);
+    if (best.candidates == 1 ||
+        estimate.prefill_tokens < best.least_prefill_tokens)
+      best.least_prefill_tokens = estimate.prefill_tokens;
     // A small bonus decides between servers without a cached prefix.
     if (slot.get() == preferred && request.service.engine)
       estimate.total_ms -= 2 * kTieMs;
@@ -114,19 +117,23 @@
       std::max<std::int64_t>(0, request.profile.prompt_tokens - cached);
   int open = slot.load.open(now);
   int slots = std::max(1, slot.server.slots);
-  double step = settings_.step_ms +
-                settings_.step_ms_per_request * std::min(open + 1, slots);
-  double decode = settings_.output_share *
-                  static_cast<double>(request.profile.max_output_tokens) * step;
-  double prefill = settings_.recompute_weight *
-                   static_cast<double>(estimate.prefill_tokens +
-                                       slot.load.prefill_tokens(now)) /
+  double output = settings_.output_share *
+                  static_cast<double>(request.profile.max_output_tokens);
+  double decode = output * (settings_.step_ms + settings_.step_ms_per_request *
+                                                    std::min(open + 1, slots));
+  double own_prefill = static_cast<double>(estimate.prefill_tokens) /
+                       settings_.prefill_tokens_per_ms;
+  double backlog = static_cast<double>(slot.load.prefill_tokens(now)) /
                    settings_.prefill_tokens_per_ms;
+  // Every running request stands still while a prompt is computed, and each
+  // step takes longer with one request more.
+  double delay_of_others =
+      open * (own_prefill + output * settings_.step_ms_per_request);
   double wait = 0;
   if (open >= slots)
     wait = decode * (open - slots + 1) / slots;
-  estimate.total_ms =
-      (wait + prefill + decode) * slot.load.slowness(now) + RoundTripMs(slot);
+  double total = wait + backlog + own_prefill + decode + delay_of_others;
+  estimate.total_ms = total * slot.load.slowness(now) + RoundTripMs(slot);
   return estimate;
 }
 
