Advance tokens through one gateway while the store is away

Gateways that see a budget spent tell the others.

Conclusion: kept; the remaining risk (all gateways killed during an outage lose the advances) is bounded by the limit.

--- /dev/null
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
@@ -0,0 +1,59 @@
+#ifndef VANILLALEVER_FORWARDING_BUDGET_PEERS_H_
+#define VANILLALEVER_FORWARDING_BUDGET_PEERS_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace vanillalever::forwarding {
+
+// Request for tokens of a program, from an entry that cannot reserve them.
+struct BudgetAsk {
+  // Identity of the ask at its sender.
+  std::uint64_t ask = 0;
+  std::string program;
+  std::int64_t budget = 0;
+  // Tokens that are asked for.
+  std::int64_t tokens = 0;
+  // Tokens that the sender knows to be reserved.
+  std::int64_t reserved = 0;
+};
+
+// Answer to a BudgetAsk.
+struct BudgetGive {
+  std::uint64_t ask = 0;
+  std::string program;
+  // Tokens handed over; zero if the budget does not hold them.
+  std::int64_t tokens = 0;
+  // Tokens that are reserved in all, as far as the sender knows.
+  std::int64_t reserved = 0;
+};
+
+// Way to the other entries. Messages may be lost.
+class BudgetPeers {
+ public:
+  virtual ~BudgetPeers() = default;
+  // Sends the ask to the entry that grants this program's tokens while the
+  // store is away. Returns false if that is this entry.
+  virtual bool Ask(const BudgetAsk& ask) = 0;
+  // Tells all entries that `reserved` tokens of the program are reserved, which
+  // is all of its budget.
+  virtual void AnnounceSpent(const std::string& program,
+                             std::int64_t reserved) = 0;
+};
+
+// Receives what other entries say of budgets.
+class BudgetHandler {
+ public:
+  virtual ~BudgetHandler() = default;
+  // Another entry asks for tokens; `reply` is called at most once.
+  virtual void OnAsk(const BudgetAsk& ask,
+                     std::function<void(const BudgetGive&)> reply) = 0;
+  virtual void OnGive(const BudgetGive& give) = 0;
+  // All of the program's budget is reserved.
+  virtual void OnSpent(const std::string& program, std::int64_t reserved) = 0;
+};
+
+}  // namespace vanillalever::forwarding
+
+#endif  // VANILLALEVER_FORWARDING_BUDGET_PEERS_H_
--- a/packages/forwarding/include/vanillalever/forwarding/budget_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_service.h
@@ -12,6 +12,7 @@
 #include "vanillalever/base/name_table.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/budget_book.h"
+#include "vanillalever/forwarding/budget_peers.h"
 #include "vanillalever/forwarding/shared_table.h"
 
 namespace vanillalever::forwarding {
@@ -20,7 +21,7 @@
 enum class BudgetAnswer {
   kGranted,      // call End() when the turn is over
   kSpent,        // the budget does not hold the turn
-  kUnavailable,  // the store cannot be asked now
+  kUnavailable,  // neither the store nor another entry can grant it now
 };
 
 inline constexpr base::NameTable<BudgetAnswer, 3> kBudgetAnswerNames({
@@ -30,13 +31,15 @@
 });
 
 // Makes the reservations of BudgetBook durable in the shared table, one write
-// per program at a time. Event loop's thread only.
-class BudgetService {
+// per program at a time. When the store does not answer in time, one entry per
+// program, the same for all, advances tokens. Event loop's thread only.
+class BudgetService final : public BudgetHandler {
  public:
   using Callback = std::function<void(BudgetAnswer)>;
 
   BudgetService(boost::asio::io_context& context,
                 SharedTable& table,
+                BudgetPeers& peers,
                 std::uint64_t seed,
                 BudgetSettings settings = {});
 
@@ -48,8 +51,16 @@
              Callback callback);
   void End(const std::string& program, std::int64_t most, std::int64_t used);
 
-  // Forgets programs that have been idle for `retention` and deletes the rows
-  // that this process wrote.
+  void OnAsk(const BudgetAsk& ask,
+             std::function<void(const BudgetGive&)> reply) override;
+  void OnGive(const BudgetGive& give) override;
+  void OnSpent(const std::string& program, std::int64_t reserved) override;
+
+  // Makes advances durable when the store answers again, and gives back what
+  // is not used. Call it often.
+  void Settle();
+  // Forgets programs that have been idle for `retention` and deletes their rows
+  // unless another entry has written them since.
   void Sweep(base::Duration retention);
 
   std::size_t programs() const { return book_.size(); }
@@ -59,14 +70,26 @@
     std::int64_t budget = 0;
     std::int64_t most = 0;
     Callback callback;
+    // Waits for another entry, which must not be asked again: this entry
+    // advances the tokens itself.
+    bool for_peer = false;
   };
   struct Pending {
     std::deque<Waiter> waiters;
-    // Failed calls in a row.
+    // A call to the store is under way.
+    bool storing = false;
+    // Identity of the latest ask to another entry; zero if none is open.
+    std::uint64_t ask = 0;
+    // Failed ways in a row.
     int failures = 0;
+    // Counts the uses of the timer.
+    std::uint64_t timer = 0;
   };
 
-  void Reserve(const std::string& program);
+  void Enqueue(const std::string& program, Waiter waiter);
+  // Takes the next way to tokens for the waiters.
+  void Obtain(const std::string& program);
+  void Reserve(const std::string& program, const BudgetReservation& next);
   void OnWritten(const std::string& program,
                  const BudgetReservation& reservation,
                  const std::string& writer,
@@ -78,17 +101,31 @@
   bool TakeRow(const std::string& program,
                const TableRow& row,
                const std::string& writer);
-  // Answers the waiters that the book can answer now, and writes the next
-  // reservation for the others.
+  // Tokens from this or another entry instead of the store.
+  void Borrow(const std::string& program);
+  // Answers the waiters that the book can answer now, and goes on for the
+  // others.
   void Continue(const std::string& program);
-  void OnFailure(const std::string& program, std::string_view step);
+  // Answers them without obtaining more. Returns whether none is left.
+  bool AnswerWaiters(const std::string& program);
+  void OnStoreFailure(const std::string& program, std::string_view step);
+  void FailWaiters(const std::string& program);
+  void After(const std::string& program,
+             base::Duration delay,
+             std::function<void()> action);
+  void NoteStoreCall(base::TimePoint started, bool done);
+  bool store_suspect() const;
 
   boost::asio::io_context& context_;
   SharedTable& table_;
+  BudgetPeers& peers_;
   BudgetBook book_;
   base::Random random_;
-  // Programs with a reservation under way.
+  std::uint64_t next_ask_;
+  // Programs with waiters or with a call under way.
   std::map<std::string, Pending> pending_;
+  // Until then the store is taken to be away or slow.
+  base::TimePoint suspect_until_{};
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -95,8 +95,8 @@
   ServerRegistry registry_;
   Placer placer_;
   ServerPool pool_;
-  BudgetService budgets_;
   PeerLink peers_;
+  BudgetService budgets_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   bool servers_known_ = false;
--- a/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
@@ -37,6 +37,8 @@
   // call.
   std::vector<PeerId> TakeGone(base::TimePoint now);
 
+  // Addresses of the gateways heard within the lifetime.
+  std::vector<std::string> live_addresses() const;
   // All known addresses, silent ones too: their messages may be lost.
   std::vector<std::string> addresses() const;
   // Gateways heard within the lifetime.
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -10,6 +11,9 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "peer.capnp.h"
+
+#include "vanillalever/forwarding/budget_peers.h"
 #include "vanillalever/forwarding/peer_directory.h"
 #include "vanillalever/forwarding/server_registry.h"
 #include "vanillalever/forwarding/shared_table.h"
@@ -33,7 +37,7 @@
 // Tells the other gateways what this one has open at the servers, and hears the
 // same from them. Gateways find one another by rows of the shared table. Lost
 // messages only make the view of the load older. Event loop's thread only.
-class PeerLink {
+class PeerLink final : public BudgetPeers {
  public:
   PeerLink(boost::asio::io_context& context,
            PeerLinkSettings settings,
@@ -41,6 +45,13 @@
            ServerRegistry& registry,
            std::uint64_t seed);
 
+  // Call before Start().
+  void SetBudgetHandler(BudgetHandler& handler) { budgets_ = &handler; }
+
+  bool Ask(const BudgetAsk& ask) override;
+  void AnnounceSpent(const std::string& program,
+                     std::int64_t reserved) override;
+
   // Binds the address. Throws base::Error when it cannot be bound.
   void Start();
 
@@ -63,6 +74,9 @@
   void ScheduleSend();
   void SendLoad(bool complete);
   void Tick();
+  std::string PackGive(const BudgetGive& give);
+  void OnBudgetMessage(const protocol::peer::Message::Reader& message);
+  void SendTo(const std::string& address, const std::string& datagram);
 
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer send_timer_;
@@ -71,6 +85,7 @@
   SharedTable& table_;
   ServerRegistry& registry_;
   PeerDirectory directory_;
+  BudgetHandler* budgets_ = nullptr;
   const PeerId id_;
   std::uint64_t sequence_ = 0;
   // Servers whose load has changed since the last message.
--- a/packages/forwarding/src/budget_book.cc
+++ b/packages/forwarding/src/budget_book.cc
@@ -7,6 +7,12 @@
 
 BudgetBook::BudgetBook(BudgetSettings settings) : settings_(settings) {}
 
+const BudgetBook::Program& BudgetBook::At(const std::string& program) const {
+  auto found = programs_.find(program);
+  assert(found != programs_.end());
+  return found->second;
+}
+
 BudgetVerdict BudgetBook::Begin(const std::string& program,
                                 std::int64_t budget,
                                 std::int64_t most,
@@ -15,6 +21,7 @@
   // A program's budget does not change; the smaller value is the safe one.
   entry.budget = entry.budget == 0 ? budget : std::min(entry.budget, budget);
   entry.used = now;
+  entry.most = most;
   if (entry.available >= most) {
     entry.available -= most;
     ++entry.open_turns;
@@ -36,19 +43,52 @@
 std::optional<BudgetReservation> BudgetBook::NextReservation(
     const std::string& program,
     std::int64_t most) const {
-  auto found = programs_.find(program);
-  assert(found != programs_.end());
-  const Program& entry = found->second;
-  std::int64_t need = most - entry.available;
-  std::int64_t left = entry.budget - entry.row.reserved;
-  if (need > left)
+  const Program& entry = At(program);
+  std::int64_t need = std::max<std::int64_t>(0, most - entry.available);
+  if (need > entry.left())
     return std::nullopt;
   std::int64_t ahead = std::min((settings_.turns_ahead - 1) * most,
-                                (left - need) / settings_.ahead_divisor);
+                                (entry.left() - need) /
+                                    settings_.ahead_divisor);
+  BudgetReservation reservation;
+  reservation.expected_version = entry.row.version;
+  reservation.amount = need + ahead;
+  reservation.settles = entry.unsettled;
+  reservation.reserved =
+      entry.row.reserved + reservation.amount + reservation.settles;
+  return reservation;
+}
+
+std::optional<BudgetReservation> BudgetBook::Settlement(
+    const std::string& program) const {
+  const Program& entry = At(program);
+  if (entry.unsettled == 0)
+    return std::nullopt;
+  BudgetReservation reservation;
+  reservation.expected_version = entry.row.version;
+  reservation.settles = entry.unsettled;
+  reservation.reserved = entry.row.reserved + reservation.settles;
+  return reservation;
+}
+
+bool BudgetBook::MayReturn(const Program& entry, base::TimePoint now) const {
+  return entry.available > 0 && entry.open_turns == 0 &&
+         entry.row.version > 0 && now - entry.used > settings_.return_after &&
+         entry.left() < settings_.turns_when_short * entry.most;
+}
+
+std::optional<BudgetReservation> BudgetBook::TakeReturn(
+    const std::string& program,
+    base::TimePoint now) {
+  Program& entry = programs_[program];
+  if (!MayReturn(entry, now))
+    return std::nullopt;
   BudgetReservation reservation;
   reservation.expected_version = entry.row.version;
-  reservation.amount = std::max<std::int64_t>(0, need + ahead);
-  reservation.reserved = entry.row.reserved + reservation.amount;
+  reservation.settles = entry.unsettled;
+  reservation.reserved = std::max<std::int64_t>(
+      0, entry.row.reserved + entry.unsettled - entry.available);
+  entry.available = 0;
   return reservation;
 }
 
@@ -57,6 +97,8 @@
                           std::uint64_t version) {
   Program& entry = programs_[program];
   entry.available += reservation.amount;
+  entry.unsettled -= reservation.settles;
+  assert(entry.unsettled >= 0);
   if (version > entry.row.version) {
     entry.row.version = version;
     entry.row.reserved = reservation.reserved;
@@ -65,15 +107,70 @@
 
 void BudgetBook::Observe(const std::string& program, const BudgetRow& row) {
   Program& entry = programs_[program];
+  if (row.version == 0) {
+    // The row was removed; what is known to be reserved stays so.
+    entry.row.version = 0;
+    return;
+  }
   if (row.version >= entry.row.version)
     entry.row = row;
 }
 
-std::vector<std::string> BudgetBook::Forget(base::TimePoint before) {
-  std::vector<std::string> forgotten;
+bool BudgetBook::Advance(const std::string& program, std::int64_t most) {
+  Program& entry = programs_[program];
+  std::int64_t need = std::max<std::int64_t>(0, most - entry.available);
+  std::int64_t limit = most + entry.budget / settings_.advance_divisor;
+  if (need > entry.left() || entry.unsettled + need > limit)
+    return false;
+  entry.unsettled += need;
+  entry.available += need;
+  return true;
+}
+
+void BudgetBook::Receive(const std::string& program, std::int64_t tokens) {
+  programs_[program].available += tokens;
+}
+
+void BudgetBook::ObserveReserved(const std::string& program,
+                                 std::int64_t reserved,
+                                 base::TimePoint now) {
+  Program& entry = programs_[program];
+  entry.used = std::max(entry.used, now);
+  entry.row.reserved = std::max(entry.row.reserved, reserved);
+}
+
+std::int64_t BudgetBook::reserved(const std::string& program) const {
+  auto found = programs_.find(program);
+  if (found == programs_.end())
+    return 0;
+  return found->second.row.reserved + found->second.unsettled;
+}
+
+std::vector<std::string> BudgetBook::Unsettled() const {
+  std::vector<std::string> programs;
+  for (const auto& [program, entry] : programs_) {
+    if (entry.unsettled > 0)
+      programs.push_back(program);
+  }
+  return programs;
+}
+
+std::vector<std::string> BudgetBook::Returnable(base::TimePoint now) const {
+  std::vector<std::string> programs;
+  for (const auto& [program, entry] : programs_) {
+    if (MayReturn(entry, now))
+      programs.push_back(program);
+  }
+  return programs;
+}
+
+std::vector<BudgetBook::Forgotten> BudgetBook::Forget(base::TimePoint before) {
+  std::vector<Forgotten> forgotten;
   for (auto entry = programs_.begin(); entry != programs_.end();) {
-    if (entry->second.open_turns == 0 && entry->second.used < before) {
-      forgotten.push_back(entry->first);
+    const Program& program = entry->second;
+    if (program.open_turns == 0 && program.unsettled == 0 &&
+        program.used < before) {
+      forgotten.push_back({entry->first, program.row.version});
       entry = programs_.erase(entry);
     } else {
       ++entry;
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -12,14 +13,21 @@
 namespace vanillalever::forwarding {
 namespace {
 
+using base::milliseconds;
+
 constexpr const char* kTable = "budgets";
 // Rows are spread over this many partitions, which the store changes
 // independently of each other.
 constexpr std::uint64_t kPartitions = 16;
-// Failed calls in a row after which waiting turns are refused.
+// The store answers within about 10 ms when it is well; after this time a turn
+// no longer waits for it.
+constexpr milliseconds kStorePatience{100};
+// How long a store that failed or was slow is not waited for.
+constexpr milliseconds kSuspicion{300};
+// Time for another entry to answer: several round trips between data centres.
+constexpr milliseconds kPeerPatience{60};
+// Ways that failed in a row after which waiting turns are refused.
 constexpr int kMaxFailures = 3;
-// Pause after the first failed call; doubles with each further one.
-constexpr base::milliseconds kFirstPause{25};
 
 RowName NameOf(const std::string& program) {
   return {kTable, std::to_string(base::Hash64(program) % kPartitions), program};
@@ -45,30 +53,50 @@
 
 BudgetService::BudgetService(boost::asio::io_context& context,
                              SharedTable& table,
+                             BudgetPeers& peers,
                              std::uint64_t seed,
                              BudgetSettings settings)
-    : context_(context), table_(table), book_(settings), random_(seed) {}
+    : context_(context),
+      table_(table),
+      peers_(peers),
+      book_(settings),
+      random_(seed),
+      next_ask_(random_.Next()) {}
+
+bool BudgetService::store_suspect() const {
+  return base::TimePoint::clock::now() < suspect_until_;
+}
+
+void BudgetService::NoteStoreCall(base::TimePoint started, bool done) {
+  auto now = base::TimePoint::clock::now();
+  bool suspect = !done || now - started > kStorePatience;
+  if (suspect != store_suspect()) {
+    base::LogEvent(
+        base::LogLevel::kInfo, "budget_store",
+        {{"state", suspect ? "suspect" : "well"},
+         {"took_ms",
+          std::to_string(
+              std::chrono::duration_cast<milliseconds>(now - started)
+                  .count())}});
+  }
+  suspect_until_ = suspect ? now + kSuspicion : base::TimePoint{};
+}
 
 void BudgetService::Begin(const std::string& program,
                           std::int64_t budget,
                           std::int64_t most,
                           Callback callback) {
-  auto pending = pending_.find(program);
-  if (pending == pending_.end()) {
-    auto now = base::TimePoint::clock::now();
-    switch (book_.Begin(program, budget, most, now)) {
-      case BudgetVerdict::kGranted:
-        return callback(BudgetAnswer::kGranted);
-      case BudgetVerdict::kSpent:
-        return callback(BudgetAnswer::kSpent);
-      case BudgetVerdict::kReserve:
-        break;
-    }
-  }
-  bool idle = pending == pending_.end();
-  pending_[program].waiters.push_back({budget, most, std::move(callback)});
-  if (idle)
-    Reserve(program);
+  Enqueue(program, {budget, most, std::move(callback), false});
+}
+
+void BudgetService::Enqueue(const std::string& program, Waiter waiter) {
+  auto found = pending_.find(program);
+  bool busy = found != pending_.end() && !found->second.waiters.empty();
+  Pending& pending = pending_[program];
+  pending.waiters.push_back(std::move(waiter));
+  // The first in the queue obtains the tokens for all.
+  if (!busy)
+    Continue(program);
 }
 
 void BudgetService::End(const std::string& program,
@@ -77,19 +105,114 @@
   book_.End(program, most, used);
 }
 
-void BudgetService::Reserve(const std::string& program) {
-  std::int64_t most = pending_[program].waiters.front().most;
-  auto reservation = book_.NextReservation(program, most);
-  if (!reservation)
+void BudgetService::Continue(const std::string& program) {
+  if (!AnswerWaiters(program))
+    Obtain(program);
+}
+
+bool BudgetService::AnswerWaiters(const std::string& program) {
+  while (!pending_[program].waiters.empty()) {
+    Waiter& next = pending_[program].waiters.front();
+    auto now = base::TimePoint::clock::now();
+    BudgetVerdict verdict = book_.Begin(program, next.budget, next.most, now);
+    if (verdict == BudgetVerdict::kReserve)
+      return false;
+    Callback callback = std::move(next.callback);
+    pending_[program].waiters.pop_front();
+    pending_[program].failures = 0;
+    if (verdict == BudgetVerdict::kSpent)
+      peers_.AnnounceSpent(program, book_.reserved(program));
+    callback(verdict == BudgetVerdict::kGranted ? BudgetAnswer::kGranted
+                                                : BudgetAnswer::kSpent);
+  }
+  if (!pending_[program].storing)
+    pending_.erase(program);
+  return true;
+}
+
+void BudgetService::Obtain(const std::string& program) {
+  Pending& pending = pending_[program];
+  if (store_suspect())
+    return Borrow(program);
+  if (pending.storing)
+    return After(program, kStorePatience, [this, program] { Borrow(program); });
+  auto next =
+      book_.NextReservation(program, pending.waiters.front().most);
+  if (!next)
     return Continue(program);
+  Reserve(program, *next);
+  After(program, kStorePatience, [this, program] { Borrow(program); });
+}
+
+void BudgetService::After(const std::string& program,
+                          base::Duration delay,
+                          std::function<void()> action) {
+  std::uint64_t use = random_.Next();
+  pending_[program].timer = use;
+  auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
+  timer->async_wait([this, program, use, timer, action = std::move(action)](
+                        boost::system::error_code error) {
+    auto found = pending_.find(program);
+    if (!error && found != pending_.end() && found->second.timer == use &&
+        !found->second.waiters.empty())
+      action();
+  });
+}
+
+void BudgetService::Borrow(const std::string& program) {
+  Pending& pending = pending_[program];
+  const Waiter& first = pending.waiters.front();
+  if (++pending.failures > kMaxFailures)
+    return FailWaiters(program);
+  if (!first.for_peer) {
+    BudgetAsk ask;
+    ask.ask = ++next_ask_;
+    ask.program = program;
+    ask.budget = first.budget;
+    ask.tokens = first.most;
+    ask.reserved = book_.reserved(program);
+    if (peers_.Ask(ask)) {
+      pending.ask = ask.ask;
+      return After(program, kPeerPatience, [this, program] { Obtain(program); });
+    }
+  }
+  if (!book_.Advance(program, first.most))
+    return FailWaiters(program);
+  base::LogEvent(base::LogLevel::kInfo, "budget_advanced",
+                 {{"program", program},
+                  {"tokens", std::to_string(first.most)},
+                  {"reserved", std::to_string(book_.reserved(program))}});
+  Continue(program);
+}
+
+void BudgetService::FailWaiters(const std::string& program) {
+  Pending& pending = pending_[program];
+  base::LogEvent(base::LogLevel::kWarning, "budget_unavailable",
+                 {{"program", program},
+                  {"waiting", std::to_string(pending.waiters.size())},
+                  {"reserved", std::to_string(book_.reserved(program))}});
+  auto waiters = std::exchange(pending.waiters, {});
+  pending.failures = 0;
+  if (!pending.storing)
+    pending_.erase(program);
+  for (const Waiter& waiter : waiters)
+    waiter.callback(BudgetAnswer::kUnavailable);
+}
+
+void BudgetService::Reserve(const std::string& program,
+                            const BudgetReservation& next) {
+  pending_[program].storing = true;
   std::string writer = base::HexString(random_.Next());
   TableWrite write;
   write.name = NameOf(program);
-  write.expected_version = reservation->expected_version;
-  write.value = Encode(reservation->reserved, writer);
-  table_.Write(std::move(write), [this, program, reservation = *reservation,
-                                  writer](const WriteResult& result) {
-    OnWritten(program, reservation, writer, result);
+  write.expected_version = next.expected_version;
+  write.value = Encode(next.reserved, writer);
+  auto started = base::TimePoint::clock::now();
+  table_.Write(std::move(write), [this, program, next, writer,
+                                  started](const WriteResult& result) {
+    NoteStoreCall(started, result.outcome == StoreOutcome::kDone ||
+                               result.outcome == StoreOutcome::kConflict);
+    OnWritten(program, next, writer, result);
   });
 }
 
@@ -97,19 +220,16 @@
                               const BudgetReservation& reservation,
                               const std::string& writer,
                               const WriteResult& result) {
-  switch (result.outcome) {
-    case StoreOutcome::kDone:
-      book_.Reserved(program, reservation, result.version);
-      return Continue(program);
-    case StoreOutcome::kConflict:
-      if (result.current && TakeRow(program, *result.current, writer))
-        book_.Reserved(program, reservation, result.current->version);
-      return Continue(program);
-    case StoreOutcome::kNotDone:
-      return OnFailure(program, "write");
-    case StoreOutcome::kUnknown:
-      return ReadBack(program, reservation, writer);
-  }
+  if (result.outcome == StoreOutcome::kUnknown)
+    return ReadBack(program, reservation, writer);
+  pending_[program].storing = false;
+  if (result.outcome == StoreOutcome::kNotDone)
+    return OnStoreFailure(program, "write");
+  if (result.outcome == StoreOutcome::kDone)
+    book_.Reserved(program, reservation, result.version);
+  else if (result.current && TakeRow(program, *result.current, writer))
+    book_.Reserved(program, reservation, result.current->version);
+  Continue(program);
 }
 
 void BudgetService::ReadBack(const std::string& program,
@@ -117,8 +237,9 @@
                              const std::string& writer) {
   table_.Read(NameOf(program), [this, program, reservation,
                                 writer](const ReadResult& result) {
+    pending_[program].storing = false;
     if (result.outcome != StoreOutcome::kDone)
-      return OnFailure(program, "read back");
+      return OnStoreFailure(program, "read back");
     // An absent or unchanged row may still be written by the delayed call; the
     // next reservation expects the same version, so that at most one counts.
     if (!result.rows.empty() && TakeRow(program, result.rows.front(), writer))
@@ -135,57 +256,78 @@
   return budget.writer == writer;
 }
 
-void BudgetService::Continue(const std::string& program) {
-  pending_[program].failures = 0;
-  while (!pending_[program].waiters.empty()) {
-    const Waiter& next = pending_[program].waiters.front();
-    auto now = base::TimePoint::clock::now();
-    BudgetVerdict verdict = book_.Begin(program, next.budget, next.most, now);
-    if (verdict == BudgetVerdict::kReserve)
-      return Reserve(program);
-    Callback callback = next.callback;
-    pending_[program].waiters.pop_front();
-    callback(verdict == BudgetVerdict::kGranted ? BudgetAnswer::kGranted
-                                                : BudgetAnswer::kSpent);
-  }
-  pending_.erase(program);
+void BudgetService::OnStoreFailure(const std::string& program,
+                                   std::string_view step) {
+  base::LogEvent(base::LogLevel::kWarning, "budget_store_failed",
+                 {{"program", program}, {"step", std::string(step)}});
+  // The store is suspect now, so that waiting turns take another way.
+  Continue(program);
 }
 
-void BudgetService::OnFailure(const std::string& program,
-                              std::string_view step) {
-  Pending& pending = pending_[program];
-  ++pending.failures;
-  if (pending.failures > kMaxFailures) {
-    base::LogEvent(base::LogLevel::kWarning, "budget_store_failed",
-                   {{"program", program},
-                    {"step", std::string(step)},
-                    {"waiting", std::to_string(pending.waiters.size())}});
-    auto waiters = std::move(pending.waiters);
-    pending_.erase(program);
-    for (const Waiter& waiter : waiters)
-      waiter.callback(BudgetAnswer::kUnavailable);
+void BudgetService::OnAsk(const BudgetAsk& ask,
+                          std::function<void(const BudgetGive&)> reply) {
+  book_.ObserveReserved(ask.program, ask.reserved,
+                        base::TimePoint::clock::now());
+  auto answer = [this, ask, reply = std::move(reply)](BudgetAnswer answer) {
+    BudgetGive give;
+    give.ask = ask.ask;
+    give.program = ask.program;
+    give.reserved = book_.reserved(ask.program);
+    if (answer == BudgetAnswer::kGranted) {
+      // The tokens are the other entry's from now on.
+      book_.End(ask.program, ask.tokens, ask.tokens);
+      give.tokens = ask.tokens;
+    }
+    if (answer != BudgetAnswer::kUnavailable)
+      reply(give);
+  };
+  Enqueue(ask.program, {ask.budget, ask.tokens, std::move(answer), true});
+}
+
+void BudgetService::OnGive(const BudgetGive& give) {
+  book_.ObserveReserved(give.program, give.reserved,
+                        base::TimePoint::clock::now());
+  book_.Receive(give.program, give.tokens);
+  auto found = pending_.find(give.program);
+  if (found == pending_.end() || found->second.ask != give.ask)
+    return;
+  found->second.ask = 0;
+  if (!found->second.waiters.empty())
+    Continue(give.program);
+}
+
+void BudgetService::OnSpent(const std::string& program, std::int64_t reserved) {
+  book_.ObserveReserved(program, reserved, base::TimePoint::clock::now());
+}
+
+void BudgetService::Settle() {
+  if (store_suspect())
     return;
+  for (const std::string& program : book_.Unsettled()) {
+    auto settlement = book_.Settlement(program);
+    if (settlement && !pending_.contains(program))
+      Reserve(program, *settlement);
+  }
+  auto now = base::TimePoint::clock::now();
+  for (const std::string& program : book_.Returnable(now)) {
+    if (pending_.contains(program))
+      continue;
+    if (auto give_back = book_.TakeReturn(program, now))
+      Reserve(program, *give_back);
   }
-  auto pause = kFirstPause * (1 << (pending.failures - 1));
-  auto timer = std::make_shared<boost::asio::steady_timer>(context_, pause);
-  timer->async_wait([this, program, timer](boost::system::error_code error) {
-    if (!error)
-      Reserve(program);
-  });
 }
 
 void BudgetService::Sweep(base::Duration retention) {
   auto before = base::TimePoint::clock::now() - retention;
-  for (const std::string& program : book_.Forget(before)) {
-    // The row is deleted only if it is still as last seen.
-    table_.Read(NameOf(program), [this, program](const ReadResult& result) {
-      if (result.outcome != StoreOutcome::kDone || result.rows.empty())
-        return;
-      TableWrite write;
-      write.name = NameOf(program);
-      write.expected_version = result.rows.front().version;
-      table_.Write(std::move(write), [](const WriteResult&) {});
-    });
+  for (const auto& [program, row_version] : book_.Forget(before)) {
+    if (row_version == 0)
+      continue;
+    TableWrite write;
+    write.name = NameOf(program);
+    write.expected_version = row_version;
+    // A row that stays behind after a failure is deleted by nobody else; it
+    // only takes room.
+    table_.Write(std::move(write), [](const WriteResult&) {});
   }
 }
 
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -22,7 +22,9 @@
 // Pause after a failed accept, for example without free descriptors.
 constexpr milliseconds kAcceptPause{50};
 // How long a program's budget is remembered after its last turn.
-constexpr base::seconds kBudgetRetention{90};
+// Far longer than a program's turns are apart, so that a row is not deleted
+// while another entry still uses it.
+constexpr base::seconds kBudgetRetention{600};
 
 }  // namespace
 
@@ -42,8 +44,8 @@
       registry_(settings_.registry),
       placer_(settings_.placement, settings_.data_centre, random_.Next()),
       pool_(settings_.pool),
-      budgets_(io, table, random_.Next(), settings_.budget),
       peers_(io, settings_.peers, table, registry_, random_.Next()),
+      budgets_(io, table, peers_, random_.Next(), settings_.budget),
       context_{io,       codec,  nullptr,  registry_, placer_, pool_,
                budgets_, peers_, metrics_, random_,   RetryPolicy()} {}
 
@@ -65,6 +67,7 @@
     throw base::NotRun(base::ErrorCode::kUnavailable, base::Step::kConnect,
                        "cannot listen: " + error.message(), settings_.listen);
   }
+  peers_.SetBudgetHandler(budgets_);
   peers_.Start();
   Accept();
   Tick();
@@ -161,6 +164,7 @@
     pool_.Sweep(now);
     budgets_.Sweep(kBudgetRetention);
   }
+  budgets_.Settle();
   if (draining_)
     CheckDrained();
   tick_timer_.expires_after(kTick);
--- a/packages/forwarding/src/peer_directory.cc
+++ b/packages/forwarding/src/peer_directory.cc
@@ -47,6 +47,15 @@
   return addresses;
 }
 
+std::vector<std::string> PeerDirectory::live_addresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.live)
+      addresses.push_back(address);
+  }
+  return addresses;
+}
+
 std::size_t PeerDirectory::live() const {
   std::size_t count = 0;
   for (const auto& [address, peer] : peers_)
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -10,7 +10,6 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
-#include "peer.capnp.h"
 #include "vanillalever/base/error.h"
 #include "vanillalever/base/hash.h"
 #include "vanillalever/base/logging.h"
@@ -180,12 +179,83 @@
   }
   slowness_.clear();
   std::string datagram = Pack(builder);
-  for (const std::string& address : directory_.addresses()) {
-    auto endpoint = UdpEndpoint(address);
-    boost::system::error_code ignored;
-    // A full socket buffer loses the message like the network does.
-    if (endpoint)
-      socket_.send_to(boost::asio::buffer(datagram), *endpoint, 0, ignored);
+  for (const std::string& address : directory_.addresses())
+    SendTo(address, datagram);
+}
+
+void PeerLink::SendTo(const std::string& address, const std::string& datagram) {
+  auto endpoint = UdpEndpoint(address);
+  boost::system::error_code ignored;
+  // A full socket buffer loses the message like the network does.
+  if (endpoint)
+    socket_.send_to(boost::asio::buffer(datagram), *endpoint, 0, ignored);
+}
+
+bool PeerLink::Ask(const BudgetAsk& ask) {
+  // The gateway with the highest random weight grants this program's tokens.
+  std::string home = settings_.address;
+  std::uint64_t best = base::Hash64(ask.program, base::Hash64(home));
+  for (const std::string& address : directory_.live_addresses()) {
+    std::uint64_t weight = base::Hash64(ask.program, base::Hash64(address));
+    if (weight > best) {
+      best = weight;
+      home = address;
+    }
+  }
+  if (home == settings_.address)
+    return false;
+  capnp::MallocMessageBuilder builder;
+  auto message = builder.initRoot<wire::Message>();
+  message.setSender(id_);
+  message.setSequence(++sequence_);
+  auto body = message.initBudgetAsk();
+  body.setAsk(ask.ask);
+  body.setProgram(ask.program);
+  body.setBudget(static_cast<std::uint32_t>(ask.budget));
+  body.setTokens(static_cast<std::uint32_t>(ask.tokens));
+  body.setReserved(static_cast<std::uint32_t>(ask.reserved));
+  SendTo(home, Pack(builder));
+  return true;
+}
+
+std::string PeerLink::PackGive(const BudgetGive& give) {
+  capnp::MallocMessageBuilder builder;
+  auto message = builder.initRoot<wire::Message>();
+  message.setSender(id_);
+  message.setSequence(++sequence_);
+  auto body = message.initBudgetGive();
+  body.setAsk(give.ask);
+  body.setProgram(give.program);
+  body.setTokens(static_cast<std::uint32_t>(give.tokens));
+  body.setReserved(static_cast<std::uint32_t>(give.reserved));
+  return Pack(builder);
+}
+
+void PeerLink::AnnounceSpent(const std::string& program,
+                             std::int64_t reserved) {
+  std::string datagram = PackGive({0, program, 0, reserved});
+  for (const std::string& address : directory_.live_addresses())
+    SendTo(address, datagram);
+}
+
+void PeerLink::OnBudgetMessage(const wire::Message::Reader& message) {
+  if (message.hasBudgetAsk()) {
+    auto body = message.getBudgetAsk();
+    BudgetAsk ask{body.getAsk(), body.getProgram(), body.getBudget(),
+                  body.getTokens(), body.getReserved()};
+    budgets_->OnAsk(ask, [this, address = AddressText(from_)](
+                             const BudgetGive& give) {
+      SendTo(address, PackGive(give));
+    });
+  }
+  if (message.hasBudgetGive()) {
+    auto body = message.getBudgetGive();
+    BudgetGive give{body.getAsk(), body.getProgram(), body.getTokens(),
+                    body.getReserved()};
+    if (give.ask == 0)
+      budgets_->OnSpent(give.program, give.reserved);
+    else
+      budgets_->OnGive(give);
   }
 }
 
@@ -208,8 +278,11 @@
         reinterpret_cast<const kj::byte*>(datagram_.data()), size));
     capnp::PackedMessageReader reader(stream);
     auto message = reader.getRoot<wire::Message>();
-    if (!directory_.OnMessage(AddressText(from_), message.getSender(),
-                              message.getSequence(), now))
+    bool newest = directory_.OnMessage(AddressText(from_), message.getSender(),
+                                       message.getSequence(), now);
+    if (budgets_ != nullptr)
+      OnBudgetMessage(message);
+    if (!newest)
       return;
     auto load = message.getLoad();
     if (load.getComplete())
--- a/packages/protocol/schema/peer.capnp
+++ b/packages/protocol/schema/peer.capnp
@@ -13,10 +13,9 @@
   sequence @1 :UInt64;
   # Load that the sender has open at servers.
   load @2 :Load;
-  # Programs whose tokens the sender needs.
-  budgetAsks @3 :List(BudgetAsk);
-  # Tokens that the sender hands over to the receiver.
-  budgetGives @4 :List(BudgetGive);
+  # Token budgets: asks, and answers or announcements.
+  budgetAsk @3 :BudgetAsk;
+  budgetGive @4 :BudgetGive;
 }
 
 struct Load {
@@ -37,15 +36,22 @@
 }
 
 struct BudgetAsk {
-  program @0 :Text;
-  # Tokens that are missing.
-  tokens @1 :UInt32;
+  # Identity of the ask at its sender.
+  ask @0 :UInt64;
+  program @1 :Text;
+  budget @2 :UInt32;
+  # Tokens that are asked for.
+  tokens @3 :UInt32;
+  # Tokens that the sender knows to be reserved.
+  reserved @4 :UInt32;
 }
 
 struct BudgetGive {
-  program @0 :Text;
-  # Tokens that the sender no longer has.
-  tokens @1 :UInt32;
-  # Sequence number of the message that asked.
-  asked @2 :UInt64;
+  # Identity of the ask that this answers; zero for an announcement.
+  ask @0 :UInt64;
+  program @1 :Text;
+  # Tokens that are the receiver's from now on.
+  tokens @2 :UInt32;
+  # Tokens that are reserved in all, as far as the sender knows.
+  reserved @3 :UInt32;
 }
--- /dev/null
+++ b/tests/gateway/standin.py
@@ -0,0 +1,314 @@
+"""Stand-ins for the users' platform: its store, plain servers and model engines, written from the published protocol.
+
+Everything runs on one asyncio loop in a thread of its own, so that tests call it from outside with Platform.call().
+"""
+import asyncio
+import base64
+import json
+import threading
+import time
+import urllib.parse
+
+
+class Request:
+    def __init__(self, method, target, headers, body):
+        self.method, self.target, self.headers, self.body = method, target, headers, body
+        self.path, _, query = target.partition("?")
+        self.query = {k: v[0] for k, v in urllib.parse.parse_qs(query, keep_blank_values=True).items()}
+
+
+async def read_request(reader):
+    """Next request of a connection, or None at its end."""
+    head = b""
+    while not head.endswith(b"\r\n\r\n"):
+        line = await reader.readline()
+        if not line:
+            return None
+        head += line
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Request(method, target, headers, body)
+
+
+def response(status, headers=None, body=b""):
+    text = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+    for name, value in (headers or {}).items():
+        text += f"{name}: {value}\r\n"
+    return text.encode() + b"\r\n" + body
+
+
+class Listener:
+    """Accepts connections and hands each request to `handle`, a coroutine that writes the answer."""
+
+    def __init__(self):
+        self.port = 0
+        self.server = None
+        self.writers = set()
+
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def stop(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while (request := await read_request(reader)) is not None:
+                if not await self.handle(request, reader, writer):
+                    break
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.transport.abort()
+
+
+class Store(Listener):
+    """Tables with conditional writes and a feed of changes. `mode` is one of ok, busy (503), silent, lost (writes are
+    done and not answered), late (writes are done after a second and not answered)."""
+
+    def __init__(self):
+        super().__init__()
+        self.rows = {}
+        self.version = 0
+        self.history = []
+        self.oldest = 0
+        self.changed = asyncio.Event()
+        self.mode = "ok"
+        self.calls = []
+
+    def put(self, table, key, value, part=""):
+        self.version += 1
+        name = (table, part, key)
+        row = {"table": table, "part": part, "key": key, "ver": self.version}
+        if value is None:
+            self.rows.pop(name, None)
+            row["deleted"] = True
+        else:
+            data = value if isinstance(value, bytes) else json.dumps(value).encode()
+            row["value"] = base64.b64encode(data).decode()
+            self.rows[name] = row
+        self.history.append(row)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def compact(self):
+        """Drops the history."""
+        self.history = []
+        self.oldest = self.version
+
+    def table(self, name):
+        return {key: base64.b64decode(row["value"]).decode() for (table, _, key), row in self.rows.items()
+                if table == name}
+
+    def answer(self, status, body):
+        body.update({"ver": self.version, "nowMs": int(time.monotonic() * 1000)})
+        return response(status, {"Content-Type": "application/json"}, json.dumps(body).encode())
+
+    def transact(self, body):
+        current = []
+        failed = False
+        for row in body["precondition"]:
+            have = self.rows.get((row["table"], row["part"], row["key"]))
+            current += [have] if have else []
+            failed |= (have["ver"] if have else 0) != row["ver"]
+        if failed:
+            return self.answer(412, {"rows": current})
+        for row in body["puts"]:
+            self.put(row["table"], row["key"], base64.b64decode(row["value"]), row["part"])
+        for row in body["deletes"]:
+            self.put(row["table"], row["key"], None, row["part"])
+        return self.answer(200, {})
+
+    async def handle(self, request, reader, writer):
+        self.calls.append((time.monotonic(), request.path, self.mode))
+        if self.mode == "busy":
+            writer.write(response(503))
+            return True
+        if self.mode == "silent":
+            await asyncio.sleep(30)
+            return False
+        if request.path == "/rows-tx":
+            if self.mode == "late":
+                await asyncio.sleep(1)
+            answer = self.transact(json.loads(request.body))
+            if self.mode in ("lost", "late"):
+                await asyncio.sleep(30)
+                return False
+            writer.write(answer)
+        elif request.path == "/rows-get":
+            query = request.query
+            rows = [row for (table, part, key), row in sorted(self.rows.items())
+                    if table == query["table"] and part == query["part"] and key >= query.get("from", "")
+                    and ("to" not in query or key < query["to"])]
+            limit = int(query.get("limit", 500))
+            writer.write(self.answer(200, {"rows": rows[:limit], "morePages": len(rows) > limit}))
+        elif request.path == "/rows-feed":
+            writer.write(await self.feed(request.query))
+        return True
+
+    async def feed(self, query):
+        after, deadline = int(query["after"]), time.monotonic() + int(query["waitMs"]) / 1000
+        while True:
+            if after < self.oldest:
+                return response(410)
+            rows = [row for row in self.history if row["ver"] > after and row["table"] == query["table"]]
+            if rows or time.monotonic() >= deadline:
+                return self.answer(200, {"rows": rows})
+            try:
+                await asyncio.wait_for(self.changed.wait(), deadline - time.monotonic())
+            except asyncio.TimeoutError:
+                pass
+
+
+class Backend(Listener):
+    """A plain server. `plan` maps a path to how its requests are treated; see handle()."""
+
+    def __init__(self, identity, service):
+        super().__init__()
+        self.identity, self.service = identity, service
+        self.ran = []
+        self.cut = []
+        self.plan = {}
+        self.work_s = 0.005
+
+    def entry(self, state="ready", **extra):
+        entry = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "zone-a", "version": "v1",
+                 "slots": 6, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1}
+        entry.update(extra)
+        return entry
+
+    def headers(self, request):
+        return {"Request-Id": request.headers["request-id"], "Server-Seal": f"seal-{self.identity}",
+                "Server-Load": "1,0,6,100", "Instance-Id": self.identity}
+
+    async def handle(self, request, reader, writer):
+        how = self.plan.get(request.path, "ok")
+        if request.headers.get("expect-instance") != self.identity:
+            writer.write(response(421, {"Instance-Id": self.identity,
+                                        "Request-Id": request.headers["request-id"]}))
+            return True
+        if how == "shed":
+            writer.write(response(503, {"Not-Executed": "1", "Request-Id": request.headers["request-id"]}))
+            return True
+        self.ran.append((request.headers["request-id"], request.path, request.headers, request.body))
+        if how == "hang":
+            return await self.wait_for_caller(request, reader)
+        if how == "drop":
+            return False
+        if how.startswith("slow"):
+            await asyncio.sleep(float(how[4:]))
+        return await self.run(request, reader, writer, how)
+
+    async def wait_for_caller(self, request, reader):
+        await reader.read(1)
+        self.cut.append(request.headers["request-id"])
+        return False
+
+    async def run(self, request, reader, writer, how):
+        await asyncio.sleep(self.work_s)
+        body = f"{self.identity} ran {request.path}".encode()
+        answer = response(200, self.headers(request), body)
+        if how == "half":
+            writer.write(answer[:-4])
+            await writer.drain()
+            return False
+        if how == "stray":
+            other = dict(self.headers(request), **{"Request-Id": "another"})
+            writer.write(response(200, other, b"stray") + answer)
+            return True
+        if how == "garbage":
+            writer.write(b"\x00\x01 not http\r\n\r\n")
+            await writer.drain()
+            return False
+        writer.write(answer)
+        return True
+
+
+class Engine(Backend):
+    """A model engine: streams `events` events, each with an increasing id, from the one after Last-Event-Id on."""
+
+    def __init__(self, identity, service):
+        super().__init__(identity, service)
+        self.events = 6
+        self.gap_s = 0.01
+
+    async def run(self, request, reader, writer, how):
+        text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+        for name, value in self.headers(request).items():
+            text += f"{name}: {value}\r\n"
+        writer.write(text.encode() + b"\r\n")
+        first = int(request.headers.get("last-event-id") or 0) + 1
+        for number in range(first, self.events + 1):
+            await asyncio.sleep(self.gap_s)
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if how == "break" and number == first + 2:
+                # Half an event, and the end of the connection.
+                writer.write(b"8\r\nid: 9\nda\r\n")
+                await writer.drain()
+                self.plan[request.path] = "ok"
+                return False
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+class Platform:
+    """Store, servers and the operator's configuration for one test."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.store = self.call(self.make(Store))
+        self.servers = {}
+        self.version = 0
+
+    async def make(self, kind, *arguments):
+        return await kind(*arguments).start()
+
+    def call(self, coroutine):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
+
+    def run(self, function, *arguments, **named):
+        async def invoke():
+            return function(*arguments, **named)
+        return self.call(invoke())
+
+    def add(self, kind, identity, service):
+        server = self.call(self.make(kind, identity, service))
+        self.servers[identity] = server
+        self.run(self.store.put, "servers", identity, server.entry())
+        return server
+
+    def configure(self, routes):
+        self.version += 3
+        base = {"host": "desk.example", "timeoutMs": 3000, "goalMs": 200, "priority": 1, "maxAttempts": 1,
+                "stateful": False, "retentionS": 60.0, "sticky": False, "resumable": False}
+        config = {"version": self.version, "routes": [dict(base, name=r["prefix"], **r) for r in routes],
+                  "services": [{"name": "tools", "healthPath": "/health", "maxConns": 96, "protocol": "h1",
+                                "tls": False},
+                               {"name": "models", "healthPath": "/health", "maxConns": 96, "protocol": "h1",
+                                "tls": False, "engine": {"slots": 12, "kvCapacity": 90000, "eventTokens": 5}}],
+                  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 1000,
+                             "idleTimeoutMs": 5000}}
+        self.run(self.store.put, "op", "config", config)
+        return self.version
+
+    def close(self):
+        for server in [self.store, *self.servers.values()]:
+            self.call(server.stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5)
