Close idle connections and stop accepting once a stopping gateway is out of rotation

The same tests found two more faults: a read went on being repeated at the same servers until its time limit (runs are counted now), and servers in a complete listing were taken over without closing connections to those that changed.

Ruled out: refusing late requests with 503, which costs the caller a refusal where a new connection elsewhere is served.

--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -74,10 +74,10 @@
   void Start();
   // Closes the connection now.
   void Close(std::string_view reason);
-  // Closes the connection if no request is in progress, and after the present
-  // answer otherwise.
-  void CloseWhenIdle();
-  bool idle() const { return !in_request_ && unsent_.empty() && !writing_; }
+  // No request is read, in progress or being answered.
+  bool idle() const {
+    return !in_request_ && !parser_ && buffer_.size() == 0 && !writing_;
+  }
 
   void SendWhole(int status,
                  const HttpFields& fields,
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -3,7 +3,6 @@
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -95,7 +94,8 @@
   // The present send uses a connection that was kept.
   bool kept_connection_ = false;
   std::vector<std::string> excluded_;
-  std::set<std::string> servers_used_;
+  // Sends after which a server may have run the request.
+  int runs_ = 0;
   int sends_ = 0;
   int same_server_tries_ = 0;
   int waits_ = 0;
--- a/packages/forwarding/include/vanillalever/forwarding/retry_policy.h
+++ b/packages/forwarding/include/vanillalever/forwarding/retry_policy.h
@@ -35,8 +35,8 @@
   RequestKind kind = RequestKind::kNonIdempotent;
   // The stream may be resumed.
   bool resumable = false;
-  // Servers that may have run the request.
-  int servers_used = 0;
+  // Sends after which a server may have run the request.
+  int runs = 0;
   // Most servers that may run it.
   int max_servers = 1;
   // The failed server has ended, as far as this process can tell.
--- a/packages/forwarding/include/vanillalever/forwarding/server_registry.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_registry.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -52,9 +53,8 @@
   // A row was removed while the store was away: the server is kept for the
   // grace period.
   void Lapse(const std::string& id, base::TimePoint now);
-  // A complete listing, after the store had been away or its history was lost:
-  // servers that are not listed lapse.
-  void Replace(std::vector<BackendServer> servers, base::TimePoint now);
+  // A complete listing names these servers: all others lapse.
+  void LapseUnlisted(const std::set<std::string>& listed, base::TimePoint now);
   // Drops lapsed servers whose grace period is over. Returns their identities.
   std::vector<std::string> ExpireLapsed(base::TimePoint now);
 
--- a/packages/forwarding/src/budget_book.cc
+++ b/packages/forwarding/src/budget_book.cc
@@ -47,9 +47,9 @@
   std::int64_t need = std::max<std::int64_t>(0, most - entry.available);
   if (need > entry.left())
     return std::nullopt;
-  std::int64_t ahead = std::min((settings_.turns_ahead - 1) * most,
-                                (entry.left() - need) /
-                                    settings_.ahead_divisor);
+  std::int64_t ahead =
+      std::min((settings_.turns_ahead - 1) * most,
+               (entry.left() - need) / settings_.ahead_divisor);
   BudgetReservation reservation;
   reservation.expected_version = entry.row.version;
   reservation.amount = need + ahead;
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -75,9 +75,8 @@
         base::LogLevel::kInfo, "budget_store",
         {{"state", suspect ? "suspect" : "well"},
          {"took_ms",
-          std::to_string(
-              std::chrono::duration_cast<milliseconds>(now - started)
-                  .count())}});
+          std::to_string(std::chrono::duration_cast<milliseconds>(now - started)
+                             .count())}});
   }
   suspect_until_ = suspect ? now + kSuspicion : base::TimePoint{};
 }
@@ -136,8 +135,7 @@
     return Borrow(program);
   if (pending.storing)
     return After(program, kStorePatience, [this, program] { Borrow(program); });
-  auto next =
-      book_.NextReservation(program, pending.waiters.front().most);
+  auto next = book_.NextReservation(program, pending.waiters.front().most);
   if (!next)
     return Continue(program);
   Reserve(program, *next);
@@ -173,7 +171,8 @@
     ask.reserved = book_.reserved(program);
     if (peers_.Ask(ask)) {
       pending.ask = ask.ask;
-      return After(program, kPeerPatience, [this, program] { Obtain(program); });
+      return After(program, kPeerPatience,
+                   [this, program] { Obtain(program); });
     }
   }
   if (!book_.Advance(program, first.most))
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -262,13 +262,6 @@
   FlushWrites();
 }
 
-void CallerSession::CloseWhenIdle() {
-  if (idle() && buffer_.size() == 0 && !parser_)
-    Close("draining");
-  else
-    keep_alive_ = false;
-}
-
 void CallerSession::Close(std::string_view) {
   if (closed_)
     return;
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -159,7 +159,7 @@
   auto now = base::TimePoint::clock::now();
   auto limit = std::chrono::duration_cast<base::Duration>(
       kWaitShare * (deadline_ - arrived_));
-  if (now - arrived_ >= limit && servers_used_.empty() && !relaying_) {
+  if (now - arrived_ >= limit && runs_ == 0 && !relaying_) {
     return Refuse(
         "no server can take the request",
         kRetryAfter + milliseconds(context_.random.Below(kRetryJitterMs)));
@@ -358,11 +358,11 @@
   bool may_have_run =
       failure == SendFailure::kNoAnswer || failure == SendFailure::kBroken;
   if (may_have_run)
-    servers_used_.insert(id);
+    ++runs_;
   RetryState state;
   state.kind = route_->kind;
   state.resumable = route_->resumable;
-  state.servers_used = static_cast<int>(servers_used_.size());
+  state.runs = runs_;
   state.max_servers = route_->max_attempts;
   state.server_gone = slot_->removed || failure == SendFailure::kNotSent;
   state.same_server_tries = same_server_tries_;
@@ -395,7 +395,7 @@
   if (done_)
     return;
   auto self = shared_from_this();
-  bool sent = connection_ != nullptr || !servers_used_.empty() || relaying_;
+  bool sent = connection_ != nullptr || runs_ > 0 || relaying_;
   if (!sent)
     return Refuse(
         "the time limit passed before a server could take the request",
@@ -405,7 +405,7 @@
 
 void ForwardedRequest::Refuse(std::string_view reason,
                               base::Duration retry_after) {
-  if (!servers_used_.empty() || relaying_)
+  if (runs_ > 0 || relaying_)
     return GiveUp(502, reason);
   context_.metrics.refused.Add();
   AnswerOwn(503, reason, retry_after);
@@ -460,18 +460,19 @@
                          framer_.events() * event_tokens);
   }
   auto now = base::TimePoint::clock::now();
-  base::LogEvent(base::LogLevel::kInfo, "request",
-                 {{"request", profile_.request_id},
-                  {"program", profile_.program},
-                  {"route", route_ == nullptr ? "" : route_->name},
-                  {"config", std::to_string(config_ ? config_->version : 0)},
-                  {"server", slot_ ? slot_->server.id : ""},
-                  {"outcome", std::string(outcome)},
-                  {"status", std::to_string(status_)},
-                  {"reason", std::string(reason)},
-                  {"sends", std::to_string(sends_)},
-                  {"waits", std::to_string(waits_)},
-                  {"events", std::to_string(framer_.events())},
+  base::LogEvent(
+      base::LogLevel::kInfo, "request",
+      {{"request", profile_.request_id},
+       {"program", profile_.program},
+       {"route", route_ == nullptr ? "" : route_->name},
+       {"config", std::to_string(config_ ? config_->version : 0)},
+       {"server", slot_ ? slot_->server.id : ""},
+       {"outcome", std::string(outcome)},
+       {"status", std::to_string(status_)},
+       {"reason", std::string(reason)},
+       {"sends", std::to_string(sends_)},
+       {"waits", std::to_string(waits_)},
+       {"events", std::to_string(framer_.events())},
        {"budget", std::to_string(profile_.token_budget.value_or(0))},
        {"most", std::to_string(profile_.max_output_tokens)},
        {"prompt", std::to_string(profile_.prompt_tokens)},
@@ -485,7 +486,7 @@
                                     Decimal(reported_->slowness)
                               : "-"},
        {"first_ms", first_output_ ? Ms(*first_output_ - sent_at_) : "-"},
-                  {"took_ms", Ms(now - arrived_)}});
+       {"took_ms", Ms(now - arrived_)}});
 }
 
 base::Duration ForwardedRequest::time_left() const {
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -1,6 +1,8 @@
 #include "vanillalever/forwarding/gateway.h"
 
+#include <set>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/post.hpp>
 
@@ -46,7 +48,7 @@
       pool_(settings_.pool),
       peers_(io, settings_.peers, table, registry_, random_.Next()),
       budgets_(io, table, peers_, random_.Next(), settings_.budget),
-      context_{io,       codec,  nullptr,  registry_, placer_, pool_,
+      context_{io,       codec,  nullptr,  registry_, placer_,      pool_,
                budgets_, peers_, metrics_, random_,   RetryPolicy()} {}
 
 Gateway::~Gateway() = default;
@@ -76,7 +78,7 @@
 void Gateway::Accept() {
   acceptor_.async_accept([this](boost::system::error_code error,
                                 tcp::socket socket) {
-    if (error == boost::asio::error::operation_aborted)
+    if (error == boost::asio::error::operation_aborted || !acceptor_.is_open())
       return;
     if (error) {
       base::LogEvent(base::LogLevel::kWarning, "accept_failed",
@@ -145,7 +147,12 @@
                  {{"listed", std::to_string(servers.size())},
                   {"known", std::to_string(registry_.size())}});
   servers_known_ = true;
-  registry_.Replace(std::move(servers), base::TimePoint::clock::now());
+  std::set<std::string> listed;
+  for (BackendServer& server : servers) {
+    listed.insert(server.id);
+    OnServerPut(std::move(server));
+  }
+  registry_.LapseUnlisted(listed, base::TimePoint::clock::now());
 }
 
 bool Gateway::ready() const {
@@ -189,17 +196,24 @@
   auto elapsed = base::TimePoint::clock::now() - drain_started_;
   if (elapsed < settings_.linger)
     return;
-  std::size_t busy = 0;
-  for (const auto& [raw, session] : sessions_)
-    busy += session->idle() ? 0 : 1;
+  // The load balancer has taken this process out by now. A request that came in
+  // later could be cut at the end of the grace period.
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  std::vector<std::shared_ptr<CallerSession>> idle;
+  for (const auto& [raw, session] : sessions_) {
+    if (session->idle())
+      idle.push_back(session);
+  }
+  for (const auto& session : idle)
+    session->Close("draining");
+  std::size_t busy = sessions_.size();
   bool forced = elapsed >= settings_.grace - settings_.stop_margin;
   if ((busy > 0 && !forced) || !on_drained_)
     return;
   base::LogEvent(
       base::LogLevel::kInfo, "drain_ended",
       {{"busy", std::to_string(busy)}, {"forced", forced ? "true" : "false"}});
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
   std::exchange(on_drained_, nullptr)();
 }
 
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -4,11 +4,11 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/buffer.hpp>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 #include <kj/io.h>
+#include <boost/asio/buffer.hpp>
 
 #include "vanillalever/base/error.h"
 #include "vanillalever/base/hash.h"
@@ -37,8 +37,7 @@
 }
 
 std::string AddressText(const udp::endpoint& endpoint) {
-  return endpoint.address().to_string() + ":" +
-         std::to_string(endpoint.port());
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
 std::string Pack(capnp::MessageBuilder& message) {
@@ -95,9 +94,9 @@
 }
 
 void PeerLink::List() {
-  next_list_ = base::TimePoint::clock::now() +
-               (listed_ ? settings_.list_interval
-                        : settings_.first_list_interval);
+  next_list_ =
+      base::TimePoint::clock::now() +
+      (listed_ ? settings_.list_interval : settings_.first_list_interval);
   if (!registered_)
     Register();
   table_.List(kTable, "",
@@ -243,10 +242,10 @@
     auto body = message.getBudgetAsk();
     BudgetAsk ask{body.getAsk(), body.getProgram(), body.getBudget(),
                   body.getTokens(), body.getReserved()};
-    budgets_->OnAsk(ask, [this, address = AddressText(from_)](
-                             const BudgetGive& give) {
-      SendTo(address, PackGive(give));
-    });
+    budgets_->OnAsk(
+        ask, [this, address = AddressText(from_)](const BudgetGive& give) {
+          SendTo(address, PackGive(give));
+        });
   }
   if (message.hasBudgetGive()) {
     auto body = message.getBudgetGive();
--- a/packages/forwarding/src/retry_policy.cc
+++ b/packages/forwarding/src/retry_policy.cc
@@ -16,9 +16,10 @@
                     (state.kind == RequestKind::kStreaming && state.resumable);
   if (!repeatable)
     return NextStep::kGiveUp;
-  if (state.server_gone || state.servers_used < state.max_servers)
+  if (state.server_gone || state.runs < state.max_servers)
     return NextStep::kTryElsewhere;
-  if (state.same_server_tries < kMaxSameServerTries)
+  if (state.kind == RequestKind::kStreaming &&
+      state.same_server_tries < kMaxSameServerTries)
     return NextStep::kTrySameServer;
   return NextStep::kGiveUp;
 }
--- a/packages/forwarding/src/server_registry.cc
+++ b/packages/forwarding/src/server_registry.cc
@@ -1,6 +1,5 @@
 #include "vanillalever/forwarding/server_registry.h"
 
-#include <set>
 #include <utility>
 
 #include "vanillalever/base/hash.h"
@@ -40,16 +39,11 @@
     slot->lapse_deadline = now + settings_.lapse_grace;
 }
 
-void ServerRegistry::Replace(std::vector<BackendServer> servers,
-                             base::TimePoint now) {
-  std::set<std::string> listed;
-  for (BackendServer& server : servers) {
-    listed.insert(server.id);
-    Put(std::move(server));
-  }
-  for (auto& [id, slot] : by_id_) {
-    if (!listed.contains(id) && !slot->lapse_deadline)
-      slot->lapse_deadline = now + settings_.lapse_grace;
+void ServerRegistry::LapseUnlisted(const std::set<std::string>& listed,
+                                   base::TimePoint now) {
+  for (const auto& [id, slot] : by_id_) {
+    if (!listed.contains(id))
+      Lapse(id, now);
   }
 }
 
--- /dev/null
+++ b/tests/gateway/gateway_test.py
@@ -0,0 +1,439 @@
+"""Drives the shipped gateway against stand-ins of the users' platform.
+
+Usage: gateway_test.py GATEWAY_BINARY [unittest option...]
+"""
+import concurrent.futures
+import http.client
+import os
+import pathlib
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+import standin
+
+GATEWAY = ""
+HOST = "desk.example"
+ROUTES = [
+    {"prefix": "/read/", "kind": "idempotent", "service": "tools", "maxAttempts": 3},
+    {"prefix": "/pay/", "kind": "non_idempotent", "service": "tools"},
+    {"prefix": "/turn/", "kind": "streaming", "service": "models", "resumable": True, "sticky": True},
+    {"prefix": "/once/", "kind": "streaming", "service": "models"},
+]
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def wait_until(condition, limit_s=5.0):
+    deadline = time.monotonic() + limit_s
+    while time.monotonic() < deadline:
+        if condition():
+            return True
+        time.sleep(0.01)
+    return False
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(self, platform, grace_s=8, name="edge-1"):
+        self.front, self.ready_port = free_port(), free_port()
+        peer_port = free_port(socket.SOCK_DGRAM)
+        self.directory = tempfile.TemporaryDirectory()
+        settings = pathlib.Path(self.directory.name) / "settings.yaml"
+        settings.write_text(f"""
+node: "{name}"
+ip: "127.0.0.1"
+zone: "zone-a"
+listen:
+  front: "127.0.0.1:{self.front}"
+  ready: "127.0.0.1:{self.ready_port}"
+portRange: [{peer_port}, {peer_port}]
+bounds:
+  graceS: {grace_s}
+provider:
+  address: "127.0.0.1:{platform.store.port}"
+""")
+        self.log_path = pathlib.Path(self.directory.name) / "log"
+        with open(self.log_path, "wb") as log:
+            self.process = subprocess.Popen([GATEWAY], stdout=log, stderr=log,
+                                            env=dict(os.environ, VANILLALEVER_NODE_FILE=str(settings)))
+
+    def is_ready(self):
+        try:
+            connection = http.client.HTTPConnection("127.0.0.1", self.ready_port, timeout=2)
+            connection.request("GET", "/readiness")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def log(self):
+        return self.log_path.read_text()
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.directory.cleanup()
+
+
+class Caller:
+    """One connection of a caller."""
+
+    count = 0
+
+    def __init__(self, gateway):
+        self.connection = http.client.HTTPConnection("127.0.0.1", gateway.front, timeout=10)
+
+    def headers(self, extra):
+        Caller.count += 1
+        headers = {"Host": HOST, "Request-Id": f"{Caller.count:016x}", "Deadline-Ms": "3000"}
+        headers.update(extra)
+        return headers
+
+    def send(self, method, path, body=None, **extra):
+        extra = {name.replace("_", "-"): value for name, value in extra.items()}
+        self.connection.request(method, path, body, self.headers(extra))
+        answer = self.connection.getresponse()
+        answer.text = answer.read().decode()
+        return answer
+
+    def close(self):
+        self.connection.close()
+
+
+def turn(program, budget=1000, most=100, **extra):
+    headers = {"Program_Id": program, "Session_Id": "s-" + program, "Token_Budget": str(budget),
+               "Token_Count": f"500,{most}", "Prompt_Prefix": "aa:400,bb:100", "Model": "m"}
+    headers.update(extra)
+    return headers
+
+
+class GatewayCase(unittest.TestCase):
+    def setUp(self):
+        self.platform = standin.Platform()
+        self.addCleanup(self.platform.close)
+        self.platform.configure(ROUTES)
+        self.tools = [self.platform.add(standin.Backend, f"t-{i}", "tools") for i in range(2)]
+        self.models = [self.platform.add(standin.Engine, f"m-{i}", "models") for i in range(2)]
+
+    def start(self, **options):
+        gateway = Gateway(self.platform, **options)
+        self.addCleanup(gateway.stop)
+        self.assertTrue(wait_until(gateway.is_ready), gateway.log())
+        return gateway
+
+    def plan(self, path, how):
+        for server in self.platform.servers.values():
+            server.plan[path] = how
+
+    def runs(self, path):
+        return [run for server in self.platform.servers.values() for run in server.ran if run[1] == path]
+
+
+class ForwardingTest(GatewayCase):
+    def test_request_and_answer_are_passed_on_unchanged(self):
+        caller = Caller(self.start())
+        answer = caller.send("POST", "/pay/7?x=1", b"amount=5", Hold="h", Kv_From="x", Request_Urgency="0",
+                             Pin_Ms="5", X_Extra="kept")
+        self.assertEqual(answer.status, 200)
+        self.assertRegex(answer.getheader("Server-Seal"), "^seal-t-")
+        (identity, path, headers, body), = self.runs("/pay/7?x=1") or self.runs("/pay/7")
+        self.assertEqual(body, b"amount=5")
+        self.assertEqual(headers["x-extra"], "kept")
+        self.assertLessEqual(int(headers["deadline-ms"]), 3000)
+        self.assertGreater(int(headers["deadline-ms"]), 2000)
+        for reserved in ("hold", "kv-from", "pin-ms"):
+            self.assertNotIn(reserved, headers)
+
+    def test_unknown_route_is_answered_404(self):
+        caller = Caller(self.start())
+        self.assertEqual(caller.send("GET", "/none/1").status, 404)
+        self.assertEqual(caller.send("GET", "/read/1").status, 200)
+
+    def test_smuggled_request_is_refused_and_never_reaches_a_server(self):
+        gateway = self.start()
+        with socket.create_connection(("127.0.0.1", gateway.front)) as raw:
+            raw.sendall(b"POST /pay/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: 1\r\nContent-Length: 4\r\n"
+                        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /read/9 HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+            raw.settimeout(3)
+            self.assertIn(b" 400 ", raw.recv(4096))
+        self.assertEqual(self.runs("/read/9"), [])
+
+    def test_oversized_header_and_body_get_their_own_answer(self):
+        gateway = self.start()
+        self.assertEqual(Caller(gateway).send("GET", "/read/1", X_Long="x" * 20000).status, 431)
+        self.assertEqual(Caller(gateway).send("POST", "/pay/1", b"x" * 70000).status, 413)
+
+    def test_slow_header_is_answered_408(self):
+        gateway = self.start()
+        with socket.create_connection(("127.0.0.1", gateway.front)) as raw:
+            raw.settimeout(4)
+            raw.sendall(b"GET /read/1 HTTP/1.1\r\nHost: desk")
+            self.assertIn(b" 408 ", raw.recv(4096))
+
+    def test_refused_request_goes_to_another_server(self):
+        self.tools[0].plan["/pay/2"] = "shed"
+        caller = Caller(self.start())
+        for _ in range(6):
+            self.assertEqual(caller.send("POST", "/pay/2", b"x").status, 200)
+
+    def test_request_that_no_server_takes_is_refused_with_a_time_to_return(self):
+        self.plan("/pay/3", "shed")
+        caller = Caller(self.start())
+        started = time.monotonic()
+        answer = caller.send("POST", "/pay/3", b"x")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.getheader("Retry-After")), 0)
+        self.assertLess(time.monotonic() - started, 1.5)
+        self.assertIsNone(answer.getheader("Server-Seal"))
+
+    def test_lost_answer_of_a_payment_is_not_repeated_and_not_called_refused(self):
+        self.plan("/pay/4", "drop")
+        caller = Caller(self.start())
+        self.assertEqual(caller.send("POST", "/pay/4", b"x").status, 502)
+        self.assertEqual(len(self.runs("/pay/4")), 1)
+
+    def test_lost_answer_of_a_read_is_repeated(self):
+        self.tools[0].plan["/read/4"] = "drop"
+        self.tools[1].plan["/read/4"] = "drop"
+        gateway = self.start()
+        self.assertEqual(Caller(gateway).send("GET", "/read/4").status, 502)
+        # The route allows three runs.
+        self.assertEqual(len(self.runs("/read/4")), 3)
+        self.tools[1].plan["/read/4"] = "ok"
+        self.assertEqual(Caller(gateway).send("GET", "/read/4").status, 200)
+
+    def test_half_an_answer_is_never_passed_on_as_whole(self):
+        self.plan("/pay/5", "half")
+        self.assertEqual(Caller(self.start()).send("POST", "/pay/5", b"x").status, 502)
+
+    def test_answer_to_another_request_is_skipped(self):
+        self.plan("/pay/6", "stray")
+        answer = Caller(self.start()).send("POST", "/pay/6", b"x")
+        self.assertEqual((answer.status, "ran /pay/6" in answer.text), (200, True))
+
+    def test_bytes_that_are_no_answer_become_502(self):
+        self.plan("/pay/7", "garbage")
+        self.assertEqual(Caller(self.start()).send("POST", "/pay/7", b"x").status, 502)
+
+    def test_server_works_no_longer_when_its_caller_has_left(self):
+        self.plan("/read/8", "hang")
+        caller = Caller(self.start())
+        caller.connection.request("GET", "/read/8", headers=caller.headers({}))
+        self.assertTrue(wait_until(lambda: self.runs("/read/8")))
+        left = time.monotonic()
+        caller.close()
+        self.assertTrue(wait_until(lambda: any(server.cut for server in self.tools), 2))
+        self.assertLess(time.monotonic() - left, 0.5)
+
+    def test_route_timeout_ends_the_wait(self):
+        self.plan("/read/9", "hang")
+        caller = Caller(self.start())
+        started = time.monotonic()
+        self.assertEqual(caller.send("GET", "/read/9", Deadline_Ms="20000").status, 504)
+        self.assertLess(time.monotonic() - started, 3.4)
+
+    def test_dead_server_costs_no_answer(self):
+        gateway = self.start()
+        self.platform.call(self.tools[0].stop())
+        statuses = [Caller(gateway).send("POST", "/pay/10", b"x").status for _ in range(10)]
+        self.assertEqual(statuses, [200] * 10)
+
+
+class StreamTest(GatewayCase):
+    def test_events_arrive_whole_and_in_order(self):
+        answer = Caller(self.start()).send("POST", "/turn/1", b"p", **turn("p1"))
+        self.assertEqual(re.findall(r"id: (\d+)", answer.text), [str(i) for i in range(1, 7)])
+
+    def test_broken_stream_goes_on_in_the_same_answer(self):
+        self.plan("/turn/2", "break")
+        answer = Caller(self.start()).send("POST", "/turn/2", b"p", **turn("p2"))
+        self.assertEqual(re.findall(r"id: (\d+)", answer.text), [str(i) for i in range(1, 7)])
+        self.assertEqual(len({run[2]["expect-instance"] for run in self.runs("/turn/2")}), 1)
+
+    def test_stream_that_may_not_run_twice_is_broken_off(self):
+        self.plan("/once/1", "break")
+        gateway = self.start()
+        with self.assertRaises(http.client.IncompleteRead):
+            Caller(gateway).send("POST", "/once/1", b"p", **turn("p3"))
+        self.assertEqual(len(self.runs("/once/1")), 1)
+
+
+class BudgetTest(GatewayCase):
+    """An event stands for 5 tokens, and a turn makes 6 events."""
+
+    def spend(self, gateways, program, budget, turns):
+        statuses = []
+        for number in range(turns):
+            caller = Caller(gateways[number % len(gateways)])
+            statuses.append(caller.send("POST", "/turn/b", b"p", **turn(program, budget, 40)).status)
+            caller.close()
+        return statuses
+
+    def test_budget_holds_over_gateways(self):
+        gateways = [self.start(name=f"edge-{i}") for i in range(3)]
+        statuses = self.spend(gateways, "p4", 200, 20)
+        used = 30 * statuses.count(200)
+        self.assertLessEqual(used, 200 + 40)
+        self.assertEqual(set(statuses), {200, 402})
+        self.assertEqual(len(self.runs("/turn/b")), statuses.count(200))
+
+    def test_budget_holds_over_kills(self):
+        used = 0
+        for number in range(8):
+            gateway = self.start(name=f"edge-{number}")
+            used += 30 * self.spend([gateway], "p5", 200, 2).count(200)
+            gateway.process.kill()
+            gateway.process.wait()
+        self.assertGreater(used, 0)
+        self.assertLessEqual(used, 200 + 40)
+
+    def test_turns_go_on_while_the_store_is_away(self):
+        for mode in ("busy", "silent", "lost"):
+            with self.subTest(mode=mode):
+                gateway = self.start(name="edge-" + mode)
+                self.platform.store.mode = mode
+                started = time.monotonic()
+                statuses = self.spend([gateway], "p6-" + mode, 1000, 3)
+                self.assertEqual(statuses, [200] * 3, gateway.log())
+                self.assertLess(time.monotonic() - started, 1.5)
+                self.platform.store.mode = "ok"
+                self.assertTrue(wait_until(lambda: "p6-" + mode in self.platform.store.table("budgets")))
+                reserved = int(self.platform.store.table("budgets")["p6-" + mode].split()[0])
+                self.assertGreaterEqual(reserved, 90)
+                gateway.stop()
+
+    def test_advances_stay_small_over_all_gateways(self):
+        gateways = [self.start(name=f"edge-{i}") for i in range(3)]
+        time.sleep(0.7)
+        self.platform.store.mode = "silent"
+        statuses = self.spend(gateways, "p7", 600, 30)
+        self.assertIn(200, statuses)
+        # One turn and a sixth of the budget, and one more turn in progress.
+        self.assertLessEqual(30 * statuses.count(200), 600 // 6 + 2 * 40)
+
+    def test_unused_tokens_go_back_when_the_budget_is_short(self):
+        gateways = [self.start(name=f"edge-{i}") for i in range(2)]
+        self.assertEqual(self.spend(gateways[:1], "p8", 100, 1), [200])
+        time.sleep(1.2)
+        self.assertEqual(self.spend(gateways[1:], "p8", 100, 1), [200])
+
+
+class StoreTest(GatewayCase):
+    def test_newer_configuration_is_applied_and_older_ones_are_not(self):
+        caller = Caller(self.start())
+        self.assertEqual(caller.send("GET", "/new/1").status, 404)
+        self.platform.configure(ROUTES + [{"prefix": "/new/", "kind": "idempotent", "service": "tools"}])
+        self.assertTrue(wait_until(lambda: caller.send("GET", "/new/1").status == 200, 2))
+        self.platform.version -= 6
+        self.platform.configure(ROUTES)
+        time.sleep(0.5)
+        self.assertEqual(caller.send("GET", "/new/1").status, 200)
+
+    def test_draining_and_removed_servers_get_no_new_request(self):
+        caller = Caller(self.start())
+        self.platform.run(self.platform.store.put, "servers", "t-0", self.tools[0].entry("draining"))
+        time.sleep(0.3)
+        for number in range(20):
+            self.assertEqual(caller.send("GET", f"/read/d{number}").status, 200)
+        self.assertEqual([run for run in self.tools[0].ran if "/read/d" in run[1]], [])
+        self.platform.run(self.platform.store.put, "servers", "t-0", None)
+        time.sleep(0.3)
+        self.assertEqual(caller.send("GET", "/read/e").status, 200)
+
+    def test_malformed_entries_name_no_server(self):
+        for key, value in (("x-0", b"\xff\x00{"), ("x-1", b"[]"), ("x-2", {"service": "tools"}),
+                           ("x-3", self.tools[0].entry(slots="six")), ("x-4", self.tools[0].entry(state="odd")),
+                           ("x-5", self.tools[0].entry(born="soon"))):
+            self.platform.run(self.platform.store.put, "servers", key, value)
+        gateway = self.start()
+        caller = Caller(gateway)
+        for _ in range(10):
+            self.assertEqual(caller.send("GET", "/read/m").status, 200)
+        self.assertEqual(gateway.log().count("server_entry_malformed"), 6)
+
+    def test_lost_history_is_read_again(self):
+        gateway = self.start()
+        self.platform.store.mode = "busy"
+        time.sleep(0.9)
+        self.platform.run(self.platform.store.put, "servers", "t-0", self.tools[0].entry("draining"))
+        self.platform.run(self.platform.store.compact)
+        self.platform.store.mode = "ok"
+        self.assertTrue(wait_until(lambda: "server=t-0" in gateway.log() and "state=draining" in gateway.log()))
+
+    def test_entry_that_lapsed_while_the_store_was_away_is_kept_until_its_grace_is_over(self):
+        gateway = self.start()
+        caller = Caller(gateway)
+        self.platform.store.mode = "busy"
+        time.sleep(1)
+        for server in self.tools:
+            self.platform.run(self.platform.store.put, "servers", server.identity, None)
+        self.platform.store.mode = "ok"
+        self.assertTrue(wait_until(lambda: "may_return=true" in gateway.log()))
+        self.assertEqual(caller.send("GET", "/read/l").status, 200)
+        self.platform.run(self.platform.store.put, "servers", "t-1", self.tools[1].entry())
+        self.assertTrue(wait_until(lambda: "event=server_lapsed server=t-0" in gateway.log(), 3))
+        self.assertNotIn("event=server_lapsed server=t-1", gateway.log())
+
+    def test_gateway_without_configuration_is_not_ready_and_refuses(self):
+        self.platform.store.mode = "silent"
+        gateway = Gateway(self.platform)
+        self.addCleanup(gateway.stop)
+        self.assertTrue(wait_until(lambda: "started" in gateway.log()))
+        time.sleep(0.2)
+        self.assertFalse(gateway.is_ready())
+        self.assertEqual(Caller(gateway).send("GET", "/read/1").status, 503)
+
+
+class DrainTest(GatewayCase):
+    def test_requests_are_answered_and_late_ones_never_taken(self):
+        self.platform.configure([dict(route, timeoutMs=7000) for route in ROUTES])
+        gateway = self.start()
+        self.plan("/pay/slow", "slow5.5")
+        idle = socket.create_connection(("127.0.0.1", gateway.front))
+        self.addCleanup(idle.close)
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            slow = pool.submit(lambda: Caller(gateway).send("POST", "/pay/slow", b"x", Deadline_Ms="6000"))
+            self.assertTrue(wait_until(lambda: self.runs("/pay/slow")))
+            gateway.process.send_signal(signal.SIGTERM)
+            self.assertTrue(wait_until(lambda: not gateway.is_ready(), 0.5))
+            early = Caller(gateway).send("POST", "/pay/early", b"x")
+            self.assertEqual((early.status, early.getheader("Connection")), (200, "close"))
+            # The load balancer has taken the gateway out by now. A request that came in later could be cut at the
+            # end of the grace period, so that idle connections are closed and no new ones are taken.
+            time.sleep(4.2)
+            self.assertIsNone(gateway.process.poll())
+            idle.settimeout(0.5)
+            self.assertEqual(idle.recv(1), b"")
+            with self.assertRaises(OSError):
+                Caller(gateway).send("GET", "/read/late")
+            self.assertEqual(slow.result().status, 200)
+        self.assertEqual(gateway.process.wait(3), 0)
+
+    def test_idle_gateway_ends_soon(self):
+        gateway = self.start()
+        started = time.monotonic()
+        gateway.process.send_signal(signal.SIGTERM)
+        self.assertEqual(gateway.process.wait(8), 0)
+        self.assertLess(time.monotonic() - started, 5)
+
+    def test_hangup_is_no_reason_to_stop(self):
+        gateway = self.start()
+        gateway.process.send_signal(signal.SIGHUP)
+        self.assertTrue(wait_until(lambda: "settings_reloaded" in gateway.log()))
+        self.assertEqual(Caller(gateway).send("GET", "/read/1").status, 200)
+
+
+if __name__ == "__main__":
+    GATEWAY = sys.argv.pop(1)
+    unittest.main(verbosity=2)
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -67,7 +67,7 @@
                 if not await self.handle(request, reader, writer):
                     break
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError, OSError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
             pass
         finally:
             self.writers.discard(writer)
@@ -310,5 +310,12 @@
     def close(self):
         for server in [self.store, *self.servers.values()]:
             self.call(server.stop())
+        self.call(self.cancel_tasks())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join(5)
+
+    async def cancel_tasks(self):
+        tasks = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
