--- /dev/null
+++ b/packages/forwarding/tests/decision_test.cc
@@ -0,0 +1,190 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "vanillalever/forwarding/event_framer.h"
+#include "vanillalever/forwarding/peer_directory.h"
+#include "vanillalever/forwarding/prompt_index.h"
+#include "vanillalever/forwarding/retry_policy.h"
+#include "vanillalever/forwarding/route_config.h"
+#include "vanillalever/forwarding/server_registry.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+using base::milliseconds;
+
+const base::TimePoint kStart = base::TimePoint(std::chrono::hours(1));
+
+TEST_CASE("the longest prefix of the host's routes wins") {
+  RouteConfig config;
+  for (const char* prefix : {"/a/", "/a/b/", "/"}) {
+    Route route;
+    route.host = "x.example";
+    route.name = route.prefix = prefix;
+    config.routes.push_back(route);
+  }
+  CHECK(config.Match("x.example", "/a/b/c")->name == "/a/b/");
+  CHECK(config.Match("x.example:80", "/a/c")->name == "/a/");
+  CHECK(config.Match("x.example", "/q")->name == "/");
+  CHECK(config.Match("y.example", "/a/b/c") == nullptr);
+}
+
+TEST_CASE("a split route keeps its weights and a key its service") {
+  RouteConfig config;
+  Route route;
+  route.targets = {{"new", 10}, {"old", 90}};
+  int to_new = 0;
+  for (int i = 0; i < 2000; ++i) {
+    std::string key = "session-" + std::to_string(i);
+    const std::string& service = config.ChooseService(route, key);
+    CHECK(service == config.ChooseService(route, key));
+    to_new += service == "new" ? 1 : 0;
+  }
+  CHECK(to_new > 140);
+  CHECK(to_new < 260);
+}
+
+TEST_CASE("only whole events leave the framer") {
+  EventFramer framer;
+  CHECK(framer.Feed("id: 1\ndata: a\n") == "");
+  CHECK(framer.Feed("\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  CHECK(framer.events() == 1);
+  CHECK(framer.last_id() == "1");
+  framer.DropPartial();
+  CHECK(framer.Feed("id: 2\r\ndata: b\r\n\r\n") == "id: 2\r\ndata: b\r\n\r\n");
+  CHECK(framer.last_id() == "2");
+  CHECK(framer.events() == 2);
+  CHECK(framer.partial().empty());
+}
+
+TEST_CASE("prefixes count from the start and the least used go first") {
+  PromptIndex index(1000);
+  auto chain = [](std::vector<PromptPart> parts) {
+    return MakePromptChain(parts);
+  };
+  index.Touch(chain({{"shared", 400}, {"a", 300}}));
+  CHECK(index.CachedTokens(chain({{"shared", 400}, {"b", 300}})) == 400);
+  CHECK(index.CachedTokens(chain({{"other", 400}, {"a", 300}})) == 0);
+  index.Touch(chain({{"shared", 400}, {"b", 300}}));
+  CHECK(index.CachedTokens(chain({{"shared", 400}, {"a", 300}})) == 700);
+  index.Touch(chain({{"shared", 400}, {"c", 300}}));
+  CHECK(index.CachedTokens(chain({{"shared", 400}, {"a", 300}})) == 400);
+  CHECK(index.CachedTokens(chain({{"shared", 400}, {"c", 300}})) == 700);
+}
+
+RetryState Streaming(bool resumable) {
+  RetryState state;
+  state.kind = RequestKind::kStreaming;
+  state.resumable = resumable;
+  state.runs = 1;
+  return state;
+}
+
+TEST_CASE("what may have run is repeated only where its kind allows it") {
+  RetryPolicy policy;
+  RetryState payment;
+  payment.runs = 1;
+  CHECK(policy.Decide(SendFailure::kNoAnswer, payment) == NextStep::kGiveUp);
+  CHECK(policy.Decide(SendFailure::kBroken, payment) == NextStep::kGiveUp);
+  CHECK(policy.Decide(SendFailure::kRefused, payment) ==
+        NextStep::kTryElsewhere);
+  CHECK(policy.Decide(SendFailure::kNotSent, payment) ==
+        NextStep::kTryElsewhere);
+  CHECK(policy.Decide(SendFailure::kBroken, Streaming(false)) ==
+        NextStep::kGiveUp);
+
+  RetryState read;
+  read.kind = RequestKind::kIdempotent;
+  read.max_servers = 2;
+  read.runs = 1;
+  CHECK(policy.Decide(SendFailure::kNoAnswer, read) == NextStep::kTryElsewhere);
+  read.runs = 2;
+  CHECK(policy.Decide(SendFailure::kNoAnswer, read) == NextStep::kGiveUp);
+}
+
+TEST_CASE("a stream goes on at its server, and elsewhere once that is gone") {
+  RetryPolicy policy;
+  RetryState state = Streaming(true);
+  CHECK(policy.Decide(SendFailure::kBroken, state) == NextStep::kTrySameServer);
+  state.same_server_tries = 2;
+  CHECK(policy.Decide(SendFailure::kBroken, state) == NextStep::kGiveUp);
+  state.server_gone = true;
+  CHECK(policy.Decide(SendFailure::kBroken, state) == NextStep::kTryElsewhere);
+}
+
+BackendServer Server(const std::string& id, std::int64_t started = 1) {
+  BackendServer server;
+  server.id = id;
+  server.service = "s";
+  server.address = "127.0.0.1:1";
+  server.started_at_ms = started;
+  return server;
+}
+
+TEST_CASE("lapsed servers serve through their grace and may come back") {
+  ServerRegistry registry;
+  registry.Put(Server("a"));
+  registry.Put(Server("b"));
+  registry.LapseUnlisted({}, kStart);
+  CHECK(registry.servers("s").size() == 2);
+  registry.Put(Server("a"));
+  CHECK(registry.ExpireLapsed(kStart + milliseconds(1900)).empty());
+  CHECK(registry.ExpireLapsed(kStart + milliseconds(2000)) ==
+        std::vector<std::string>{"b"});
+  REQUIRE(registry.servers("s").size() == 1);
+  CHECK(registry.servers("s").front()->server.id == "a");
+}
+
+TEST_CASE("a restart under the same identity starts with a clean slate") {
+  ServerRegistry registry;
+  registry.Put(Server("a", 1));
+  ServerSlotPtr before = registry.find("a");
+  before->load.OnSend(100);
+  registry.Put(Server("a", 2));
+  CHECK(before->removed);
+  CHECK(registry.find("a")->load.own_open() == 0);
+  CHECK(registry.servers("s").size() == 1);
+}
+
+TEST_CASE("load is the sum of what all entries have open") {
+  ServerLoad load;
+  load.OnSend(500);
+  load.OnPeer(7, {.open = 3, .prefill_tokens = 200, .seen = kStart});
+  CHECK(load.open(kStart) == 4);
+  CHECK(load.prefill_tokens(kStart) == 700);
+  CHECK(load.open(kStart + base::seconds(2)) == 1);
+  load.OnFirstOutput(500);
+  CHECK(load.prefill_tokens(kStart) == 200);
+  load.ForgetPeer(7);
+  CHECK(load.open(kStart) == 1);
+  load.OnEnd(0);
+  CHECK(load.open(kStart) == 0);
+}
+
+TEST_CASE("failures in a row make a server suspect for longer") {
+  ServerLoad load;
+  load.OnUnreachable(kStart);
+  CHECK(load.suspect(kStart + milliseconds(200)));
+  CHECK_FALSE(load.suspect(kStart + milliseconds(300)));
+  for (int i = 0; i < 8; ++i)
+    load.OnUnreachable(kStart);
+  CHECK(load.suspect(kStart + milliseconds(1900)));
+  load.OnReachable();
+  CHECK_FALSE(load.suspect(kStart));
+}
+
+TEST_CASE("peers fall silent, restart and send late messages") {
+  PeerDirectory peers;
+  CHECK(peers.OnMessage("a:1", 5, 10, kStart));
+  CHECK_FALSE(peers.OnMessage("a:1", 5, 9, kStart));
+  CHECK(peers.live() == 1);
+  CHECK(peers.OnMessage("a:1", 6, 1, kStart));
+  CHECK(peers.TakeGone(kStart) == std::vector<PeerId>{5});
+  CHECK(peers.TakeGone(kStart + base::seconds(5)) == std::vector<PeerId>{6});
+  CHECK(peers.live() == 0);
+  CHECK(peers.addresses().size() == 1);
+}
+
+}  // namespace
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/forwarding/tests/placement_test.cc
@@ -0,0 +1,324 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "vanillalever/base/random.h"
+#include "vanillalever/forwarding/placement.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+using base::milliseconds;
+
+const base::TimePoint kStart = base::TimePoint(std::chrono::hours(1));
+
+// An engine that computes prompts between the steps of all running requests.
+class EngineModel {
+ public:
+  struct Run {
+    std::int64_t prefill = 0;
+    int tokens = 0;
+    std::function<void()> first_output;
+    std::function<void()> done;
+  };
+
+  explicit EngineModel(std::int64_t capacity) : cache(capacity) {}
+
+  // Work until the next step is over, in ms.
+  double StepMs() const {
+    constexpr std::int64_t kChunk = 4096;
+    std::int64_t chunk = 0;
+    for (const Run& run : runs)
+      chunk += run.prefill;
+    chunk = std::min(chunk, kChunk);
+    return 3.79 + 0.0893 * static_cast<double>(runs.size()) +
+           static_cast<double>(chunk) / 56.6;
+  }
+
+  void Step() {
+    std::int64_t chunk = 4096;
+    std::vector<std::function<void()>> events;
+    for (Run& run : runs) {
+      if (run.prefill > 0) {
+        std::int64_t part = std::min(chunk, run.prefill);
+        run.prefill -= part;
+        chunk -= part;
+        if (run.prefill == 0)
+          events.push_back(run.first_output);
+        continue;
+      }
+      if (--run.tokens == 0)
+        events.push_back(run.done);
+    }
+    std::erase_if(runs, [](const Run& run) {
+      return run.prefill == 0 && run.tokens <= 0;
+    });
+    for (auto& event : events)
+      event();
+  }
+
+  std::vector<Run> runs;
+  PromptIndex cache;
+};
+
+// Result of a load: times of whole programs over their ideal time.
+struct LoadResult {
+  double in_time = 0;
+  double mean_stretch = 0;
+};
+
+enum class Policy { kRandom, kFewestOpen, kPlacer };
+
+// Programs of dependent turns on eight engines. At 80 programs a second the
+// engines could not compute all prompts if none were cached.
+class LoadPlay {
+ public:
+  LoadPlay(Policy policy, std::uint64_t seed)
+      : policy_(policy), random_(seed), placer_({}, "a", seed) {
+    service_.name = "models";
+    service_.engine = EngineProfile{64, kCapacity, 4};
+    for (int i = 0; i < kEngines; ++i) {
+      BackendServer server;
+      server.id = "m-" + std::to_string(i);
+      server.service = service_.name;
+      server.data_centre = "a";
+      server.slots = 64;
+      registry_.Put(server);
+      engines_.emplace_back(kCapacity);
+    }
+    next_step_.assign(kEngines, -1);
+  }
+
+  LoadResult Play(double programs_per_s, double seconds) {
+    double end_ms = seconds * 1000;
+    double next_program = 0;
+    while (now_ms_ < 4 * end_ms) {
+      double next = next_program < end_ms ? next_program : 1e18;
+      int engine = -1;
+      for (int i = 0; i < kEngines; ++i) {
+        if (next_step_[i] >= 0 && next_step_[i] < next) {
+          next = next_step_[i];
+          engine = i;
+        }
+      }
+      if (!waiting_.empty() && waiting_.top().at < next) {
+        now_ms_ = waiting_.top().at;
+        auto program = waiting_.top().program;
+        waiting_.pop();
+        BeginTurn(program);
+        continue;
+      }
+      if (next >= 1e18)
+        break;
+      now_ms_ = next;
+      if (engine < 0) {
+        StartProgram();
+        next_program += 2 * random_.Uniform() * 1000 / programs_per_s;
+      } else {
+        StepEngine(engine);
+      }
+    }
+    LoadResult result;
+    for (double stretch : stretches_) {
+      result.in_time += stretch <= 2.1 ? 1.0 / stretches_.size() : 0;
+      result.mean_stretch += stretch / stretches_.size();
+    }
+    return result;
+  }
+
+ private:
+  static constexpr int kEngines = 8;
+  static constexpr std::int64_t kCapacity = 165000;
+  static constexpr double kPauseMs = 150;
+
+  struct Program {
+    std::string name;
+    std::vector<PromptPart> parts;
+    int turns_left = 0;
+    double started = 0;
+    double ideal = 0;
+  };
+  using ProgramPtr = std::shared_ptr<Program>;
+
+  struct Waiting {
+    double at = 0;
+    ProgramPtr program;
+    bool operator<(const Waiting& other) const { return at > other.at; }
+  };
+
+  base::TimePoint now() const {
+    return kStart +
+           std::chrono::microseconds(static_cast<std::int64_t>(now_ms_ * 1000));
+  }
+
+  void StartProgram() {
+    auto program = std::make_shared<Program>();
+    program->name = std::to_string(++programs_);
+    program->turns_left = random_.Below(4) == 0 ? 11 : 3;
+    program->parts = {{"shared-" + std::to_string(random_.Below(8)), 2560},
+                      {program->name + "-0", 1030}};
+    program->started = now_ms_;
+    BeginTurn(program);
+  }
+
+  int Choose(const ProgramPtr& program, const PromptChain& chain) {
+    const auto& servers = registry_.servers("models");
+    if (policy_ == Policy::kRandom)
+      return static_cast<int>(random_.Below(kEngines));
+    if (policy_ == Policy::kFewestOpen) {
+      int best = static_cast<int>(random_.Below(kEngines));
+      for (int i = 0; i < kEngines; ++i) {
+        if (servers[i]->load.own_open() < servers[best]->load.own_open())
+          best = i;
+      }
+      return best;
+    }
+    RequestProfile profile;
+    profile.session = program->name;
+    profile.max_output_tokens = 80;
+    for (const PromptPart& part : program->parts)
+      profile.prompt_tokens += part.tokens;
+    std::vector<std::string> excluded;
+    PlacementRequest request{profile, chain, service_, true, excluded};
+    Placement placement = placer_.Place(servers, request, now());
+    placer_.OnPromptSent(*placement.slot, service_, chain);
+    return std::stoi(placement.slot->server.id.substr(2));
+  }
+
+  void BeginTurn(const ProgramPtr& program) {
+    PromptChain chain = MakePromptChain(program->parts);
+    int index = Choose(program, chain);
+    EngineModel& engine = engines_[index];
+    ServerSlotPtr slot = registry_.servers("models")[index];
+    std::int64_t prompt = 0;
+    for (const PromptPart& part : program->parts)
+      prompt += part.tokens;
+    std::int64_t prefill =
+        std::max<std::int64_t>(1, prompt - engine.cache.CachedTokens(chain));
+    engine.cache.Touch(chain);
+    int tokens = 10 + static_cast<int>(random_.Below(50));
+    // On an idle server that holds all but the last part.
+    program->ideal +=
+        static_cast<double>(program->parts.back().tokens) / 56.6 + tokens * 3.9;
+    slot->load.OnSend(prefill);
+    EngineModel::Run run;
+    run.prefill = prefill;
+    run.tokens = tokens;
+    run.first_output = [slot, prefill] { slot->load.OnFirstOutput(prefill); };
+    run.done = [this, slot, program] {
+      slot->load.OnEnd(0);
+      EndTurn(program);
+    };
+    engine.runs.push_back(std::move(run));
+    if (next_step_[index] < 0)
+      next_step_[index] = now_ms_ + engine.StepMs();
+  }
+
+  void EndTurn(const ProgramPtr& program) {
+    if (--program->turns_left == 0) {
+      stretches_.push_back((now_ms_ - program->started) / program->ideal);
+      return;
+    }
+    program->parts.push_back(
+        {program->name + "-" + std::to_string(program->turns_left), 500});
+    program->ideal += kPauseMs;
+    waiting_.push({now_ms_ + kPauseMs, program});
+  }
+
+  void StepEngine(int index) {
+    EngineModel& engine = engines_[index];
+    engine.Step();
+    next_step_[index] = engine.runs.empty() ? -1 : now_ms_ + engine.StepMs();
+  }
+
+  Policy policy_;
+  base::Random random_;
+  Placer placer_;
+  ServerRegistry registry_;
+  Service service_;
+  std::vector<EngineModel> engines_;
+  std::vector<double> next_step_;
+  std::priority_queue<Waiting> waiting_;
+  std::vector<double> stretches_;
+  double now_ms_ = 0;
+  int programs_ = 0;
+};
+
+TEST_CASE(
+    "programs under heavy load end in time more often than with baselines") {
+  for (std::uint64_t seed : {1, 2, 3}) {
+    LoadResult random = LoadPlay(Policy::kRandom, seed).Play(80, 30);
+    LoadResult fewest = LoadPlay(Policy::kFewestOpen, seed).Play(80, 30);
+    LoadResult placer = LoadPlay(Policy::kPlacer, seed).Play(80, 30);
+    INFO("in time: random " << random.in_time << " fewest open "
+                            << fewest.in_time << " placer " << placer.in_time);
+    INFO("stretch: random " << random.mean_stretch << " fewest open "
+                            << fewest.mean_stretch << " placer "
+                            << placer.mean_stretch);
+    // The users' pages count a program in time within 2.1 times its time on
+    // idle servers; nine in ten are to be.
+    CHECK(placer.in_time >= 0.9);
+    CHECK(placer.in_time > fewest.in_time);
+    CHECK(placer.in_time > random.in_time);
+    CHECK(placer.mean_stretch < fewest.mean_stretch);
+  }
+}
+
+struct Bed {
+  Bed() {
+    service.name = "tools";
+    for (const char* id : {"a", "b", "c"}) {
+      BackendServer server;
+      server.id = id;
+      server.service = "tools";
+      server.data_centre = "here";
+      server.slots = 2;
+      registry.Put(server);
+    }
+  }
+
+  Placement Place() {
+    PlacementRequest request{profile, chain, service, false, excluded};
+    return placer.Place(registry.servers("tools"), request, kStart);
+  }
+
+  ServerRegistry registry;
+  Service service;
+  RequestProfile profile;
+  PromptChain chain;
+  std::vector<std::string> excluded;
+  Placer placer{{}, "here", 1};
+};
+
+TEST_CASE("slow, full, suspect and draining servers come last or not at all") {
+  Bed bed;
+  bed.registry.find("a")->load.OnSlowness(2.5, kStart);
+  bed.registry.find("b")->load.OnUnreachable(kStart);
+  CHECK(bed.Place().slot->server.id == "c");
+  bed.registry.find("c")->load.OnRefused(kStart);
+  CHECK(bed.Place().slot->server.id == "a");
+  bed.excluded = {"a", "c"};
+  CHECK(bed.Place().slot->server.id == "b");
+  bed.excluded = {"a", "b", "c"};
+  CHECK(bed.Place().slot == nullptr);
+  bed.excluded.clear();
+  for (const char* id : {"a", "b"})
+    bed.registry.find(id)->server.state = ServerState::kDraining;
+  CHECK(bed.Place().slot->server.id == "c");
+}
+
+TEST_CASE("open requests of other entries count") {
+  Bed bed;
+  bed.registry.find("a")->load.OnPeer(9, {.open = 6, .seen = kStart});
+  bed.registry.find("b")->load.OnPeer(9, {.open = 4, .seen = kStart});
+  CHECK(bed.Place().slot->server.id == "c");
+}
+
+}  // namespace
+}  // namespace vanillalever::forwarding
