--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -43,7 +43,11 @@
   enum class Answer { kNone, kRefusal, kWhole, kStream };
 
   bool TakeRoute();
+  // The first turn of a program, as far as its prompt and this entry tell.
+  bool starts_program() const;
   void AskBudget();
+  // Tells the overload control how long the turn took.
+  void MeasureTurn();
   void OnBudget(BudgetAnswer answer);
   void Place();
   // No server can take the request now: waits a little, or refuses.
@@ -91,6 +95,8 @@
   std::optional<LoadReport> reported_;
   // Prompt tokens that the present server has yet to compute.
   std::int64_t prefill_tokens_ = 0;
+  // A send is open and counts in its server's load.
+  bool sending_ = false;
   // The present send uses a connection that was kept.
   bool kept_connection_ = false;
   std::vector<std::string> excluded_;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -37,6 +37,7 @@
   PoolSettings pool;
   RegistrySettings registry;
   BudgetSettings budget;
+  OverloadSettings overload;
 };
 
 // Forwards callers' requests to backend servers. Runs on one event loop; all
@@ -97,6 +98,7 @@
   ServerPool pool_;
   PeerLink peers_;
   BudgetService budgets_;
+  OverloadControl overload_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   bool servers_known_ = false;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -15,6 +15,7 @@
   base::Counter& gave_up;
   base::Counter& caller_left;
   base::Counter& sends;
+  base::Counter& open_sends;
   base::Counter& send_failures;
   base::Counter& new_connections;
   base::Counter& budget_spent;
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -30,6 +30,10 @@
 constexpr std::uint64_t kRetryJitterMs = 250;
 // Retry-After while this process knows no configuration or no store.
 constexpr milliseconds kNotReadyRetryAfter{500};
+// As above for programs that are refused at their start because of overload:
+// a crest lasts some seconds.
+constexpr milliseconds kOverloadRetryAfter{700};
+constexpr std::uint64_t kOverloadRetryJitterMs = 600;
 // Largest answer that is passed on whole, in bytes.
 constexpr std::size_t kMaxWholeAnswer = 16 << 20;
 // Urgency of the most important route; each step of priority adds one.
@@ -116,6 +120,13 @@
       service_->engine && profile_.token_budget && !profile_.program.empty();
   if (!limited)
     return Place();
+  auto now = base::TimePoint::clock::now();
+  if (starts_program() &&
+      context_.overload.Refuse(route_->priority, now, context_.random)) {
+    return Refuse("overload: turns take too long to start another program",
+                  kOverloadRetryAfter + milliseconds(context_.random.Below(
+                                            kOverloadRetryJitterMs)));
+  }
   context_.budgets.Begin(profile_.program, *profile_.token_budget,
                          profile_.max_output_tokens,
                          [self = shared_from_this()](BudgetAnswer answer) {
@@ -123,6 +134,32 @@
                          });
 }
 
+bool ForwardedRequest::starts_program() const {
+  // A later turn's prompt has more than a shared and an own part.
+  constexpr std::size_t kFirstParts = 2;
+  return profile_.prompt_parts.size() <= kFirstParts &&
+         profile_.last_event_id.empty() &&
+         !context_.budgets.knows(profile_.program);
+}
+
+void ForwardedRequest::MeasureTurn() {
+  // Time of one decoding step and of the way, in ms, and prompt tokens computed
+  // per ms, all on an idle server; from the engines' data sheet.
+  constexpr double kStepMs = 3.9;
+  constexpr double kWayMs = 24;
+  constexpr double kPrefillTokensPerMs = 56.6;
+  auto now = base::TimePoint::clock::now();
+  double tokens =
+      static_cast<double>(framer_.events() * service_->engine->event_tokens);
+  double ideal =
+      kWayMs + tokens * kStepMs +
+      static_cast<double>(placement_.least_prefill_tokens) /
+          kPrefillTokensPerMs;
+  double actual =
+      std::chrono::duration<double, std::milli>(now - arrived_).count();
+  context_.overload.OnTurn(ideal, actual, now);
+}
+
 void ForwardedRequest::OnBudget(BudgetAnswer answer) {
   if (answer == BudgetAnswer::kGranted) {
     if (done_) {
@@ -215,6 +252,8 @@
   first_output_.reset();
   slot_ = placement.slot;
   prefill_tokens_ = placement.prefill_tokens;
+  sending_ = true;
+  context_.metrics.open_sends.Add(1);
   slot_->load.OnSend(prefill_tokens_);
   context_.peers.OnLoadChanged(*slot_);
   context_.placer.OnPromptSent(*slot_, *service_, chain_);
@@ -240,7 +279,8 @@
 }
 
 void ForwardedRequest::EndSend(bool keep_connection) {
-  if (slot_) {
+  if (std::exchange(sending_, false)) {
+    context_.metrics.open_sends.Add(-1);
     slot_->load.OnEnd(prefill_tokens_);
     context_.peers.OnLoadChanged(*slot_);
     prefill_tokens_ = 0;
@@ -329,6 +369,8 @@
   RelayStart();
   sink_->SendPiece(framer_.partial());
   sink_->FinishStream();
+  if (service_->engine)
+    MeasureTurn();
   context_.metrics.answered.Add();
   Finish("answered", "");
 }
@@ -481,6 +523,7 @@
        {"open", std::to_string(placement_.open)},
        {"slowness", Decimal(placement_.slowness)},
        {"estimate_ms", Decimal(placement_.estimate_ms)},
+       {"stretch", Decimal(context_.overload.stretch(now))},
        {"reported", reported_ ? std::to_string(reported_->running) + "," +
                                     std::to_string(reported_->waiting) + "," +
                                     Decimal(reported_->slowness)
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -16,6 +16,8 @@
                                    "Callers that left before the answer.")),
       sends(registry.counter("vanillalever_sends_total",
                              "Requests sent to servers.")),
+      open_sends(registry.gauge("vanillalever_open_sends",
+                                "Requests open at servers.")),
       send_failures(registry.counter("vanillalever_send_failures_total",
                                      "Sends without a usable answer.")),
       new_connections(registry.counter("vanillalever_server_connections_total",
--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -76,6 +76,12 @@
         except OSError:
             return False
 
+    def metric(self, name):
+        connection = http.client.HTTPConnection("127.0.0.1", self.ready_port, timeout=2)
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+        return int(re.search(rf"^{name} (-?\d+)$", text, re.M).group(1))
+
     def log(self):
         return self.log_path.read_text()
 
@@ -243,6 +249,18 @@
         self.assertEqual(caller.send("GET", "/read/9", Deadline_Ms="20000").status, 504)
         self.assertLess(time.monotonic() - started, 3.4)
 
+    def test_every_send_is_taken_off_the_load_once(self):
+        for how in ("ok", "drop", "half", "garbage", "shed", "hang"):
+            self.plan("/pay/" + how, how)
+            self.plan("/turn/" + how, how)
+        self.plan("/turn/break", "break")
+        gateway = self.start()
+        for how in ("ok", "drop", "half", "garbage", "shed", "hang"):
+            Caller(gateway).send("POST", "/pay/" + how, b"x", Deadline_Ms="400")
+            self.assertEqual(gateway.metric("vanillalever_open_sends"), 0, how)
+        Caller(gateway).send("POST", "/turn/break", b"p", **turn("load"))
+        self.assertEqual(gateway.metric("vanillalever_open_sends"), 0)
+
     def test_dead_server_costs_no_answer(self):
         gateway = self.start()
         self.platform.call(self.tools[0].stop())
