--- a/packages/forwarding/include/vanillalever/forwarding/budget_book.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_book.h
@@ -115,9 +115,6 @@
   };
   // Forgets programs without a turn in progress since `before`.
   std::vector<Forgotten> Forget(base::TimePoint before);
-  bool knows(const std::string& program) const {
-    return programs_.contains(program);
-  }
   std::size_t size() const { return programs_.size(); }
 
  private:
--- a/packages/forwarding/include/vanillalever/forwarding/budget_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_service.h
@@ -63,10 +63,6 @@
   // unless another entry has written them since.
   void Sweep(base::Duration retention);
 
-  // Whether this entry has served a turn of the program.
-  bool knows(const std::string& program) const {
-    return book_.knows(program);
-  }
   std::size_t programs() const { return book_.size(); }
 
  private:
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -43,11 +43,7 @@
   enum class Answer { kNone, kRefusal, kWhole, kStream };
 
   bool TakeRoute();
-  // The first turn of a program, as far as its prompt and this entry tell.
-  bool starts_program() const;
   void AskBudget();
-  // Tells the overload control how long the turn took.
-  void MeasureTurn();
   void OnBudget(BudgetAnswer answer);
   void Place();
   // No server can take the request now: waits a little, or refuses.
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -8,7 +8,6 @@
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/budget_service.h"
 #include "vanillalever/forwarding/gateway_metrics.h"
-#include "vanillalever/forwarding/overload_control.h"
 #include "vanillalever/forwarding/peer_link.h"
 #include "vanillalever/forwarding/placement.h"
 #include "vanillalever/forwarding/retry_policy.h"
@@ -30,7 +29,6 @@
   ServerPool& pool;
   BudgetService& budgets;
   PeerLink& peers;
-  OverloadControl& overload;
   GatewayMetrics& metrics;
   base::Random& random;
   RetryPolicy retries;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -37,7 +37,6 @@
   PoolSettings pool;
   RegistrySettings registry;
   BudgetSettings budget;
-  OverloadSettings overload;
 };
 
 // Forwards callers' requests to backend servers. Runs on one event loop; all
@@ -98,7 +97,6 @@
   ServerPool pool_;
   PeerLink peers_;
   BudgetService budgets_;
-  OverloadControl overload_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   bool servers_known_ = false;
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -30,15 +30,11 @@
 constexpr std::uint64_t kRetryJitterMs = 250;
 // Retry-After while this process knows no configuration or no store.
 constexpr milliseconds kNotReadyRetryAfter{500};
-// As above for programs that are refused at their start because of overload:
-// a crest lasts some seconds.
-constexpr milliseconds kOverloadRetryAfter{700};
-constexpr std::uint64_t kOverloadRetryJitterMs = 600;
 // Largest answer that is passed on whole, in bytes.
 constexpr std::size_t kMaxWholeAnswer = 16 << 20;
-// Urgency of the most important route; each step of priority adds one.
-constexpr int kFirstUrgency = 3;
-constexpr int kLastUrgency = 9;
+// The same for all requests: a more urgent one preempts others at the server,
+// whose prompts must then be computed again.
+constexpr int kUrgency = 5;
 
 std::string Ms(base::Duration duration) {
   return std::to_string(
@@ -120,13 +116,6 @@
       service_->engine && profile_.token_budget && !profile_.program.empty();
   if (!limited)
     return Place();
-  auto now = base::TimePoint::clock::now();
-  if (starts_program() &&
-      context_.overload.Refuse(route_->priority, now, context_.random)) {
-    return Refuse("overload: turns take too long to start another program",
-                  kOverloadRetryAfter + milliseconds(context_.random.Below(
-                                            kOverloadRetryJitterMs)));
-  }
   context_.budgets.Begin(profile_.program, *profile_.token_budget,
                          profile_.max_output_tokens,
                          [self = shared_from_this()](BudgetAnswer answer) {
@@ -134,32 +123,6 @@
                          });
 }
 
-bool ForwardedRequest::starts_program() const {
-  // A later turn's prompt has more than a shared and an own part.
-  constexpr std::size_t kFirstParts = 2;
-  return profile_.prompt_parts.size() <= kFirstParts &&
-         profile_.last_event_id.empty() &&
-         !context_.budgets.knows(profile_.program);
-}
-
-void ForwardedRequest::MeasureTurn() {
-  // Time of one decoding step and of the way, in ms, and prompt tokens computed
-  // per ms, all on an idle server; from the engines' data sheet.
-  constexpr double kStepMs = 3.9;
-  constexpr double kWayMs = 24;
-  constexpr double kPrefillTokensPerMs = 56.6;
-  auto now = base::TimePoint::clock::now();
-  double tokens =
-      static_cast<double>(framer_.events() * service_->engine->event_tokens);
-  double ideal =
-      kWayMs + tokens * kStepMs +
-      static_cast<double>(placement_.least_prefill_tokens) /
-          kPrefillTokensPerMs;
-  double actual =
-      std::chrono::duration<double, std::milli>(now - arrived_).count();
-  context_.overload.OnTurn(ideal, actual, now);
-}
-
 void ForwardedRequest::OnBudget(BudgetAnswer answer) {
   if (answer == BudgetAnswer::kGranted) {
     if (done_) {
@@ -223,8 +186,7 @@
   SendOrders orders;
   orders.time_left = std::chrono::duration_cast<milliseconds>(time_left());
   orders.expected_server = slot.server.id;
-  orders.urgency =
-      std::clamp(kFirstUrgency + route_->priority, 0, kLastUrgency);
+  orders.urgency = kUrgency;
   orders.last_event_id =
       framer_.last_id().empty() ? profile_.last_event_id : framer_.last_id();
   context_.codec.PrepareSend(fields, orders);
@@ -369,8 +331,6 @@
   RelayStart();
   sink_->SendPiece(framer_.partial());
   sink_->FinishStream();
-  if (service_->engine)
-    MeasureTurn();
   context_.metrics.answered.Add();
   Finish("answered", "");
 }
@@ -523,7 +483,6 @@
        {"open", std::to_string(placement_.open)},
        {"slowness", Decimal(placement_.slowness)},
        {"estimate_ms", Decimal(placement_.estimate_ms)},
-       {"stretch", Decimal(context_.overload.stretch(now))},
        {"reported", reported_ ? std::to_string(reported_->running) + "," +
                                     std::to_string(reported_->waiting) + "," +
                                     Decimal(reported_->slowness)
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -48,9 +48,8 @@
       pool_(settings_.pool),
       peers_(io, settings_.peers, table, registry_, random_.Next()),
       budgets_(io, table, peers_, random_.Next(), settings_.budget),
-      overload_(settings_.overload),
-      context_{io,       codec,  nullptr,   registry_, placer_, pool_,
-               budgets_, peers_, overload_, metrics_,  random_, RetryPolicy()} {}
+      context_{io,       codec,  nullptr,  registry_, placer_,      pool_,
+               budgets_, peers_, metrics_, random_,   RetryPolicy()} {}
 
 Gateway::~Gateway() = default;
 
