Count advances that may have been lost as spent, and add a fault soak

All gateways were killed while the store was away; the advances they had given (up to one turn and a sixth of the budget) were lost, and the program began again with its whole budget.

Change: a gateway whose registration from an earlier run is still there, or that loses a peer while the store is suspect, takes a sixth of each budget as spent for 90 s: lost advance + 5/6 of the budget stay within the budget and one turn. The limit on advances also counts what an earlier home had advanced, as the asking gateway last heard.

Ruled out: advances of one turn only (programs of three turns would fail in an outage); keeping advances at peers (all are killed in this case).

The soak plays random overlapping faults against the real gateway: stops, kills, pauses, store outages, lost and late answers, resets, silent and one-way connections, replaced servers, bad answers, configurations.

--- a/packages/forwarding/include/vanillalever/forwarding/budget_book.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_book.h
@@ -66,6 +66,10 @@
  public:
   explicit BudgetBook(BudgetSettings settings = {});
 
+  // Advances may have been lost with the processes that gave them: from now on
+  // what could have been advanced counts as spent.
+  void SetAdvancesLost(bool lost) { advances_lost_ = lost; }
+
   // May a turn that generates at most `most` tokens begin? On kGranted the
   // tokens are taken until End().
   BudgetVerdict Begin(const std::string& program,
@@ -92,8 +96,11 @@
   // The row as read from the store.
   void Observe(const std::string& program, const BudgetRow& row);
 
-  // Advances what a turn of `most` tokens lacks. Returns whether it may.
-  bool Advance(const std::string& program, std::int64_t most);
+  // Advances what a turn of `most` tokens lacks, where another entry has
+  // already advanced `advanced` tokens. Returns whether it may.
+  bool Advance(const std::string& program,
+               std::int64_t most,
+               std::int64_t advanced);
   // Another entry has handed over `tokens` of its own.
   void Receive(const std::string& program, std::int64_t tokens);
   // Another entry knows that `reserved` tokens are reserved in all.
@@ -103,6 +110,8 @@
 
   // Reserved tokens as last known, advances included; zero if unknown.
   std::int64_t reserved(const std::string& program) const;
+  // Advanced by this entry and not durable.
+  std::int64_t unsettled(const std::string& program) const;
   // Programs with advances that are not durable.
   std::vector<std::string> Unsettled() const;
   // Programs that have something to give back.
@@ -137,6 +146,7 @@
   bool MayReturn(const Program& entry, base::TimePoint now) const;
 
   BudgetSettings settings_;
+  bool advances_lost_ = false;
   std::map<std::string, Program> programs_;
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
@@ -17,6 +17,8 @@
   std::int64_t tokens = 0;
   // Tokens that the sender knows to be reserved.
   std::int64_t reserved = 0;
+  // Part of them that was advanced and not durable when the sender last heard.
+  std::int64_t advanced = 0;
 };
 
 // Answer to a BudgetAsk.
@@ -27,6 +29,8 @@
   std::int64_t tokens = 0;
   // Tokens that are reserved in all, as far as the sender knows.
   std::int64_t reserved = 0;
+  // Part of them that is advanced and not durable.
+  std::int64_t advanced = 0;
 };
 
 // Way to the other entries. Messages may be lost.
--- a/packages/forwarding/include/vanillalever/forwarding/budget_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_service.h
@@ -56,6 +56,12 @@
   void OnGive(const BudgetGive& give) override;
   void OnSpent(const std::string& program, std::int64_t reserved) override;
 
+  // Processes that may have advanced tokens have ended without making them
+  // durable: for `duration` what could have been advanced counts as spent.
+  void OnAdvancesLost(base::Duration duration);
+  // Whether the store was slow or away when last asked.
+  bool store_suspect() const;
+
   // Makes advances durable when the store answers again, and gives back what
   // is not used. Call it often.
   void Settle();
@@ -73,6 +79,8 @@
     // Waits for another entry, which must not be asked again: this entry
     // advances the tokens itself.
     bool for_peer = false;
+    // Advanced by another entry and not durable, as far as known.
+    std::int64_t advanced = 0;
   };
   struct Pending {
     std::deque<Waiter> waiters;
@@ -114,7 +122,6 @@
              base::Duration delay,
              std::function<void()> action);
   void NoteStoreCall(base::TimePoint started, bool done);
-  bool store_suspect() const;
 
   boost::asio::io_context& context_;
   SharedTable& table_;
@@ -126,6 +133,9 @@
   std::map<std::string, Pending> pending_;
   // Until then the store is taken to be away or slow.
   base::TimePoint suspect_until_{};
+  base::TimePoint advances_lost_until_{};
+  // Advances by others that were not durable when last heard of, by program.
+  std::map<std::string, std::int64_t> advanced_;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -84,6 +84,8 @@
   void Accept();
   void Tick();
   void CheckDrained();
+  // Tells the budgets when advances may have been lost.
+  void CheckAdvances();
 
   boost::asio::io_context& io_;
   GatewaySettings settings_;
@@ -103,6 +105,8 @@
   bool draining_ = false;
   base::TimePoint drain_started_{};
   base::TimePoint last_sweep_{};
+  std::uint64_t peers_lost_ = 0;
+  bool start_known_ = false;
   std::function<void()> on_drained_;
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -43,6 +43,13 @@
   base::milliseconds first_list_interval{500};
 };
 
+// What is known of the end of this gateway's previous run.
+enum class PeerStart {
+  kUnknown,       // the store has not answered yet
+  kClean,         // there was none, or it stopped by itself
+  kAfterFailure,  // it was killed or lost its power
+};
+
 // Tells the other gateways what this one has open at the servers, and hears the
 // same from them. Gateways find one another by rows of the shared table. Lost
 // messages only make the view of the load older. Event loop's thread only.
@@ -72,7 +79,9 @@
   // Removes the own registration.
   void Leave();
 
-  std::size_t live_peers() const { return directory_.live(); }
+  PeerStart start() const { return start_; }
+  // Runs of other gateways that ended or fell silent so far.
+  std::uint64_t peers_lost() const { return peers_lost_; }
 
  private:
   void Register();
@@ -111,6 +120,7 @@
   BudgetHandler* budgets_ = nullptr;
   const PeerId id_;
   std::uint64_t sequence_ = 0;
+  std::uint64_t peers_lost_ = 0;
   // Servers whose load has changed since the last message.
   std::set<std::string> changed_;
   // Load of one gateway at one server, to be passed on.
@@ -124,7 +134,7 @@
   // Slowness in percent, as reported since the last message.
   std::map<std::string, std::uint16_t> slowness_;
   bool send_scheduled_ = false;
-  bool registered_ = false;
+  PeerStart start_ = PeerStart::kUnknown;
   bool listed_ = false;
   base::TimePoint next_list_{};
   std::array<char, 2048> datagram_{};
--- a/packages/forwarding/src/budget_book.cc
+++ b/packages/forwarding/src/budget_book.cc
@@ -18,6 +18,10 @@
                                 std::int64_t most,
                                 base::TimePoint now) {
   Program& entry = programs_[program];
+  // One turn more than the budget may be handed out, so that a lost advance of
+  // one turn needs no room.
+  if (advances_lost_)
+    budget -= budget / settings_.advance_divisor;
   // A program's budget does not change; the smaller value is the safe one.
   entry.budget = entry.budget == 0 ? budget : std::min(entry.budget, budget);
   entry.used = now;
@@ -116,11 +120,13 @@
     entry.row = row;
 }
 
-bool BudgetBook::Advance(const std::string& program, std::int64_t most) {
+bool BudgetBook::Advance(const std::string& program,
+                         std::int64_t most,
+                         std::int64_t advanced) {
   Program& entry = programs_[program];
   std::int64_t need = std::max<std::int64_t>(0, most - entry.available);
   std::int64_t limit = most + entry.budget / settings_.advance_divisor;
-  if (need > entry.left() || entry.unsettled + need > limit)
+  if (need > entry.left() || std::max(entry.unsettled, advanced) + need > limit)
     return false;
   entry.unsettled += need;
   entry.available += need;
@@ -146,6 +152,11 @@
   return found->second.row.reserved + found->second.unsettled;
 }
 
+std::int64_t BudgetBook::unsettled(const std::string& program) const {
+  auto found = programs_.find(program);
+  return found == programs_.end() ? 0 : found->second.unsettled;
+}
+
 std::vector<std::string> BudgetBook::Unsettled() const {
   std::vector<std::string> programs;
   for (const auto& [program, entry] : programs_) {
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -85,7 +85,10 @@
                           std::int64_t budget,
                           std::int64_t most,
                           Callback callback) {
-  Enqueue(program, {budget, most, std::move(callback), false});
+  std::int64_t advanced = 0;
+  if (auto found = advanced_.find(program); found != advanced_.end())
+    advanced = found->second;
+  Enqueue(program, {budget, most, std::move(callback), false, advanced});
 }
 
 void BudgetService::Enqueue(const std::string& program, Waiter waiter) {
@@ -169,13 +172,15 @@
     ask.budget = first.budget;
     ask.tokens = first.most;
     ask.reserved = book_.reserved(program);
+    if (auto found = advanced_.find(program); found != advanced_.end())
+      ask.advanced = found->second;
     if (peers_.Ask(ask)) {
       pending.ask = ask.ask;
       return After(program, kPeerPatience,
                    [this, program] { Obtain(program); });
     }
   }
-  if (!book_.Advance(program, first.most))
+  if (!book_.Advance(program, first.most, first.advanced))
     return FailWaiters(program);
   base::LogEvent(base::LogLevel::kInfo, "budget_advanced",
                  {{"program", program},
@@ -272,6 +277,7 @@
     give.ask = ask.ask;
     give.program = ask.program;
     give.reserved = book_.reserved(ask.program);
+    give.advanced = book_.unsettled(ask.program);
     if (answer == BudgetAnswer::kGranted) {
       // The tokens are the other entry's from now on.
       book_.End(ask.program, ask.tokens, ask.tokens);
@@ -280,13 +286,18 @@
     if (answer != BudgetAnswer::kUnavailable)
       reply(give);
   };
-  Enqueue(ask.program, {ask.budget, ask.tokens, std::move(answer), true});
+  Enqueue(ask.program,
+          {ask.budget, ask.tokens, std::move(answer), true, ask.advanced});
 }
 
 void BudgetService::OnGive(const BudgetGive& give) {
   book_.ObserveReserved(give.program, give.reserved,
                         base::TimePoint::clock::now());
   book_.Receive(give.program, give.tokens);
+  if (give.advanced > 0)
+    advanced_[give.program] = give.advanced;
+  else
+    advanced_.erase(give.program);
   auto found = pending_.find(give.program);
   if (found == pending_.end() || found->second.ask != give.ask)
     return;
@@ -299,7 +310,17 @@
   book_.ObserveReserved(program, reserved, base::TimePoint::clock::now());
 }
 
+void BudgetService::OnAdvancesLost(base::Duration duration) {
+  auto until = base::TimePoint::clock::now() + duration;
+  if (until <= advances_lost_until_)
+    return;
+  advances_lost_until_ = until;
+  book_.SetAdvancesLost(true);
+}
+
 void BudgetService::Settle() {
+  if (base::TimePoint::clock::now() >= advances_lost_until_)
+    book_.SetAdvancesLost(false);
   if (store_suspect())
     return;
   for (const std::string& program : book_.Unsettled()) {
@@ -319,6 +340,7 @@
 void BudgetService::Sweep(base::Duration retention) {
   auto before = base::TimePoint::clock::now() - retention;
   for (const auto& [program, row_version] : book_.Forget(before)) {
+    advanced_.erase(program);
     if (row_version == 0)
       continue;
     TableWrite write;
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -24,6 +24,8 @@
 // Pause after a failed accept, for example without free descriptors.
 constexpr milliseconds kAcceptPause{50};
 // How long a program's budget is remembered after its last turn.
+// How long a program may pause between two turns; the users' pages say 60 s.
+constexpr base::seconds kBudgetMemory{90};
 // Far longer than a program's turns are apart, so that a row is not deleted
 // while another entry still uses it.
 constexpr base::seconds kBudgetRetention{600};
@@ -171,6 +173,7 @@
     pool_.Sweep(now);
     budgets_.Sweep(kBudgetRetention);
   }
+  CheckAdvances();
   budgets_.Settle();
   if (draining_)
     CheckDrained();
@@ -181,6 +184,20 @@
   });
 }
 
+void Gateway::CheckAdvances() {
+  std::uint64_t peers_lost = peers_.peers_lost();
+  if (std::exchange(peers_lost_, peers_lost) != peers_lost &&
+      budgets_.store_suspect())
+    budgets_.OnAdvancesLost(kBudgetMemory);
+  if (start_known_)
+    return;
+  start_known_ = peers_.start() != PeerStart::kUnknown;
+  if (!start_known_)
+    budgets_.OnAdvancesLost(2 * kTick);
+  else if (peers_.start() == PeerStart::kAfterFailure)
+    budgets_.OnAdvancesLost(kBudgetMemory);
+}
+
 void Gateway::Drain(std::function<void()> done) {
   if (draining_)
     return;
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -86,10 +86,12 @@
   write.name = {kTable, "", settings_.address};
   write.value = base::HexString(id_);
   table_.Write(std::move(write), [this](const WriteResult& result) {
-    // A row that exists already belongs to an earlier run at this address; the
-    // address is all that counts.
-    registered_ = result.outcome == StoreOutcome::kDone ||
-                  result.outcome == StoreOutcome::kConflict;
+    // A row that exists already belongs to a run at this address that did not
+    // stop by itself.
+    if (result.outcome == StoreOutcome::kDone)
+      start_ = PeerStart::kClean;
+    if (result.outcome == StoreOutcome::kConflict)
+      start_ = PeerStart::kAfterFailure;
   });
 }
 
@@ -97,7 +99,7 @@
   next_list_ =
       base::TimePoint::clock::now() +
       (listed_ ? settings_.list_interval : settings_.first_list_interval);
-  if (!registered_)
+  if (start_ == PeerStart::kUnknown)
     Register();
   table_.List(kTable, "",
               [this](const ReadResult& result) { OnListed(result); });
@@ -290,6 +292,7 @@
   body.setBudget(static_cast<std::uint32_t>(ask.budget));
   body.setTokens(static_cast<std::uint32_t>(ask.tokens));
   body.setReserved(static_cast<std::uint32_t>(ask.reserved));
+  body.setAdvanced(static_cast<std::uint32_t>(ask.advanced));
   SendTo(home, Pack(builder));
   return true;
 }
@@ -304,12 +307,13 @@
   body.setProgram(give.program);
   body.setTokens(static_cast<std::uint32_t>(give.tokens));
   body.setReserved(static_cast<std::uint32_t>(give.reserved));
+  body.setAdvanced(static_cast<std::uint32_t>(give.advanced));
   return Pack(builder);
 }
 
 void PeerLink::AnnounceSpent(const std::string& program,
                              std::int64_t reserved) {
-  std::string datagram = PackGive({0, program, 0, reserved});
+  std::string datagram = PackGive({0, program, 0, reserved, 0});
   for (const std::string& address : directory_.live_addresses())
     SendTo(address, datagram);
 }
@@ -317,8 +321,8 @@
 void PeerLink::OnBudgetMessage(const wire::Message::Reader& message) {
   if (message.hasBudgetAsk()) {
     auto body = message.getBudgetAsk();
-    BudgetAsk ask{body.getAsk(), body.getProgram(), body.getBudget(),
-                  body.getTokens(), body.getReserved()};
+    BudgetAsk ask{body.getAsk(),    body.getProgram(),  body.getBudget(),
+                  body.getTokens(), body.getReserved(), body.getAdvanced()};
     budgets_->OnAsk(
         ask, [this, address = AddressText(from_)](const BudgetGive& give) {
           SendTo(address, PackGive(give));
@@ -327,7 +331,7 @@
   if (message.hasBudgetGive()) {
     auto body = message.getBudgetGive();
     BudgetGive give{body.getAsk(), body.getProgram(), body.getTokens(),
-                    body.getReserved()};
+                    body.getReserved(), body.getAdvanced()};
     if (give.ask == 0)
       budgets_->OnSpent(give.program, give.reserved);
     else
@@ -406,6 +410,7 @@
     base::LogEvent(base::LogLevel::kInfo, "peer_lost",
                    {{"peer", base::HexString(gone)},
                     {"live", std::to_string(directory_.live())}});
+    ++peers_lost_;
     registry_.ForgetPeer(gone);
   }
   if (now >= next_list_)
--- a/packages/forwarding/tests/budget_book_test.cc
+++ b/packages/forwarding/tests/budget_book_test.cc
@@ -95,7 +95,7 @@
   BudgetBook book;
   CHECK(book.Begin(kProgram, 600, 50, kStart) == BudgetVerdict::kReserve);
   int turns = 0;
-  while (book.Advance(kProgram, 50)) {
+  while (book.Advance(kProgram, 50, 0)) {
     REQUIRE(book.Begin(kProgram, 600, 50, kStart) == BudgetVerdict::kGranted);
     book.End(kProgram, 50, 50);
     ++turns;
@@ -115,7 +115,41 @@
   BudgetBook book;
   book.ObserveReserved(kProgram, 600, kStart);
   CHECK(book.Begin(kProgram, 600, 50, kStart) == BudgetVerdict::kSpent);
-  CHECK_FALSE(book.Advance(kProgram, 50));
+  CHECK_FALSE(book.Advance(kProgram, 50, 0));
+}
+
+TEST_CASE("advances of an earlier home count towards the limit") {
+  BudgetBook book;
+  book.Begin(kProgram, 600, 50, kStart);
+  CHECK_FALSE(book.Advance(kProgram, 50, 150));
+  CHECK(book.Advance(kProgram, 50, 50));
+}
+
+TEST_CASE("lost advances and what follows stay within budget and one turn") {
+  for (std::int64_t most : {20, 45, 100, 135}) {
+    std::int64_t budget = 270;
+    BudgetBook before;
+    std::int64_t used = 0;
+    while (before.Begin(kProgram, budget, most, kStart) ==
+           BudgetVerdict::kReserve) {
+      if (!before.Advance(kProgram, most, 0))
+        break;
+      REQUIRE(before.Begin(kProgram, budget, most, kStart) ==
+              BudgetVerdict::kGranted);
+      before.End(kProgram, most, most);
+      used += most;
+    }
+    BudgetBook after;
+    after.SetAdvancesLost(true);
+    BudgetRow row;
+    while (BeginDurably(after, row, budget, most)) {
+      after.End(kProgram, most, most);
+      used += most;
+    }
+    CHECK(used <= budget + most);
+    // Programs use at most two thirds of their budgets by the users' pages.
+    CHECK(row.reserved >= budget * 2 / 3 - most);
+  }
 }
 
 TEST_CASE("unused tokens go back only while the budget is short") {
--- a/packages/protocol/schema/peer.capnp
+++ b/packages/protocol/schema/peer.capnp
@@ -54,6 +54,8 @@
   tokens @3 :UInt32;
   # Tokens that the sender knows to be reserved.
   reserved @4 :UInt32;
+  # Part of them that was advanced and not durable when the sender last heard.
+  advanced @5 :UInt32;
 }
 
 struct BudgetGive {
@@ -64,4 +66,6 @@
   tokens @2 :UInt32;
   # Tokens that are reserved in all, as far as the sender knows.
   reserved @3 :UInt32;
+  # Part of them that is advanced and not durable.
+  advanced @4 :UInt32;
 }
--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -45,9 +45,9 @@
 class Gateway:
     """One gateway process."""
 
-    def __init__(self, platform, grace_s=8, name="edge-1"):
+    def __init__(self, platform, grace_s=8, name="edge-1", peer_port=0):
         self.front, self.ready_port = free_port(), free_port()
-        peer_port = free_port(socket.SOCK_DGRAM)
+        self.peer_port = peer_port = peer_port or free_port(socket.SOCK_DGRAM)
         self.directory = tempfile.TemporaryDirectory()
         settings = pathlib.Path(self.directory.name) / "settings.yaml"
         settings.write_text(f"""
@@ -290,11 +290,11 @@
 class BudgetTest(GatewayCase):
     """An event stands for 5 tokens, and a turn makes 6 events."""
 
-    def spend(self, gateways, program, budget, turns):
+    def spend(self, gateways, program, budget, turns, most=40):
         statuses = []
         for number in range(turns):
             caller = Caller(gateways[number % len(gateways)])
-            statuses.append(caller.send("POST", "/turn/b", b"p", **turn(program, budget, 40)).status)
+            statuses.append(caller.send("POST", "/turn/b", b"p", **turn(program, budget, most)).status)
             caller.close()
         return statuses
 
@@ -340,6 +340,22 @@
         # One turn and a sixth of the budget, and one more turn in progress.
         self.assertLessEqual(30 * statuses.count(200), 600 // 6 + 2 * 40)
 
+    def test_budget_holds_when_all_are_killed_while_the_store_is_away(self):
+        for engine in self.models:
+            engine.events = 9
+        gateways = [self.start(name=f"edge-{i}") for i in range(2)]
+        time.sleep(0.7)
+        self.platform.store.mode = "silent"
+        statuses = self.spend(gateways, "p9", 270, 6, most=45)
+        for gateway in gateways:
+            gateway.process.kill()
+            gateway.process.wait()
+        self.platform.store.mode = "ok"
+        gateway = self.start(peer_port=gateways[0].peer_port)
+        statuses += self.spend([gateway], "p9", 270, 12, most=45)
+        self.assertLessEqual(45 * statuses.count(200), 270 + 45)
+        self.assertGreaterEqual(45 * statuses.count(200), 270 * 5 // 6)
+
     def test_unused_tokens_go_back_when_the_budget_is_short(self):
         gateways = [self.start(name=f"edge-{i}") for i in range(2)]
         self.assertEqual(self.spend(gateways[:1], "p8", 100, 1), [200])
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -181,6 +181,8 @@
         self.ran = []
         self.cut = []
         self.plan = {}
+        # How requests without a plan of their own are treated.
+        self.default = "ok"
         self.work_s = 0.005
 
     def entry(self, state="ready", **extra):
@@ -194,7 +196,7 @@
                 "Server-Load": "1,0,6,100", "Instance-Id": self.identity}
 
     async def handle(self, request, reader, writer):
-        how = self.plan.get(request.path, "ok")
+        how = self.plan.get(request.path, self.default)
         if request.headers.get("expect-instance") != self.identity:
             writer.write(response(421, {"Instance-Id": self.identity,
                                         "Request-Id": request.headers["request-id"]}))
@@ -280,7 +282,10 @@
         return await kind(*arguments).start()
 
     def call(self, coroutine):
-        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
+        return self.call_long(coroutine, 10)
+
+    def call_long(self, coroutine, limit_s):
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(limit_s)
 
     def run(self, function, *arguments, **named):
         async def invoke():
@@ -295,6 +300,10 @@
 
     def configure(self, routes):
         self.version += 3
+        self.run(self.put_config, routes)
+        return self.version
+
+    def put_config(self, routes):
         base = {"host": "desk.example", "timeoutMs": 3000, "goalMs": 200, "priority": 1, "maxAttempts": 1,
                 "stateful": False, "retentionS": 60.0, "sticky": False, "resumable": False}
         config = {"version": self.version, "routes": [dict(base, name=r["prefix"], **r) for r in routes],
@@ -304,8 +313,7 @@
                                 "tls": False, "engine": {"slots": 12, "kvCapacity": 90000, "eventTokens": 5}}],
                   "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 1000,
                              "idleTimeoutMs": 5000}}
-        self.run(self.store.put, "op", "config", config)
-        return self.version
+        self.store.put("op", "config", config)
 
     def close(self):
         for server in [self.store, *self.servers.values()]:
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,317 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of the gateway: real processes against stand-ins, faults from outside, promises checked from what
+callers and servers see.
+
+Usage: soak.py GATEWAY_BINARY [--seeds 1,2,...] [--seconds S]
+Each seed prints one line; a broken promise ends the run with exit code 1 and keeps the gateways' logs.
+"""
+import argparse
+import asyncio
+import pathlib
+import random
+import re
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "gateway"))
+import gateway_test  # noqa: E402
+import standin  # noqa: E402
+
+ROUTES = gateway_test.ROUTES
+EVENT_TOKENS = 5
+TURN_MOST = 40
+BUDGET = 240
+NOT_RUN = (402, 408, 421, 429, 503)
+
+
+class Proxy(standin.Listener):
+    """Forwards connections to `target`. `mode` is one of ok, delay, reset, silent (bytes vanish both ways) and one_way
+    (answers vanish)."""
+
+    def __init__(self, target):
+        super().__init__()
+        self.target, self.mode = target, "ok"
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            if self.mode == "reset":
+                return
+            up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self.target)
+            self.writers.add(up_writer)
+            await asyncio.gather(self.pump(reader, up_writer, False), self.pump(up_reader, writer, True))
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+
+    async def pump(self, reader, writer, answers):
+        while data := await reader.read(4096):
+            if self.mode == "reset":
+                break
+            if self.mode == "delay":
+                await asyncio.sleep(0.2)
+            if self.mode == "silent" or (self.mode == "one_way" and answers):
+                continue
+            writer.write(data)
+            await writer.drain()
+        writer.transport.abort()
+
+
+class Caller:
+    """Sends requests on a kept connection until that is gone, then on a new one."""
+
+    def __init__(self, soak, number):
+        self.soak, self.number = soak, number
+        self.random = random.Random(soak.seed * 1000 + number)
+        self.reader = self.writer = None
+
+    async def run(self):
+        count = 0
+        while not self.soak.stopping:
+            count += 1
+            identity = f"{self.number:04x}{count:08x}"
+            try:
+                await asyncio.wait_for(self.request(identity), 6)
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
+                self.drop()
+            await asyncio.sleep(self.random.uniform(0, 0.05))
+        self.drop()
+
+    def drop(self):
+        if self.writer:
+            self.writer.transport.abort()
+        self.reader = self.writer = None
+
+    async def connect(self):
+        gateway = self.random.choice(self.soak.gateways)
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", gateway.front)
+
+    async def request(self, identity):
+        if not self.writer:
+            await self.connect()
+        kind = self.random.choice(("read", "pay", "turn", "turn", "once"))
+        # New programs begin all the time, and some loop until their budget is spent.
+        program = f"p{int(time.monotonic() * 4)}-{self.random.randrange(3)}" if kind in ("turn", "once") else ""
+        if program and self.random.random() < 0.2:
+            program = f"loop-{self.random.randrange(20)}"
+        headers = {"Host": "desk.example", "Request-Id": identity, "Deadline-Ms": "2500", "Content-Length": "4"}
+        if program:
+            headers.update({"Program-Id": program, "Session-Id": "s" + program, "Token-Budget": str(BUDGET),
+                            "Token-Count": f"300,{TURN_MOST}", "Prompt-Prefix": f"aa:200,{program}:100"})
+        text = f"POST /{kind}/{identity} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in headers.items())
+        self.soak.sent += 1
+        self.writer.write(text.encode() + b"\r\nbody")
+        leaves = self.random.random() < 0.03
+        status, fields = await self.read_head()
+        if leaves:
+            return self.drop()
+        self.soak.answers[identity] = status
+        body = await self.read_body(fields, lambda piece: self.soak.count_events(program, piece))
+        self.soak.check_answer(kind, identity, status, fields, body)
+        if fields.get("connection") == "close":
+            self.drop()
+
+    async def read_head(self):
+        lines = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        fields = dict(line.lower().split(": ", 1) for line in lines[1:] if ": " in line)
+        return int(lines[0].split(" ")[1]), fields
+
+    async def read_body(self, fields, on_piece):
+        if fields.get("transfer-encoding") != "chunked":
+            return await self.reader.readexactly(int(fields.get("content-length", 0)))
+        body = b""
+        while size := int(await self.reader.readline(), 16):
+            piece = await self.reader.readexactly(size + 2)
+            on_piece(piece[:-2])
+            body += piece[:-2]
+        await self.reader.readline()
+        return body
+
+
+class Soak:
+    def __init__(self, seed, seconds):
+        self.seed, self.seconds = seed, seconds
+        self.random = random.Random(seed)
+        self.platform = standin.Platform()
+        self.answers, self.program_events, self.broken = {}, {}, []
+        self.sent = 0
+        self.stopping = False
+        self.gateways, self.proxies, self.servers = [], [], []
+        self.log = []
+
+    def break_promise(self, text):
+        self.broken.append(text)
+
+    def check_answer(self, kind, identity, status, fields, body):
+        if status // 100 != 2:
+            return
+        if not fields.get("server-seal", "").startswith("seal-"):
+            self.break_promise(f"{identity}: success without proof")
+        if kind in ("read", "pay") and not body.decode().endswith(f"ran /{kind}/{identity}"):
+            self.break_promise(f"{identity}: answer of another request: {body!r}")
+        if kind in ("turn", "once"):
+            ids = [int(number) for number in re.findall(rb"id: (\d+)", body)]
+            if ids != list(range(1, 7)):
+                self.break_promise(f"{identity}: whole stream with events {ids}")
+
+    def count_events(self, program, piece):
+        count = self.program_events.get(program, 0) + piece.count(b"id: ")
+        self.program_events[program] = count
+        if EVENT_TOKENS * count > BUDGET + TURN_MOST:
+            self.break_promise(f"{program}: {EVENT_TOKENS * count} tokens of {BUDGET}")
+
+    def check_runs(self):
+        runs = {}
+        for server in self.servers:
+            for identity, path, _, _ in server.ran:
+                runs.setdefault((identity, path.split("/")[1]), []).append(server.identity)
+        for (identity, kind), where in runs.items():
+            if kind in ("pay", "once") and len(where) > 1:
+                self.break_promise(f"{identity}: a {kind} ran at {where}")
+            if self.answers.get(identity) in NOT_RUN and kind in ("pay", "once"):
+                self.break_promise(f"{identity}: answered {self.answers[identity]} and ran at {where}")
+
+    async def add_server(self, kind, service):
+        server = await kind(f"{service[0]}-{len(self.servers)}", service).start()
+        proxy = await Proxy(server.port).start()
+        server.proxy = proxy
+        self.servers.append(server)
+        self.proxies.append(proxy)
+        self.platform.store.put("servers", server.identity, self.entry(server))
+        return server
+
+    @staticmethod
+    def entry(server, state="ready"):
+        return server.entry(state, address=f"127.0.0.1:{server.proxy.port}")
+
+    def start_gateway(self, index):
+        gateway = gateway_test.Gateway(self.store_proxy, name=f"edge-{index}")
+        if index < len(self.gateways):
+            self.log.append(self.gateways[index])
+            self.gateways[index] = gateway
+        else:
+            self.gateways.append(gateway)
+
+    async def fault(self):
+        """One fault, from its start to its end; several overlap."""
+        index = self.random.randrange(len(self.gateways))
+        gateway, length = self.gateways[index], self.random.uniform(0.2, 2.5)
+        choice = self.random.choice(("stop", "pause", "kill", "store", "store", "proxy", "proxy", "store_proxy", "replace",
+                                     "plan", "compact", "config"))
+        if choice == "pause":
+            gateway.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(length)
+            gateway.process.send_signal(signal.SIGCONT)
+        elif choice in ("stop", "kill"):
+            gateway.process.send_signal(signal.SIGTERM if choice == "stop" else signal.SIGKILL)
+            while gateway.process.poll() is None:
+                await asyncio.sleep(0.05)
+            if choice == "stop" and gateway.process.returncode not in (0, -signal.SIGKILL):
+                self.break_promise(f"a stopped gateway ended with {gateway.process.returncode}")
+            if self.gateways[index] is gateway:
+                self.start_gateway(index)
+        elif choice == "store":
+            self.platform.store.mode = self.random.choice(("busy", "silent", "lost", "late"))
+            await asyncio.sleep(length)
+            self.platform.store.mode = "ok"
+        elif choice in ("proxy", "store_proxy"):
+            proxy = self.store_proxy.store if choice == "store_proxy" else self.random.choice(self.proxies)
+            proxy.mode = self.random.choice(("delay", "reset", "silent", "one_way"))
+            await asyncio.sleep(length)
+            proxy.mode = "ok"
+        elif choice == "replace":
+            await self.replace_server(length)
+        elif choice == "plan":
+            server, path = self.random.choice(self.servers), self.random.choice(("drop", "half", "stray", "garbage", "shed"))
+            server.default = path
+            await asyncio.sleep(length)
+            server.default = "ok"
+        elif choice == "compact":
+            self.platform.store.compact()
+        elif choice == "config":
+            self.configure()
+
+    async def replace_server(self, length):
+        old = self.random.choice([server for server in self.servers if not getattr(server, "gone", False)])
+        old.gone = True
+        await self.add_server(type(old), old.service)
+        self.platform.store.put("servers", old.identity, self.entry(old, "draining"))
+        await asyncio.sleep(length)
+        self.platform.store.put("servers", old.identity, None)
+
+    def configure(self):
+        self.platform.version += 1
+        self.platform.put_config(ROUTES)
+
+    async def play(self):
+        for _ in range(3):
+            await self.add_server(standin.Backend, "tools")
+            await self.add_server(standin.Engine, "models")
+        self.configure()
+        store_proxy = await Proxy(self.platform.store.port).start()
+        self.store_proxy = type("StoreAddress", (), {"store": store_proxy})
+        for index in range(3):
+            self.start_gateway(index)
+        await asyncio.sleep(1)
+        callers = [asyncio.ensure_future(Caller(self, number).run()) for number in range(24)]
+        faults, ends = [], time.monotonic() + self.seconds
+        while time.monotonic() < ends and not self.broken:
+            faults.append(asyncio.ensure_future(self.fault()))
+            await asyncio.sleep(self.random.expovariate(1.5))
+        await asyncio.gather(*faults)
+        await self.check_recovery()
+        self.stopping = True
+        await asyncio.gather(*callers)
+        self.check_runs()
+
+    async def check_recovery(self):
+        """With all faults over, requests are served again within a few seconds."""
+        await asyncio.sleep(4)
+        before = len(self.answers)
+        await asyncio.sleep(2)
+        recent = list(self.answers.items())[before:]
+        served = sum(1 for _, status in recent if status in (200, 402))
+        if not recent or served < 0.9 * len(recent):
+            self.break_promise(f"after the faults {served} of {len(recent)} are served")
+
+    def run(self):
+        try:
+            self.platform.call_long(self.play(), self.seconds + 60)
+        finally:
+            for gateway in self.gateways:
+                if gateway.process.poll() not in (None, 0):
+                    self.break_promise(f"a gateway ended by itself with {gateway.process.returncode}")
+            if self.broken:
+                directory = tempfile.mkdtemp(prefix=f"soak-{self.seed}-")
+                for number, gateway in enumerate(self.gateways + self.log):
+                    shutil.copy(gateway.log_path, f"{directory}/gateway-{number}.log")
+                print(f"logs are kept in {directory}")
+            for gateway in self.gateways + self.log:
+                gateway.stop()
+            self.platform.close()
+        served = sum(1 for status in self.answers.values() if status == 200)
+        print(f"seed={self.seed} sent={self.sent} answered={len(self.answers)} served={served} "
+              f"broken={len(self.broken)}", flush=True)
+        for text in self.broken[:5]:
+            print("  " + text)
+        return not self.broken
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("gateway")
+    parser.add_argument("--seeds", default=str(int(time.time())))
+    parser.add_argument("--seconds", type=float, default=8)
+    arguments = parser.parse_args()
+    gateway_test.GATEWAY = arguments.gateway
+    passed = [Soak(int(seed), arguments.seconds).run() for seed in arguments.seeds.split(",")]
+    print(f"soak: seeds={len(passed)} broken={passed.count(False)}")
+    sys.exit(0 if all(passed) else 1)
+
+
+if __name__ == "__main__":
+    main()
