Send callers elsewhere when cut off, advance only in a majority, pause between tries at one server

Three tries at a resetting server took 17 ms of 4 s.

Change: a gateway that hears not more than half of the gateways it heard in 15 s advances nothing; if the store is away too it is not ready, and its answers close the connection. A further try at the same server waits 40, then 80 ms. Metrics are named vl_gateway_*, with latency histograms by the metrics library.

Ruled out: not ready on a lost store alone, which would take all gateways out in a full outage.

Test: cut_off failed before, passes.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -12,6 +12,7 @@
 
 #include <gflags/gflags.h>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "platform/header_codec.h"
 #include "platform/node_settings.h"
@@ -48,9 +49,9 @@
         threads_(0),
         signals_(threads_.context(), SIGTERM, SIGINT, SIGHUP),
         seed_(base::Hash64(base::RandomId())),
-        store_calls_(counters_.counter("vanillalever_store_calls_total",
+        store_calls_(counters_.counter("vl_gateway_store_calls_total",
                                        "Calls to the platform's store.")),
-        store_failures_(counters_.counter("vanillalever_store_failures_total",
+        store_failures_(counters_.counter("vl_gateway_store_failures_total",
                                           "Calls to the store that failed.")),
         store_(threads_,
                {.address = settings_.store_address},
@@ -75,7 +76,8 @@
                         adapter::kServerTable,
                         server_feed_,
                         seed_ + 2,
-                        MakeWatcherSettings(settings_)) {}
+                        MakeWatcherSettings(settings_)),
+        store_timer_(threads_.context()) {}
 
   int Run() {
     base::LogEvent(base::LogLevel::kInfo, "started",
@@ -87,6 +89,7 @@
     ServeReadiness();
     config_watcher_.Start();
     server_watcher_.Start();
+    WatchStore();
     AwaitSignal();
     threads_.context().run();
     base::LogEvent(base::LogLevel::kInfo, "stopped");
@@ -128,7 +131,7 @@
                 [this](const std::shared_ptr<http::Exchange>& exchange) {
                   http::Response response;
                   response.content_type = "text/plain; version=0.0.4";
-                  response.body = counters_.Render();
+                  response.body = gateway_.metrics().Render();
                   exchange->Send(std::move(response));
                 });
     http::ServerSettings server;
@@ -140,6 +143,17 @@
     readiness_ = std::make_unique<http::Server>(threads_, server, router_);
   }
 
+  // Tells the gateway whether the store answers.
+  void WatchStore() {
+    gateway_.OnStoreState(config_watcher_.connected() ||
+                          server_watcher_.connected());
+    store_timer_.expires_after(base::milliseconds(100));
+    store_timer_.async_wait([this](boost::system::error_code error) {
+      if (!error)
+        WatchStore();
+    });
+  }
+
   void AwaitSignal() {
     signals_.async_wait([this](boost::system::error_code error, int signal) {
       if (error)
@@ -179,6 +193,7 @@
   adapter::ServerFeed server_feed_;
   forwarding::TableWatcher config_watcher_;
   forwarding::TableWatcher server_watcher_;
+  boost::asio::steady_timer store_timer_;
   http::Router router_;
   std::unique_ptr<http::Server> readiness_;
 };
--- a/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
@@ -33,13 +33,20 @@
   std::int64_t advanced = 0;
 };
 
+// Who grants tokens of a program while the store is away.
+enum class BudgetHome {
+  kOther,  // another entry, which has been asked
+  kHere,   // this entry
+  kNone,   // nobody: this entry hears too few others and may be cut off
+};
+
 // Way to the other entries. Messages may be lost.
 class BudgetPeers {
  public:
   virtual ~BudgetPeers() = default;
   // Sends the ask to the entry that grants this program's tokens while the
-  // store is away. Returns false if that is this entry.
-  virtual bool Ask(const BudgetAsk& ask) = 0;
+  // store is away, unless that is this entry.
+  virtual BudgetHome Ask(const BudgetAsk& ask) = 0;
   // Tells all entries that `reserved` tokens of the program are reserved, which
   // is all of its budget.
   virtual void AnnounceSpent(const std::string& program,
--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -61,7 +61,7 @@
   // Limits in force.
   virtual const IngressLimits& ingress_limits() const = 0;
   // Whether answers should ask the caller to use another connection.
-  virtual bool draining() const = 0;
+  virtual bool closing() const = 0;
 };
 
 // One caller's connection: reads requests one after the other and writes their
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -56,6 +56,8 @@
   void OnSendFailed(SendFailure failure, const std::string& reason);
   void OnTimeout();
 
+  void NoteFirstOutput();
+  void CountAnswer();
   void RelayStart();
   void Refuse(std::string_view reason, base::Duration retry_after);
   void AnswerOwn(int status,
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -64,10 +64,13 @@
   void OnServerRemoved(const std::string& id, bool may_return);
   void OnServersListed(std::vector<BackendServer> servers);
 
-  // Whether new callers should come: a configuration and servers are known and
-  // the process is not stopping.
+  // Whether new callers should come: a configuration and servers are known, and
+  // the process is neither stopping nor cut off.
   bool ready() const;
 
+  // Whether the store has answered lately. Call it when that changes, or often.
+  void OnStoreState(bool connected) { store_connected_ = connected; }
+
   // Stops gracefully and calls `done` when nothing is left.
   void Drain(std::function<void()> done);
 
@@ -78,12 +81,13 @@
       std::shared_ptr<ResponseSink> sink) override;
   void OnSessionEnded(CallerSession* session) override;
   const IngressLimits& ingress_limits() const override;
-  bool draining() const override { return draining_; }
+  bool closing() const override { return draining_ || cut_off_; }
 
  private:
   void Accept();
   void Tick();
   void CheckDrained();
+  void CheckCutOff();
   // Tells the budgets when advances may have been lost.
   void CheckAdvances();
 
@@ -107,6 +111,10 @@
   base::TimePoint last_sweep_{};
   std::uint64_t peers_lost_ = 0;
   bool start_known_ = false;
+  bool store_connected_ = false;
+  // Neither the store nor most of the other gateways can be reached: callers
+  // are better served elsewhere.
+  bool cut_off_ = false;
   std::function<void()> on_drained_;
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -1,14 +1,29 @@
 #ifndef VANILLALEVER_FORWARDING_GATEWAY_METRICS_H_
 #define VANILLALEVER_FORWARDING_GATEWAY_METRICS_H_
 
+#include <array>
+#include <string>
+
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
 #include "vanillalever/base/counters.h"
+#include "vanillalever/forwarding/route_config.h"
 
 namespace vanillalever::forwarding {
 
-// Counters of a gateway. References stay valid as long as the registry.
+// Counters and latency histograms of a gateway. References stay valid as long
+// as the registry.
 struct GatewayMetrics {
   explicit GatewayMetrics(base::CounterRegistry& registry);
 
+  // All metrics of the process in the Prometheus text format.
+  std::string Render() const;
+  // Histogram of whole answers for requests of this kind.
+  prometheus::Histogram& request_seconds(RequestKind kind) {
+    return *request_seconds_[static_cast<std::size_t>(kind)];
+  }
+
   base::Counter& requests;
   base::Counter& answered;
   base::Counter& refused;
@@ -22,6 +37,17 @@
   base::Counter& store_calls;
   base::Counter& store_failures;
   base::Counter& malformed_entries;
+
+ private:
+  base::CounterRegistry& counters_;
+  prometheus::Registry histograms_;
+  std::array<prometheus::Histogram*, 3> request_seconds_;
+
+ public:
+  // Time from the send of a turn to its first event.
+  prometheus::Histogram& first_event_seconds;
+  // Time that a turn waited for its budget.
+  prometheus::Histogram& budget_seconds;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
@@ -17,6 +17,9 @@
 struct PeerDirectorySettings {
   // Silence after which a peer no longer counts: four of its regular messages.
   base::milliseconds lifetime{1200};
+  // How long a silent peer counts as cut off rather than gone: longer than any
+  // restart takes.
+  base::seconds memory{15};
 };
 
 // Other gateways of the deployment, by address, with what was last heard of
@@ -46,6 +49,10 @@
   std::vector<std::string> live_addresses() const;
   // All known addresses, silent ones too: their messages may be lost.
   std::vector<std::string> addresses() const;
+  // Whether this gateway and the live peers are not more than half of all that
+  // were heard within the memory. At most one part of a divided deployment is
+  // no minority.
+  bool Minority(base::TimePoint now) const;
   // Gateways heard within the lifetime.
   std::size_t live() const;
 
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -64,7 +64,7 @@
   // Call before Start().
   void SetBudgetHandler(BudgetHandler& handler) { budgets_ = &handler; }
 
-  bool Ask(const BudgetAsk& ask) override;
+  BudgetHome Ask(const BudgetAsk& ask) override;
   void AnnounceSpent(const std::string& program,
                      std::int64_t reserved) override;
 
@@ -80,6 +80,11 @@
   void Leave();
 
   PeerStart start() const { return start_; }
+  // Whether this gateway hears less than half of those that it heard lately,
+  // itself included.
+  bool minority() const {
+    return directory_.Minority(base::TimePoint::clock::now());
+  }
   // Runs of other gateways that ended or fell silent so far.
   std::uint64_t peers_lost() const { return peers_lost_; }
 
--- a/packages/forwarding/include/vanillalever/forwarding/retry_policy.h
+++ b/packages/forwarding/include/vanillalever/forwarding/retry_policy.h
@@ -49,6 +49,8 @@
 class RetryPolicy {
  public:
   NextStep Decide(SendFailure failure, const RetryState& state) const;
+  // Pause before the `tries`-th try at the same server.
+  base::milliseconds Pause(int tries) const;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -174,10 +174,15 @@
     ask.reserved = book_.reserved(program);
     if (auto found = advanced_.find(program); found != advanced_.end())
       ask.advanced = found->second;
-    if (peers_.Ask(ask)) {
-      pending.ask = ask.ask;
-      return After(program, kPeerPatience,
-                   [this, program] { Obtain(program); });
+    switch (peers_.Ask(ask)) {
+      case BudgetHome::kNone:
+        return FailWaiters(program);
+      case BudgetHome::kHere:
+        break;
+      case BudgetHome::kOther:
+        pending.ask = ask.ask;
+        return After(program, kPeerPatience,
+                     [this, program] { Obtain(program); });
     }
   }
   if (!book_.Advance(program, first.most, first.advanced))
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -148,7 +148,7 @@
 void CallerSession::AppendHead(int status,
                                const HttpFields& fields,
                                std::string* text) {
-  if (owner_.draining())
+  if (owner_.closing())
     keep_alive_ = false;
   text->append("HTTP/1.1 ");
   text->append(std::to_string(status));
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -41,6 +41,10 @@
       std::chrono::duration_cast<milliseconds>(duration).count());
 }
 
+double Seconds(base::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 std::string Decimal(double value) {
   char text[32];
   std::snprintf(text, sizeof(text), "%.2f", value);
@@ -124,6 +128,8 @@
 }
 
 void ForwardedRequest::OnBudget(BudgetAnswer answer) {
+  context_.metrics.budget_seconds.Observe(
+      Seconds(base::TimePoint::clock::now() - arrived_));
   if (answer == BudgetAnswer::kGranted) {
     if (done_) {
       context_.budgets.End(profile_.program, profile_.max_output_tokens, 0);
@@ -299,11 +305,23 @@
   if (events.empty())
     return;
   if (!first_output_)
-    first_output_ = base::TimePoint::clock::now();
+    NoteFirstOutput();
   RelayStart();
   sink_->SendPiece(events);
 }
 
+void ForwardedRequest::NoteFirstOutput() {
+  first_output_ = base::TimePoint::clock::now();
+  context_.metrics.first_event_seconds.Observe(
+      Seconds(*first_output_ - sent_at_));
+}
+
+void ForwardedRequest::CountAnswer() {
+  context_.metrics.answered.Add();
+  context_.metrics.request_seconds(route_->kind)
+      .Observe(Seconds(base::TimePoint::clock::now() - arrived_));
+}
+
 void ForwardedRequest::RelayStart() {
   if (relaying_)
     return;
@@ -324,14 +342,14 @@
       // The server that was to continue a stream answered with a failure.
       return GiveUp(502, "the stream could not be resumed");
     }
-    context_.metrics.answered.Add();
     sink_->SendWhole(status_, answer_fields_, body_);
+    CountAnswer();
     return Finish("answered", "");
   }
   RelayStart();
   sink_->SendPiece(framer_.partial());
   sink_->FinishStream();
-  context_.metrics.answered.Add();
+  CountAnswer();
   Finish("answered", "");
 }
 
@@ -381,10 +399,18 @@
       excluded_.push_back(id);
       return Place();
     case NextStep::kTrySameServer: {
-      ++same_server_tries_;
-      Placement placement;
-      placement.slot = slot_;
-      return Send(placement);
+      base::milliseconds pause = context_.retries.Pause(++same_server_tries_);
+      wait_timer_.expires_after(pause);
+      wait_timer_.async_wait(
+          [weak = weak_from_this()](boost::system::error_code error) {
+            auto self = weak.lock();
+            if (error || !self || self->done_)
+              return;
+            Placement placement;
+            placement.slot = self->slot_;
+            self->Send(placement);
+          });
+      return;
     }
     case NextStep::kRefuse:
       return Refuse(reason, kRetryAfter);
@@ -420,8 +446,7 @@
   context_.codec.LabelOwnAnswer(fields, profile_.request_id);
   if (retry_after) {
     char text[32];
-    std::snprintf(text, sizeof(text), "%.3f",
-                  std::chrono::duration<double>(*retry_after).count());
+    std::snprintf(text, sizeof(text), "%.3f", Seconds(*retry_after));
     fields.set(http::field::retry_after, text);
   }
   sink_->SendWhole(status, fields, "");
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -158,7 +158,7 @@
 }
 
 bool Gateway::ready() const {
-  return context_.config && servers_known_ && !draining_;
+  return context_.config && servers_known_ && !draining_ && !cut_off_;
 }
 
 void Gateway::Tick() {
@@ -173,6 +173,7 @@
     pool_.Sweep(now);
     budgets_.Sweep(kBudgetRetention);
   }
+  CheckCutOff();
   CheckAdvances();
   budgets_.Settle();
   if (draining_)
@@ -184,6 +185,14 @@
   });
 }
 
+void Gateway::CheckCutOff() {
+  bool cut_off = !store_connected_ && peers_.minority();
+  if (std::exchange(cut_off_, cut_off) == cut_off)
+    return;
+  base::LogEvent(base::LogLevel::kWarning, "cut_off",
+                 {{"now", cut_off ? "true" : "false"}});
+}
+
 void Gateway::CheckAdvances() {
   std::uint64_t peers_lost = peers_.peers_lost();
   if (std::exchange(peers_lost_, peers_lost) != peers_lost &&
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -1,37 +1,78 @@
 #include "vanillalever/forwarding/gateway_metrics.h"
 
+#include <prometheus/text_serializer.h>
+
 namespace vanillalever::forwarding {
+namespace {
+
+// Bounds in seconds, from a round trip to the longest time limit in use.
+const prometheus::Histogram::BucketBoundaries kSeconds = {
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4};
+
+prometheus::Histogram& MakeHistogram(prometheus::Registry& registry,
+                                     const char* name,
+                                     const char* help,
+                                     const prometheus::Labels& labels = {}) {
+  return prometheus::BuildHistogram()
+      .Name(name)
+      .Help(help)
+      .Register(registry)
+      .Add(labels, kSeconds);
+}
+
+}  // namespace
 
 GatewayMetrics::GatewayMetrics(base::CounterRegistry& registry)
-    : requests(registry.counter("vanillalever_requests_total",
+    : requests(registry.counter("vl_gateway_requests_total",
                                 "Requests read from callers.")),
-      answered(registry.counter("vanillalever_answers_total",
+      answered(registry.counter("vl_gateway_answers_total",
                                 "Answers of servers passed on whole.")),
-      refused(registry.counter("vanillalever_refusals_total",
+      refused(registry.counter("vl_gateway_refusals_total",
                                "Requests refused without having run.")),
       gave_up(
-          registry.counter("vanillalever_unknown_outcomes_total",
+          registry.counter("vl_gateway_unknown_outcomes_total",
                            "Requests ended without an answer after a send.")),
-      caller_left(registry.counter("vanillalever_callers_left_total",
+      caller_left(registry.counter("vl_gateway_callers_left_total",
                                    "Callers that left before the answer.")),
-      sends(registry.counter("vanillalever_sends_total",
+      sends(registry.counter("vl_gateway_sends_total",
                              "Requests sent to servers.")),
-      open_sends(registry.gauge("vanillalever_open_sends",
-                                "Requests open at servers.")),
-      send_failures(registry.counter("vanillalever_send_failures_total",
+      open_sends(
+          registry.gauge("vl_gateway_open_sends", "Requests open at servers.")),
+      send_failures(registry.counter("vl_gateway_send_failures_total",
                                      "Sends without a usable answer.")),
-      new_connections(registry.counter("vanillalever_server_connections_total",
+      new_connections(registry.counter("vl_gateway_server_connections_total",
                                        "Connections opened to servers.")),
-      budget_spent(registry.counter("vanillalever_budget_refusals_total",
+      budget_spent(registry.counter("vl_gateway_budget_refusals_total",
                                     "Turns refused because the program's "
                                     "budget is spent.")),
-      store_calls(registry.counter("vanillalever_store_calls_total",
+      store_calls(registry.counter("vl_gateway_store_calls_total",
                                    "Calls to the platform's store.")),
-      store_failures(registry.counter("vanillalever_store_failures_total",
+      store_failures(registry.counter("vl_gateway_store_failures_total",
                                       "Calls to the store that failed.")),
-      malformed_entries(
-          registry.counter("vanillalever_malformed_entries_total",
-                           "Store entries skipped because they are "
-                           "malformed.")) {}
+      malformed_entries(registry.counter(
+          "vl_gateway_malformed_entries_total",
+          "Store entries skipped because they are malformed.")),
+      counters_(registry),
+      first_event_seconds(
+          MakeHistogram(histograms_,
+                        "vl_gateway_first_event_seconds",
+                        "Time from the send of a turn to its first event.")),
+      budget_seconds(MakeHistogram(histograms_,
+                                   "vl_gateway_budget_seconds",
+                                   "Time that a turn waited for its budget.")) {
+  for (RequestKind kind :
+       {RequestKind::kIdempotent, RequestKind::kNonIdempotent,
+        RequestKind::kStreaming}) {
+    request_seconds_[static_cast<std::size_t>(kind)] =
+        &MakeHistogram(histograms_, "vl_gateway_request_seconds",
+                       "Time from a request's arrival to its whole answer.",
+                       {{"kind", std::string(kRequestKindNames.name(kind))}});
+  }
+}
+
+std::string GatewayMetrics::Render() const {
+  return counters_.Render() +
+         prometheus::TextSerializer().Serialize(histograms_.Collect());
+}
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/peer_directory.cc
+++ b/packages/forwarding/src/peer_directory.cc
@@ -75,6 +75,13 @@
   return addresses;
 }
 
+bool PeerDirectory::Minority(base::TimePoint now) const {
+  std::size_t recent = 1;
+  for (const auto& [address, peer] : peers_)
+    recent += peer.id != 0 && now - peer.heard <= settings_.memory ? 1 : 0;
+  return 2 * (live() + 1) <= recent;
+}
+
 std::size_t PeerDirectory::live() const {
   std::size_t count = 0;
   for (const auto& [address, peer] : peers_)
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -269,7 +269,9 @@
     socket_.send_to(boost::asio::buffer(datagram), *endpoint, 0, ignored);
 }
 
-bool PeerLink::Ask(const BudgetAsk& ask) {
+BudgetHome PeerLink::Ask(const BudgetAsk& ask) {
+  if (minority())
+    return BudgetHome::kNone;
   // The gateway with the highest random weight grants this program's tokens.
   std::string home = settings_.address;
   std::uint64_t best = base::Hash64(ask.program, base::Hash64(home));
@@ -281,7 +283,7 @@
     }
   }
   if (home == settings_.address)
-    return false;
+    return BudgetHome::kHere;
   capnp::MallocMessageBuilder builder;
   auto message = builder.initRoot<wire::Message>();
   message.setSender(id_);
@@ -294,7 +296,7 @@
   body.setReserved(static_cast<std::uint32_t>(ask.reserved));
   body.setAdvanced(static_cast<std::uint32_t>(ask.advanced));
   SendTo(home, Pack(builder));
-  return true;
+  return BudgetHome::kOther;
 }
 
 std::string PeerLink::PackGive(const BudgetGive& give) {
--- a/packages/forwarding/src/retry_policy.cc
+++ b/packages/forwarding/src/retry_policy.cc
@@ -4,7 +4,10 @@
 namespace {
 
 // A stream goes on at the server that ran it this often.
-constexpr int kMaxSameServerTries = 2;
+constexpr int kMaxSameServerTries = 3;
+// Pause before the second try at the same server; doubles with each further
+// one. A server that restarts refuses connections within about this time.
+constexpr base::milliseconds kSameServerPause{40};
 
 }  // namespace
 
@@ -24,4 +27,9 @@
   return NextStep::kGiveUp;
 }
 
+base::milliseconds RetryPolicy::Pause(int tries) const {
+  return tries <= 1 ? base::milliseconds(0)
+                    : kSameServerPause * (1 << (tries - 2));
+}
+
 }  // namespace vanillalever::forwarding
