--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -66,6 +66,7 @@
   // The outcome at a server is unknown.
   void GiveUp(int status, std::string_view reason);
   void Finish(std::string_view outcome, std::string_view reason);
+  void LogOutcome(std::string_view outcome, std::string_view reason) const;
   base::Duration time_left() const;
 
   ForwardingContext& context_;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -91,7 +91,6 @@
   // Tells the budgets when advances may have been lost.
   void CheckAdvances();
 
-  boost::asio::io_context& io_;
   GatewaySettings settings_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer tick_timer_;
--- /dev/null
+++ b/packages/forwarding/include/vanillalever/forwarding/server_request_text.h
@@ -0,0 +1,19 @@
+#ifndef VANILLALEVER_FORWARDING_SERVER_REQUEST_TEXT_H_
+#define VANILLALEVER_FORWARDING_SERVER_REQUEST_TEXT_H_
+
+#include <string>
+
+#include "vanillalever/forwarding/caller_session.h"
+#include "vanillalever/forwarding/wire_codec.h"
+
+namespace vanillalever::forwarding {
+
+// The bytes with which a caller's request goes to a server: method, target and
+// body unchanged, header fields as `codec` prepares them.
+std::string ServerRequestText(const WireCodec& codec,
+                              const CallerRequest& request,
+                              const SendOrders& orders);
+
+}  // namespace vanillalever::forwarding
+
+#endif  // VANILLALEVER_FORWARDING_SERVER_REQUEST_TEXT_H_
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/status.hpp>
 
 #include "vanillalever/base/logging.h"
+#include "vanillalever/forwarding/server_request_text.h"
 
 namespace vanillalever::forwarding {
 namespace {
@@ -45,12 +46,6 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-std::string Decimal(double value) {
-  char text[32];
-  std::snprintf(text, sizeof(text), "%.2f", value);
-  return text;
-}
-
 std::string_view PathOf(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
@@ -187,30 +182,13 @@
 }
 
 std::string ForwardedRequest::RequestText(const ServerSlot& slot) const {
-  HttpFields fields = request_.base();
-  RemoveConnectionFields(fields);
   SendOrders orders;
   orders.time_left = std::chrono::duration_cast<milliseconds>(time_left());
   orders.expected_server = slot.server.id;
   orders.urgency = kUrgency;
   orders.last_event_id =
       framer_.last_id().empty() ? profile_.last_event_id : framer_.last_id();
-  context_.codec.PrepareSend(fields, orders);
-  std::string text;
-  text.reserve(1024 + request_.body().size());
-  text.append(View(request_.method_string())).append(" ");
-  text.append(View(request_.target())).append(" HTTP/1.1\r\n");
-  AppendFields(fields, &text);
-  bool has_length = !request_.body().empty() ||
-                    request_.method() == http::verb::post ||
-                    request_.method() == http::verb::put;
-  if (has_length) {
-    text.append("Content-Length: ")
-        .append(std::to_string(request_.body().size()))
-        .append("\r\n");
-  }
-  text.append("\r\n").append(request_.body());
-  return text;
+  return ServerRequestText(context_.codec, request_, orders);
 }
 
 void ForwardedRequest::Send(const Placement& placement) {
@@ -486,34 +464,7 @@
     context_.budgets.End(profile_.program, profile_.max_output_tokens,
                          framer_.events() * event_tokens);
   }
-  auto now = base::TimePoint::clock::now();
-  base::LogEvent(
-      base::LogLevel::kInfo, "request",
-      {{"request", profile_.request_id},
-       {"program", profile_.program},
-       {"route", route_ == nullptr ? "" : route_->name},
-       {"config", std::to_string(config_ ? config_->version : 0)},
-       {"server", slot_ ? slot_->server.id : ""},
-       {"outcome", std::string(outcome)},
-       {"status", std::to_string(status_)},
-       {"reason", std::string(reason)},
-       {"sends", std::to_string(sends_)},
-       {"waits", std::to_string(waits_)},
-       {"events", std::to_string(framer_.events())},
-       {"budget", std::to_string(profile_.token_budget.value_or(0))},
-       {"most", std::to_string(profile_.max_output_tokens)},
-       {"prompt", std::to_string(profile_.prompt_tokens)},
-       {"prefill", std::to_string(placement_.prefill_tokens)},
-       {"least_prefill", std::to_string(placement_.least_prefill_tokens)},
-       {"open", std::to_string(placement_.open)},
-       {"slowness", Decimal(placement_.slowness)},
-       {"estimate_ms", Decimal(placement_.estimate_ms)},
-       {"reported", reported_ ? std::to_string(reported_->running) + "," +
-                                    std::to_string(reported_->waiting) + "," +
-                                    Decimal(reported_->slowness)
-                              : "-"},
-       {"first_ms", first_output_ ? Ms(*first_output_ - sent_at_) : "-"},
-       {"took_ms", Ms(now - arrived_)}});
+  LogOutcome(outcome, reason);
 }
 
 base::Duration ForwardedRequest::time_left() const {
--- /dev/null
+++ b/packages/forwarding/src/forwarded_request_log.cc
@@ -0,0 +1,61 @@
+// The line that ends a request in the log, with what decided its placement.
+
+#include <cstdio>
+
+#include "vanillalever/base/logging.h"
+#include "vanillalever/forwarding/forwarded_request.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+std::string Ms(base::Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<base::milliseconds>(duration).count());
+}
+
+std::string Decimal(double value) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.2f", value);
+  return text;
+}
+
+// "running,waiting,slowness" as the server reported them with its answer.
+std::string ReportText(const std::optional<LoadReport>& report) {
+  if (!report)
+    return "-";
+  return std::to_string(report->running) + "," +
+         std::to_string(report->waiting) + "," + Decimal(report->slowness);
+}
+
+}  // namespace
+
+void ForwardedRequest::LogOutcome(std::string_view outcome,
+                                  std::string_view reason) const {
+  auto now = base::TimePoint::clock::now();
+  base::LogEvent(
+      base::LogLevel::kInfo, "request",
+      {{"request", profile_.request_id},
+       {"program", profile_.program},
+       {"route", route_ == nullptr ? "" : route_->name},
+       {"config", std::to_string(config_ ? config_->version : 0)},
+       {"server", slot_ ? slot_->server.id : ""},
+       {"outcome", std::string(outcome)},
+       {"server_status", std::to_string(status_)},
+       {"reason", std::string(reason)},
+       {"sends", std::to_string(sends_)},
+       {"waits", std::to_string(waits_)},
+       {"events", std::to_string(framer_.events())},
+       {"budget", std::to_string(profile_.token_budget.value_or(0))},
+       {"most", std::to_string(profile_.max_output_tokens)},
+       {"prompt", std::to_string(profile_.prompt_tokens)},
+       {"prefill", std::to_string(placement_.prefill_tokens)},
+       {"least_prefill", std::to_string(placement_.least_prefill_tokens)},
+       {"open", std::to_string(placement_.open)},
+       {"slowness", Decimal(placement_.slowness)},
+       {"estimate_ms", Decimal(placement_.estimate_ms)},
+       {"reported", ReportText(reported_)},
+       {"first_ms", first_output_ ? Ms(*first_output_ - sent_at_) : "-"},
+       {"took_ms", Ms(now - arrived_)}});
+}
+
+}  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -38,8 +38,7 @@
                  SharedTable& table,
                  base::CounterRegistry& counters,
                  std::uint64_t seed)
-    : io_(io),
-      settings_(std::move(settings)),
+    : settings_(std::move(settings)),
       acceptor_(io),
       tick_timer_(io),
       accept_timer_(io),
@@ -257,8 +256,8 @@
 }
 
 const IngressLimits& Gateway::ingress_limits() const {
-  static const IngressLimits kDefaults;
-  return context_.config ? context_.config->limits : kDefaults;
+  static const IngressLimits defaults;
+  return context_.config ? context_.config->limits : defaults;
 }
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -6,8 +6,9 @@
 namespace {
 
 // Bounds in seconds, from a round trip to the longest time limit in use.
-const prometheus::Histogram::BucketBoundaries kSeconds = {
-    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4};
+prometheus::Histogram::BucketBoundaries BucketSeconds() {
+  return {0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4};
+}
 
 prometheus::Histogram& MakeHistogram(prometheus::Registry& registry,
                                      const char* name,
@@ -17,7 +18,7 @@
       .Name(name)
       .Help(help)
       .Register(registry)
-      .Add(labels, kSeconds);
+      .Add(labels, BucketSeconds());
 }
 
 }  // namespace
--- a/packages/forwarding/src/prompt_index.cc
+++ b/packages/forwarding/src/prompt_index.cc
@@ -1,5 +1,7 @@
 #include "vanillalever/forwarding/prompt_index.h"
 
+#include <cstddef>
+
 #include "vanillalever/base/hash.h"
 
 namespace vanillalever::forwarding {
@@ -28,15 +30,16 @@
 void PromptIndex::Touch(const PromptChain& chain) {
   // The first part ends up as the most recently used, because later parts are
   // of no use without it.
-  for (auto link = chain.links.rbegin(); link != chain.links.rend(); ++link) {
-    auto found = entries_.find(link->key);
+  for (std::size_t i = chain.links.size(); i-- > 0;) {
+    const PromptChain::Link& link = chain.links[i];
+    auto found = entries_.find(link.key);
     if (found != entries_.end()) {
       order_.splice(order_.begin(), order_, found->second.position);
       continue;
     }
-    order_.push_front(link->key);
-    entries_[link->key] = {link->tokens, order_.begin()};
-    held_ += link->tokens;
+    order_.push_front(link.key);
+    entries_[link.key] = {link.tokens, order_.begin()};
+    held_ += link.tokens;
   }
   while (held_ > capacity_ && order_.size() > 1) {
     auto last = entries_.find(order_.back());
--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -10,8 +10,6 @@
 namespace vanillalever::forwarding {
 namespace {
 
-using boost::asio::ip::tcp;
-
 // Bytes read at a time.
 constexpr std::size_t kReadSize = 8192;
 // Largest head of a server's answer, in bytes.
--- a/packages/forwarding/src/server_registry.cc
+++ b/packages/forwarding/src/server_registry.cc
@@ -60,9 +60,9 @@
 
 const std::vector<ServerSlotPtr>& ServerRegistry::servers(
     const std::string& service) const {
-  static const std::vector<ServerSlotPtr> kNone;
+  static const std::vector<ServerSlotPtr> none;
   auto found = by_service_.find(service);
-  return found == by_service_.end() ? kNone : found->second;
+  return found == by_service_.end() ? none : found->second;
 }
 
 ServerSlotPtr ServerRegistry::find(const std::string& id) const {
--- a/packages/forwarding/tests/budget_book_test.cc
+++ b/packages/forwarding/tests/budget_book_test.cc
@@ -13,7 +13,7 @@
 using base::seconds;
 
 constexpr const char* kProgram = "p";
-const base::TimePoint kStart = base::TimePoint(std::chrono::hours(1));
+constexpr base::TimePoint kStart = base::TimePoint(std::chrono::hours(1));
 
 // Begins a turn as an entry does while the store answers at once. `row` is the
 // store's row.
--- a/packages/forwarding/tests/decision_test.cc
+++ b/packages/forwarding/tests/decision_test.cc
@@ -14,7 +14,7 @@
 
 using base::milliseconds;
 
-const base::TimePoint kStart = base::TimePoint(std::chrono::hours(1));
+constexpr base::TimePoint kStart = base::TimePoint(std::chrono::hours(1));
 
 TEST_CASE("the longest prefix of the host's routes wins") {
   RouteConfig config;
@@ -47,7 +47,7 @@
 
 TEST_CASE("only whole events leave the framer") {
   EventFramer framer;
-  CHECK(framer.Feed("id: 1\ndata: a\n") == "");
+  CHECK(framer.Feed("id: 1\ndata: a\n").empty());
   CHECK(framer.Feed("\nid: 2\nda") == "id: 1\ndata: a\n\n");
   CHECK(framer.events() == 1);
   CHECK(framer.last_id() == "1");
--- a/packages/forwarding/tests/placement_test.cc
+++ b/packages/forwarding/tests/placement_test.cc
@@ -16,7 +16,7 @@
 
 using base::milliseconds;
 
-const base::TimePoint kStart = base::TimePoint(std::chrono::hours(1));
+constexpr base::TimePoint kStart = base::TimePoint(std::chrono::hours(1));
 
 // An engine that computes prompts between the steps of all running requests.
 class EngineModel {
@@ -125,9 +125,10 @@
       }
     }
     LoadResult result;
+    auto count = static_cast<double>(stretches_.size());
     for (double stretch : stretches_) {
-      result.in_time += stretch <= 2.1 ? 1.0 / stretches_.size() : 0;
-      result.mean_stretch += stretch / stretches_.size();
+      result.in_time += stretch <= 2.1 ? 1.0 / count : 0;
+      result.mean_stretch += stretch / count;
     }
     return result;
   }
