Give addresses one parser, histograms a struct of their own, and remove dead steps

Read as a newcomer: the parser of ip:port stood twice; GatewayMetrics mixed public and private parts; NextStep::kRefuse was never returned; ServerPool::Give had a parameter nobody read.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -131,7 +131,8 @@
                 [this](const std::shared_ptr<http::Exchange>& exchange) {
                   http::Response response;
                   response.content_type = "text/plain; version=0.0.4";
-                  response.body = gateway_.metrics().Render();
+                  response.body =
+                      forwarding::RenderMetrics(counters_, gateway_.metrics());
                   exchange->Send(std::move(response));
                 });
     http::ServerSettings server;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -12,18 +12,24 @@
 
 namespace vanillalever::forwarding {
 
-// Counters and latency histograms of a gateway. References stay valid as long
-// as the registry.
+// Latency histograms of a gateway, in seconds.
+struct LatencyHistograms {
+  LatencyHistograms();
+
+  prometheus::Registry registry;
+  // Time from a request's arrival to its whole answer, by RequestKind.
+  std::array<prometheus::Histogram*, 3> request_seconds;
+  // Time from the send of a turn to its first event.
+  prometheus::Histogram& first_event_seconds;
+  // Time that a turn waited for its budget.
+  prometheus::Histogram& budget_seconds;
+};
+
+// Counters and histograms of a gateway. References stay valid as long as
+// `registry`.
 struct GatewayMetrics {
   explicit GatewayMetrics(base::CounterRegistry& registry);
 
-  // All metrics of the process in the Prometheus text format.
-  std::string Render() const;
-  // Histogram of whole answers for requests of this kind.
-  prometheus::Histogram& request_seconds(RequestKind kind) {
-    return *request_seconds_[static_cast<std::size_t>(kind)];
-  }
-
   base::Counter& requests;
   base::Counter& answered;
   base::Counter& refused;
@@ -37,19 +43,13 @@
   base::Counter& store_calls;
   base::Counter& store_failures;
   base::Counter& malformed_entries;
-
- private:
-  base::CounterRegistry& counters_;
-  prometheus::Registry histograms_;
-  std::array<prometheus::Histogram*, 3> request_seconds_;
-
- public:
-  // Time from the send of a turn to its first event.
-  prometheus::Histogram& first_event_seconds;
-  // Time that a turn waited for its budget.
-  prometheus::Histogram& budget_seconds;
+  LatencyHistograms latency;
 };
 
+// All metrics of the process in the Prometheus text format.
+std::string RenderMetrics(const base::CounterRegistry& counters,
+                          const GatewayMetrics& metrics);
+
 }  // namespace vanillalever::forwarding
 
 #endif  // VANILLALEVER_FORWARDING_GATEWAY_METRICS_H_
--- a/packages/forwarding/include/vanillalever/forwarding/retry_policy.h
+++ b/packages/forwarding/include/vanillalever/forwarding/retry_policy.h
@@ -26,7 +26,6 @@
 enum class NextStep {
   kTryElsewhere,   // place the request again, without the failed server
   kTrySameServer,  // go on at the server that ran it
-  kRefuse,         // answer that the request has not run
   kGiveUp,         // answer that the outcome is unknown, or break the stream
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/server_pool.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_pool.h
@@ -35,7 +35,7 @@
                                          bool certain,
                                          base::TimePoint now);
   // Keeps the connection if it can be used again, else closes it.
-  void Give(std::shared_ptr<ServerConnection> connection, base::TimePoint now);
+  void Give(std::shared_ptr<ServerConnection> connection);
   // Closes all idle connections to the server.
   void Drop(const std::string& server_id);
   // Closes connections that have been idle too long.
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -123,7 +123,7 @@
 }
 
 void ForwardedRequest::OnBudget(BudgetAnswer answer) {
-  context_.metrics.budget_seconds.Observe(
+  context_.metrics.latency.budget_seconds.Observe(
       Seconds(base::TimePoint::clock::now() - arrived_));
   if (answer == BudgetAnswer::kGranted) {
     if (done_) {
@@ -233,7 +233,7 @@
   }
   if (auto connection = std::exchange(connection_, nullptr)) {
     if (keep_connection)
-      context_.pool.Give(std::move(connection), base::TimePoint::clock::now());
+      context_.pool.Give(std::move(connection));
     else
       connection->Close();
   }
@@ -290,14 +290,15 @@
 
 void ForwardedRequest::NoteFirstOutput() {
   first_output_ = base::TimePoint::clock::now();
-  context_.metrics.first_event_seconds.Observe(
+  context_.metrics.latency.first_event_seconds.Observe(
       Seconds(*first_output_ - sent_at_));
 }
 
 void ForwardedRequest::CountAnswer() {
   context_.metrics.answered.Add();
-  context_.metrics.request_seconds(route_->kind)
-      .Observe(Seconds(base::TimePoint::clock::now() - arrived_));
+  context_.metrics.latency
+      .request_seconds[static_cast<std::size_t>(route_->kind)]
+      ->Observe(Seconds(base::TimePoint::clock::now() - arrived_));
 }
 
 void ForwardedRequest::RelayStart() {
@@ -390,8 +391,6 @@
           });
       return;
     }
-    case NextStep::kRefuse:
-      return Refuse(reason, kRetryAfter);
     case NextStep::kGiveUp:
       return GiveUp(502, reason);
   }
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -9,7 +9,7 @@
 #include "vanillalever/base/error.h"
 #include "vanillalever/base/logging.h"
 #include "vanillalever/forwarding/forwarded_request.h"
-#include "vanillalever/forwarding/socket_options.h"
+#include "vanillalever/http/address.h"
 
 namespace vanillalever::forwarding {
 namespace {
@@ -55,7 +55,7 @@
 Gateway::~Gateway() = default;
 
 void Gateway::Listen() {
-  auto endpoint = ParseEndpoint(settings_.listen);
+  auto endpoint = http::ParseAddress(settings_.listen);
   boost::system::error_code error = boost::asio::error::invalid_argument;
   if (endpoint) {
     acceptor_.open(endpoint->protocol(), error);
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -23,6 +23,22 @@
 
 }  // namespace
 
+LatencyHistograms::LatencyHistograms()
+    : first_event_seconds(
+          MakeHistogram(registry,
+                        "vl_gateway_first_event_seconds",
+                        "Time from the send of a turn to its first event.")),
+      budget_seconds(MakeHistogram(registry,
+                                   "vl_gateway_budget_seconds",
+                                   "Time that a turn waited for its budget.")) {
+  for (std::size_t kind = 0; kind < request_seconds.size(); ++kind) {
+    std::string name(kRequestKindNames.name(static_cast<RequestKind>(kind)));
+    request_seconds[kind] = &MakeHistogram(
+        registry, "vl_gateway_request_seconds",
+        "Time from a request's arrival to its whole answer.", {{"kind", name}});
+  }
+}
+
 GatewayMetrics::GatewayMetrics(base::CounterRegistry& registry)
     : requests(registry.counter("vl_gateway_requests_total",
                                 "Requests read from callers.")),
@@ -52,28 +68,12 @@
                                       "Calls to the store that failed.")),
       malformed_entries(registry.counter(
           "vl_gateway_malformed_entries_total",
-          "Store entries skipped because they are malformed.")),
-      counters_(registry),
-      first_event_seconds(
-          MakeHistogram(histograms_,
-                        "vl_gateway_first_event_seconds",
-                        "Time from the send of a turn to its first event.")),
-      budget_seconds(MakeHistogram(histograms_,
-                                   "vl_gateway_budget_seconds",
-                                   "Time that a turn waited for its budget.")) {
-  for (RequestKind kind :
-       {RequestKind::kIdempotent, RequestKind::kNonIdempotent,
-        RequestKind::kStreaming}) {
-    request_seconds_[static_cast<std::size_t>(kind)] =
-        &MakeHistogram(histograms_, "vl_gateway_request_seconds",
-                       "Time from a request's arrival to its whole answer.",
-                       {{"kind", std::string(kRequestKindNames.name(kind))}});
-  }
-}
+          "Store entries skipped because they are malformed.")) {}
 
-std::string GatewayMetrics::Render() const {
-  return counters_.Render() +
-         prometheus::TextSerializer().Serialize(histograms_.Collect());
+std::string RenderMetrics(const base::CounterRegistry& counters,
+                          const GatewayMetrics& metrics) {
+  return counters.Render() + prometheus::TextSerializer().Serialize(
+                                 metrics.latency.registry.Collect());
 }
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -13,7 +13,7 @@
 #include "vanillalever/base/error.h"
 #include "vanillalever/base/hash.h"
 #include "vanillalever/base/logging.h"
-#include "vanillalever/forwarding/socket_options.h"
+#include "vanillalever/http/address.h"
 
 namespace vanillalever::forwarding {
 namespace {
@@ -30,7 +30,7 @@
 }
 
 std::optional<udp::endpoint> UdpEndpoint(const std::string& address) {
-  auto endpoint = ParseEndpoint(address);
+  auto endpoint = http::ParseAddress(address);
   if (!endpoint)
     return std::nullopt;
   return udp::endpoint(endpoint->address(), endpoint->port());
@@ -111,7 +111,7 @@
   if (!std::exchange(listed_, true))
     next_list_ = base::TimePoint::clock::now() + settings_.list_interval;
   for (const TableRow& row : result.rows) {
-    if (row.name.key != settings_.address && ParseEndpoint(row.name.key))
+    if (row.name.key != settings_.address && http::ParseAddress(row.name.key))
       directory_.AddAddress(row.name.key);
   }
   SendAll();
--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 
 #include "vanillalever/forwarding/socket_options.h"
+#include "vanillalever/http/address.h"
 
 namespace vanillalever::forwarding {
 namespace {
@@ -38,7 +39,7 @@
   request_id_ = std::move(request_id);
   head_only_ = head_only;
   handler_ = handler;
-  auto endpoint = ParseEndpoint(address);
+  auto endpoint = http::ParseAddress(address);
   if (!endpoint) {
     boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
       self->Fail("the server's address is malformed");
--- a/packages/forwarding/src/server_pool.cc
+++ b/packages/forwarding/src/server_pool.cc
@@ -42,8 +42,7 @@
   return connection;
 }
 
-void ServerPool::Give(std::shared_ptr<ServerConnection> connection,
-                      base::TimePoint) {
+void ServerPool::Give(std::shared_ptr<ServerConnection> connection) {
   if (!connection->reusable())
     return connection->Close();
   auto* raw = connection.get();
--- a/packages/forwarding/src/socket_options.cc
+++ b/packages/forwarding/src/socket_options.cc
@@ -1,10 +1,5 @@
 #include "vanillalever/forwarding/socket_options.h"
 
-#include <charconv>
-#include <cstdint>
-#include <string>
-#include <system_error>
-
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -30,22 +25,6 @@
 
 }  // namespace
 
-std::optional<tcp::endpoint> ParseEndpoint(std::string_view address) {
-  std::size_t colon = address.rfind(':');
-  if (colon == std::string_view::npos)
-    return std::nullopt;
-  boost::system::error_code error;
-  auto host = boost::asio::ip::make_address(
-      std::string(address.substr(0, colon)), error);
-  std::uint16_t port = 0;
-  const char* end = address.data() + address.size();
-  auto [rest, parse_error] =
-      std::from_chars(address.data() + colon + 1, end, port);
-  if (error || parse_error != std::errc() || rest != end)
-    return std::nullopt;
-  return tcp::endpoint(host, port);
-}
-
 void ConfigureSocket(tcp::socket& socket) {
   int handle = socket.native_handle();
   SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
--- a/packages/http/src/call.cc
+++ b/packages/http/src/call.cc
@@ -2,36 +2,17 @@
 
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include "vanillalever/http/address.h"
 
 namespace vanillalever::http {
 
 namespace bhttp = boost::beast::http;
 using boost::asio::ip::tcp;
 
-namespace {
-
-std::optional<tcp::endpoint> ParseAddress(const std::string& address) {
-  std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos)
-    return std::nullopt;
-  boost::system::error_code error;
-  auto host = boost::asio::ip::make_address(address.substr(0, colon), error);
-  std::uint16_t port = 0;
-  const char* end = address.data() + address.size();
-  auto [rest, parse_error] =
-      std::from_chars(address.data() + colon + 1, end, port);
-  if (error || parse_error != std::errc() || rest != end)
-    return std::nullopt;
-  return tcp::endpoint(host, port);
-}
-
-}  // namespace
-
 Call::Call(boost::asio::io_context& context,
            const ClientSettings& settings,
            std::shared_ptr<ConnectionPool> pool,
