Remove dead members and give message heads and advances one piece of code

Cause, from the last read of the change: GatewayMetrics registered the store's counters a second time and never used them; GatewaySettings::instance was read by nobody; a comment stood above the wrong constant; the head of a peer message was written in four places and the look-up of others' advances in two; an interval had no name.

Change: StartMessage() and AdvancedElsewhere(), the rest removed or named. Behaviour unchanged.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -1,8 +1,6 @@
 // Gateway: forwards callers' requests to backend servers on the users'
 // platform.
 
-#include <unistd.h>
-
 #include <algorithm>
 #include <csignal>
 #include <exception>
@@ -39,6 +37,10 @@
 namespace forwarding = vanillalever::forwarding;
 namespace http = vanillalever::http;
 
+// Interval at which the gateway is told whether the store answers: that of its
+// own housekeeping.
+constexpr base::milliseconds kStoreCheck{100};
+
 // The whole process: one event loop with the gateway, the store and the
 // readiness listener.
 class Process {
@@ -101,7 +103,6 @@
       const adapter::NodeSettings& node) {
     forwarding::GatewaySettings settings;
     settings.listen = node.callers_address;
-    settings.instance = node.instance;
     settings.data_centre = node.data_centre;
     settings.grace = node.grace;
     settings.peers.address = node.ip + ":" + std::to_string(node.first_port);
@@ -148,7 +149,7 @@
   void WatchStore() {
     gateway_.OnStoreState(config_watcher_.connected() ||
                           server_watcher_.connected());
-    store_timer_.expires_after(base::milliseconds(100));
+    store_timer_.expires_after(kStoreCheck);
     store_timer_.async_wait([this](boost::system::error_code error) {
       if (!error)
         WatchStore();
--- a/packages/forwarding/include/vanillalever/forwarding/budget_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_service.h
@@ -94,6 +94,8 @@
     std::uint64_t timer = 0;
   };
 
+  // Advances by other entries that were not durable when last heard of.
+  std::int64_t AdvancedElsewhere(const std::string& program) const;
   void Enqueue(const std::string& program, Waiter waiter);
   // Takes the next way to tokens for the waiters.
   void Obtain(const std::string& program);
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -20,8 +20,6 @@
 struct GatewaySettings {
   // Address "ip:port" for callers.
   std::string listen;
-  // Name of this instance in logs.
-  std::string instance;
   std::string data_centre;
   PeerLinkSettings peers;
   // Time between SIGTERM and the forced end of the process.
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -40,8 +40,6 @@
   base::Counter& send_failures;
   base::Counter& new_connections;
   base::Counter& budget_spent;
-  base::Counter& store_calls;
-  base::Counter& store_failures;
   base::Counter& malformed_entries;
   LatencyHistograms latency;
 };
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -111,6 +111,8 @@
                 const protocol::peer::ServerLoad::Reader& entry,
                 base::TimePoint now);
   void Tick();
+  // Begins a message with its sender and the next sequence number.
+  protocol::peer::Message::Builder StartMessage(capnp::MessageBuilder& builder);
   std::string PackGive(const BudgetGive& give);
   void OnBudgetMessage(const protocol::peer::Message::Reader& message);
   void SendTo(const std::string& address, const std::string& datagram);
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -85,10 +85,14 @@
                           std::int64_t budget,
                           std::int64_t most,
                           Callback callback) {
-  std::int64_t advanced = 0;
-  if (auto found = advanced_.find(program); found != advanced_.end())
-    advanced = found->second;
-  Enqueue(program, {budget, most, std::move(callback), false, advanced});
+  Enqueue(program, {budget, most, std::move(callback), false,
+                    AdvancedElsewhere(program)});
+}
+
+std::int64_t BudgetService::AdvancedElsewhere(
+    const std::string& program) const {
+  auto found = advanced_.find(program);
+  return found == advanced_.end() ? 0 : found->second;
 }
 
 void BudgetService::Enqueue(const std::string& program, Waiter waiter) {
@@ -172,8 +176,7 @@
     ask.budget = first.budget;
     ask.tokens = first.most;
     ask.reserved = book_.reserved(program);
-    if (auto found = advanced_.find(program); found != advanced_.end())
-      ask.advanced = found->second;
+    ask.advanced = AdvancedElsewhere(program);
     switch (peers_.Ask(ask)) {
       case BudgetHome::kNone:
         return FailWaiters(program);
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -4,8 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/post.hpp>
-
 #include "vanillalever/base/error.h"
 #include "vanillalever/base/logging.h"
 #include "vanillalever/forwarding/forwarded_request.h"
@@ -23,7 +21,6 @@
 constexpr milliseconds kSweepInterval{1000};
 // Pause after a failed accept, for example without free descriptors.
 constexpr milliseconds kAcceptPause{50};
-// How long a program's budget is remembered after its last turn.
 // How long a program may pause between two turns; the users' pages say 60 s.
 constexpr base::seconds kBudgetMemory{90};
 // Far longer than a program's turns are apart, so that a row is not deleted
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -62,10 +62,6 @@
       budget_spent(registry.counter("vl_gateway_budget_refusals_total",
                                     "Turns refused because the program's "
                                     "budget is spent.")),
-      store_calls(registry.counter("vl_gateway_store_calls_total",
-                                   "Calls to the platform's store.")),
-      store_failures(registry.counter("vl_gateway_store_failures_total",
-                                      "Calls to the store that failed.")),
       malformed_entries(registry.counter(
           "vl_gateway_malformed_entries_total",
           "Store entries skipped because they are malformed.")) {}
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -169,9 +169,7 @@
   // What does not fit follows with later changes.
   std::size_t count = std::min(slots.size(), kMaxServers);
   capnp::MallocMessageBuilder builder;
-  auto message = builder.initRoot<wire::Message>();
-  message.setSender(id_);
-  message.setSequence(++sequence_);
+  auto message = StartMessage(builder);
   message.setProcessor(static_cast<std::uint16_t>(settings_.processor));
   auto load = message.initLoad();
   load.setComplete(complete && count == slots.size());
@@ -228,9 +226,7 @@
 void PeerLink::SendRelay() {
   while (!relay_.empty()) {
     capnp::MallocMessageBuilder builder;
-    auto message = builder.initRoot<wire::Message>();
-    message.setSender(id_);
-    message.setSequence(++sequence_);
+    auto message = StartMessage(builder);
     message.setProcessor(static_cast<std::uint16_t>(settings_.processor));
     // Entries are in order of their origin.
     std::vector<std::pair<PeerId, unsigned>> origins;
@@ -269,6 +265,13 @@
     socket_.send_to(boost::asio::buffer(datagram), *endpoint, 0, ignored);
 }
 
+wire::Message::Builder PeerLink::StartMessage(capnp::MessageBuilder& builder) {
+  auto message = builder.initRoot<wire::Message>();
+  message.setSender(id_);
+  message.setSequence(++sequence_);
+  return message;
+}
+
 BudgetHome PeerLink::Ask(const BudgetAsk& ask) {
   if (minority())
     return BudgetHome::kNone;
@@ -285,9 +288,7 @@
   if (home == settings_.address)
     return BudgetHome::kHere;
   capnp::MallocMessageBuilder builder;
-  auto message = builder.initRoot<wire::Message>();
-  message.setSender(id_);
-  message.setSequence(++sequence_);
+  auto message = StartMessage(builder);
   auto body = message.initBudgetAsk();
   body.setAsk(ask.ask);
   body.setProgram(ask.program);
@@ -301,9 +302,7 @@
 
 std::string PeerLink::PackGive(const BudgetGive& give) {
   capnp::MallocMessageBuilder builder;
-  auto message = builder.initRoot<wire::Message>();
-  message.setSender(id_);
-  message.setSequence(++sequence_);
+  auto message = StartMessage(builder);
   auto body = message.initBudgetGive();
   body.setAsk(give.ask);
   body.setProgram(give.program);
