Tell the processor share with every message between gateways

Cause: budget asks and answers carried no processor share. The receiver took the missing field for zero, so that after an ask of the strongest gateway the passing on of load changes moved to another one until the next complete message, up to 300 ms later. Change: the share is set where every message begins. Ruled out: ignoring a zero at the receiver, which would hide a machine whose share is really unknown.

--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -170,7 +170,6 @@
   std::size_t count = std::min(slots.size(), kMaxServers);
   capnp::MallocMessageBuilder builder;
   auto message = StartMessage(builder);
-  message.setProcessor(static_cast<std::uint16_t>(settings_.processor));
   auto load = message.initLoad();
   load.setComplete(complete && count == slots.size());
   auto servers = load.initServers(static_cast<unsigned>(count));
@@ -227,7 +226,6 @@
   while (!relay_.empty()) {
     capnp::MallocMessageBuilder builder;
     auto message = StartMessage(builder);
-    message.setProcessor(static_cast<std::uint16_t>(settings_.processor));
     // Entries are in order of their origin.
     std::vector<std::pair<PeerId, unsigned>> origins;
     std::size_t count = 0;
@@ -269,6 +267,7 @@
   auto message = builder.initRoot<wire::Message>();
   message.setSender(id_);
   message.setSequence(++sequence_);
+  message.setProcessor(static_cast<std::uint16_t>(settings_.processor));
   return message;
 }
 
