--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -29,6 +29,10 @@
 DEFINE_double(log_lines_per_second,
               400,
               "Most log lines a second; further ones are dropped and counted.");
+DEFINE_double(log_burst_lines,
+              2000,
+              "Most log lines in a burst beyond the rate; 0 with a rate of 0 "
+              "writes none.");
 
 namespace {
 
@@ -203,7 +207,8 @@
 int RunGateway() {
   adapter::NodeSettings settings = adapter::ReadNodeSettings();
   base::InitBoundedLogging(settings.instance,
-                           {.lines_per_second = FLAGS_log_lines_per_second});
+                           {.lines_per_second = FLAGS_log_lines_per_second,
+                            .burst_lines = FLAGS_log_burst_lines});
   std::signal(SIGPIPE, SIG_IGN);
   Process process(std::move(settings));
   return process.Run();
