Refuse a success that lacks the server's proof of origin

Cause: ResponseFacts::proven was decoded and not used, so that a 2xx from something else than the server would have reached the caller as a success. Change: such an answer fails like a malformed one: repeatable requests go elsewhere, others end with 502. Ruled out: passing it on with another status, which the server did not give.

--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -18,6 +18,7 @@
 // Answers to other requests that are skipped before the connection is given up.
 constexpr int kMaxSkipped = 3;
 constexpr int kInformational = 200;
+constexpr int kRedirection = 300;
 
 }  // namespace
 
@@ -210,6 +211,10 @@
     skipping_ = true;
     return true;
   }
+  if (status < kRedirection && !facts.proven) {
+    Fail("the answer lacks the server's proof of origin");
+    return false;
+  }
   head_seen_ = true;
   idle_timeout_ = facts.idle_timeout;
   handler_->OnResponseHead(status, message, facts);
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -222,6 +222,9 @@
         await asyncio.sleep(self.work_s)
         body = f"{self.identity} ran {request.path}".encode()
         answer = response(200, self.headers(request), body)
+        if how == "unproven":
+            writer.write(answer.replace(b"Server-Seal", b"Other-Field"))
+            return True
         if how == "half":
             writer.write(answer[:-4])
             await writer.drain()
