Log why a store call failed and which limit a refused turn reached

Change: results of the store carry a reason, which the log shows; refusals for the budget name the limit and what was advanced here and elsewhere. Ruled out: a log line for each store call, which grows with the load. Conclusion: done.

--- a/packages/forwarding/include/vanillalever/forwarding/budget_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_service.h
@@ -118,8 +118,10 @@
   void Continue(const std::string& program);
   // Answers them without obtaining more. Returns whether none is left.
   bool AnswerWaiters(const std::string& program);
-  void OnStoreFailure(const std::string& program, std::string_view step);
-  void FailWaiters(const std::string& program);
+  void OnStoreFailure(const std::string& program,
+                      std::string_view step,
+                      const std::string& reason);
+  void FailWaiters(const std::string& program, std::string_view reason);
   void After(const std::string& program,
              base::Duration delay,
              std::function<void()> action);
--- a/packages/forwarding/include/vanillalever/forwarding/shared_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/shared_table.h
@@ -55,6 +55,8 @@
   std::uint64_t version = 0;
   // The row as it is, on kConflict.
   std::optional<TableRow> current;
+  // Why it is kNotDone or kUnknown.
+  std::string reason;
 };
 
 // Outcome of a read.
@@ -63,6 +65,8 @@
   std::vector<TableRow> rows;
   // Version of the store that the rows show.
   std::uint64_t version = 0;
+  // Why it is not kDone.
+  std::string reason;
 };
 
 // Outcome of waiting for changes.
@@ -74,6 +78,8 @@
   std::vector<TableRow> rows;
   // Version from which to go on.
   std::uint64_t version = 0;
+  // Why it is not kDone.
+  std::string reason;
 };
 
 // Table shared by all processes; linearizable and durable. Calls do not block;
--- a/packages/forwarding/include/vanillalever/forwarding/table_watcher.h
+++ b/packages/forwarding/include/vanillalever/forwarding/table_watcher.h
@@ -62,7 +62,7 @@
   void OnListed(const ReadResult& result, std::uint64_t turn);
   void OnChanges(const ChangesResult& result, std::uint64_t turn);
   void OnAnswer();
-  void OnFailure(std::string_view step);
+  void OnFailure(std::string_view step, const std::string& reason);
 
   boost::asio::steady_timer timer_;
   SharedTable& table_;
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -168,7 +168,7 @@
   Pending& pending = pending_[program];
   const Waiter& first = pending.waiters.front();
   if (++pending.failures > kMaxFailures)
-    return FailWaiters(program);
+    return FailWaiters(program, "neither store nor home gateway answered");
   if (!first.for_peer) {
     BudgetAsk ask;
     ask.ask = ++next_ask_;
@@ -179,7 +179,7 @@
     ask.advanced = AdvancedElsewhere(program);
     switch (peers_.Ask(ask)) {
       case BudgetHome::kNone:
-        return FailWaiters(program);
+        return FailWaiters(program, "too few other gateways are heard");
       case BudgetHome::kHere:
         break;
       case BudgetHome::kOther:
@@ -189,7 +189,7 @@
     }
   }
   if (!book_.Advance(program, first.most, first.advanced))
-    return FailWaiters(program);
+    return FailWaiters(program, "the advance limit is reached");
   base::LogEvent(base::LogLevel::kInfo, "budget_advanced",
                  {{"program", program},
                   {"tokens", std::to_string(first.most)},
@@ -197,12 +197,17 @@
   Continue(program);
 }
 
-void BudgetService::FailWaiters(const std::string& program) {
+void BudgetService::FailWaiters(const std::string& program,
+                                std::string_view reason) {
   Pending& pending = pending_[program];
-  base::LogEvent(base::LogLevel::kWarning, "budget_unavailable",
-                 {{"program", program},
-                  {"waiting", std::to_string(pending.waiters.size())},
-                  {"reserved", std::to_string(book_.reserved(program))}});
+  base::LogEvent(
+      base::LogLevel::kWarning, "budget_unavailable",
+      {{"program", program},
+       {"reason", std::string(reason)},
+       {"waiting", std::to_string(pending.waiters.size())},
+       {"reserved", std::to_string(book_.reserved(program))},
+       {"advanced", std::to_string(book_.unsettled(program))},
+       {"advanced_elsewhere", std::to_string(AdvancedElsewhere(program))}});
   auto waiters = std::exchange(pending.waiters, {});
   pending.failures = 0;
   if (!pending.storing)
@@ -236,7 +241,7 @@
     return ReadBack(program, reservation, writer);
   pending_[program].storing = false;
   if (result.outcome == StoreOutcome::kNotDone)
-    return OnStoreFailure(program, "write");
+    return OnStoreFailure(program, "write", result.reason);
   if (result.outcome == StoreOutcome::kDone)
     book_.Reserved(program, reservation, result.version);
   else if (result.current && TakeRow(program, *result.current, writer))
@@ -251,7 +256,7 @@
                                 writer](const ReadResult& result) {
     pending_[program].storing = false;
     if (result.outcome != StoreOutcome::kDone)
-      return OnStoreFailure(program, "read back");
+      return OnStoreFailure(program, "read back", result.reason);
     // An absent or unchanged row may still be written by the delayed call; the
     // next reservation expects the same version, so that at most one counts.
     if (!result.rows.empty() && TakeRow(program, result.rows.front(), writer))
@@ -269,9 +274,11 @@
 }
 
 void BudgetService::OnStoreFailure(const std::string& program,
-                                   std::string_view step) {
-  base::LogEvent(base::LogLevel::kWarning, "budget_store_failed",
-                 {{"program", program}, {"step", std::string(step)}});
+                                   std::string_view step,
+                                   const std::string& reason) {
+  base::LogEvent(
+      base::LogLevel::kWarning, "budget_store_failed",
+      {{"program", program}, {"step", std::string(step)}, {"reason", reason}});
   // The store is suspect now, so that waiting turns take another way.
   Continue(program);
 }
--- a/packages/forwarding/src/table_watcher.cc
+++ b/packages/forwarding/src/table_watcher.cc
@@ -48,7 +48,7 @@
   if (turn != turn_)
     return;
   if (result.outcome != StoreOutcome::kDone)
-    return OnFailure("list");
+    return OnFailure("list", result.reason);
   OnAnswer();
   version_ = result.version;
   listed_ = true;
@@ -73,7 +73,7 @@
     return List();
   }
   if (result.outcome != StoreOutcome::kDone)
-    return OnFailure("changes");
+    return OnFailure("changes", result.reason);
   OnAnswer();
   version_ = std::max(version_, result.version);
   bool after_gap = lost_before_ && last_answer_ - regained_ < kGapWindow;
@@ -93,13 +93,14 @@
                  {{"table", name_}, {"version", std::to_string(version_)}});
 }
 
-void TableWatcher::OnFailure(std::string_view step) {
+void TableWatcher::OnFailure(std::string_view step, const std::string& reason) {
   if (connected_) {
     connected_ = false;
     lost_before_ = true;
     base::LogEvent(base::LogLevel::kWarning, "store_lost",
                    {{"table", name_},
                     {"step", std::string(step)},
+                    {"reason", reason},
                     {"version", std::to_string(version_)}});
   }
   auto pause = std::min(settings_.longest_pause,
--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -228,6 +228,15 @@
         answer = Caller(self.start()).send("POST", "/pay/6", b"x")
         self.assertEqual((answer.status, "ran /pay/6" in answer.text), (200, True))
 
+    def test_success_without_proof_is_never_passed_on(self):
+        caller = Caller(self.start())
+        self.plan("/pay/p", "unproven")
+        self.assertEqual(caller.send("POST", "/pay/p", b"x").status, 502)
+        self.assertEqual(len(self.runs("/pay/p")), 1)
+        self.tools[0].plan["/read/p"] = "unproven"
+        for _ in range(10):
+            self.assertEqual(caller.send("GET", "/read/p").text, "t-1 ran /read/p")
+
     def test_bytes_that_are_no_answer_become_502(self):
         self.plan("/pay/7", "garbage")
         self.assertEqual(Caller(self.start()).send("POST", "/pay/7", b"x").status, 502)
@@ -356,6 +365,12 @@
         self.assertLessEqual(45 * statuses.count(200), 270 + 45)
         self.assertGreaterEqual(45 * statuses.count(200), 270 * 5 // 6)
 
+    def test_log_tells_which_limit_a_refused_turn_reached(self):
+        gateway = self.start()
+        self.platform.store.mode = "silent"
+        self.assertIn(503, self.spend([gateway], "p10", 600, 10))
+        self.assertRegex(gateway.log(), r'event=budget_unavailable program=p10 .*reason="the advance limit is reached"')
+
     def test_unused_tokens_go_back_when_the_budget_is_short(self):
         gateways = [self.start(name=f"edge-{i}") for i in range(2)]
         self.assertEqual(self.spend(gateways[:1], "p8", 100, 1), [200])
@@ -396,6 +411,17 @@
             self.assertEqual(caller.send("GET", "/read/m").status, 200)
         self.assertEqual(gateway.log().count("server_entry_malformed"), 6)
 
+    def test_log_tells_why_the_store_was_lost(self):
+        for mode, reason in (("busy", 'reason="status 503"'), ("silent", "no answer in time")):
+            with self.subTest(mode=mode):
+                gateway = self.start()
+                self.platform.store.mode = mode
+                self.assertTrue(wait_until(lambda: "event=store_lost" in gateway.log(), 8))
+                line = next(line for line in gateway.log().splitlines() if "event=store_lost" in line)
+                self.assertIn(reason, line)
+                self.platform.store.mode = "ok"
+                gateway.stop()
+
     def test_lost_history_is_read_again(self):
         gateway = self.start()
         self.platform.store.mode = "busy"
