Call in tokens that other gateways do not use before a turn is refused

Cause: a program's turns reach several gateways. Change: a gateway that cannot cover a turn from the budget, or that the home cannot help while the store is away, calls the other gateways, which hand over what they hold unused; it waits 60 ms for them, and 500 ms before it calls again in vain. A giver counts once a call. The call replaces the announcement that a budget is spent. Ruled out: giving back after every turn, one more write to the store each; reserving no turns ahead, one write for each turn.

--- a/packages/forwarding/include/vanillalever/forwarding/budget_book.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_book.h
@@ -101,6 +101,10 @@
   bool Advance(const std::string& program,
                std::int64_t most,
                std::int64_t advanced);
+  // Takes out all that is reserved here and not in use, for another entry.
+  std::int64_t TakeUnused(const std::string& program);
+  // Whether what is reserved here covers a turn of `most` tokens.
+  bool Covers(const std::string& program, std::int64_t most) const;
   // Another entry has handed over `tokens` of its own.
   void Receive(const std::string& program, std::int64_t tokens);
   // Another entry knows that `reserved` tokens are reserved in all.
--- a/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
@@ -21,9 +21,22 @@
   std::int64_t advanced = 0;
 };
 
-// Answer to a BudgetAsk.
+// Call for the tokens of a program that other entries have reserved and do not
+// use.
+struct BudgetCallIn {
+  // Identity of the call at its sender.
+  std::uint64_t call = 0;
+  std::string program;
+  // Tokens that the sender knows to be reserved.
+  std::int64_t reserved = 0;
+};
+
+// Answer to a BudgetAsk or a BudgetCallIn.
 struct BudgetGive {
+  // Identity of the ask or the call.
   std::uint64_t ask = 0;
+  // Entry that gives; set by the receiver.
+  std::uint64_t giver = 0;
   std::string program;
   // Tokens handed over; zero if the budget does not hold them.
   std::int64_t tokens = 0;
@@ -47,10 +60,8 @@
   // Sends the ask to the entry that grants this program's tokens while the
   // store is away, unless that is this entry.
   virtual BudgetHome Ask(const BudgetAsk& ask) = 0;
-  // Tells all entries that `reserved` tokens of the program are reserved, which
-  // is all of its budget.
-  virtual void AnnounceSpent(const std::string& program,
-                             std::int64_t reserved) = 0;
+  // Sends the call to all other entries. Returns whether there are any.
+  virtual bool CallIn(const BudgetCallIn& call) = 0;
 };
 
 // Receives what other entries say of budgets.
@@ -61,8 +72,9 @@
   virtual void OnAsk(const BudgetAsk& ask,
                      std::function<void(const BudgetGive&)> reply) = 0;
   virtual void OnGive(const BudgetGive& give) = 0;
-  // All of the program's budget is reserved.
-  virtual void OnSpent(const std::string& program, std::int64_t reserved) = 0;
+  // Another entry calls for unused tokens; `reply` is called at most once.
+  virtual void OnCallIn(const BudgetCallIn& call,
+                        std::function<void(const BudgetGive&)> reply) = 0;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/include/vanillalever/forwarding/budget_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_service.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -54,7 +55,8 @@
   void OnAsk(const BudgetAsk& ask,
              std::function<void(const BudgetGive&)> reply) override;
   void OnGive(const BudgetGive& give) override;
-  void OnSpent(const std::string& program, std::int64_t reserved) override;
+  void OnCallIn(const BudgetCallIn& call,
+                std::function<void(const BudgetGive&)> reply) override;
 
   // Processes that may have advanced tokens have ended without making them
   // durable: for `duration` what could have been advanced counts as spent.
@@ -94,6 +96,20 @@
     std::uint64_t timer = 0;
   };
 
+  // Latest call for a program's unused tokens.
+  struct CallIn {
+    std::uint64_t id = 0;
+    base::TimePoint started{};
+    // Entries that have answered: a repeated datagram must not count twice.
+    std::set<std::uint64_t> givers;
+    std::int64_t brought = 0;
+  };
+
+  // Calls for the unused tokens of other entries, and goes on with the waiters
+  // when they have had time to answer. Returns false if there is no hope.
+  bool StartCallIn(const std::string& program);
+  // Another entry has handed over what it did not use.
+  void OnCalledIn(CallIn& call, const BudgetGive& give);
   // Advances by other entries that were not durable when last heard of.
   std::int64_t AdvancedElsewhere(const std::string& program) const;
   void Enqueue(const std::string& program, Waiter waiter);
@@ -135,6 +151,7 @@
   std::uint64_t next_ask_;
   // Programs with waiters or with a call under way.
   std::map<std::string, Pending> pending_;
+  std::map<std::string, CallIn> call_ins_;
   // Until then the store is taken to be away or slow.
   base::TimePoint suspect_until_{};
   base::TimePoint advances_lost_until_{};
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -67,8 +67,7 @@
   void SetBudgetHandler(BudgetHandler& handler) { budgets_ = &handler; }
 
   BudgetHome Ask(const BudgetAsk& ask) override;
-  void AnnounceSpent(const std::string& program,
-                     std::int64_t reserved) override;
+  bool CallIn(const BudgetCallIn& call) override;
 
   // Binds the address. Throws base::Error when it cannot be bound.
   void Start();
--- a/packages/forwarding/src/budget_book.cc
+++ b/packages/forwarding/src/budget_book.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace vanillalever::forwarding {
 
@@ -133,6 +134,17 @@
   return true;
 }
 
+std::int64_t BudgetBook::TakeUnused(const std::string& program) {
+  auto found = programs_.find(program);
+  return found == programs_.end() ? 0
+                                  : std::exchange(found->second.available, 0);
+}
+
+bool BudgetBook::Covers(const std::string& program, std::int64_t most) const {
+  auto found = programs_.find(program);
+  return found != programs_.end() && found->second.available >= most;
+}
+
 void BudgetBook::Receive(const std::string& program, std::int64_t tokens) {
   programs_[program].available += tokens;
 }
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -26,6 +26,11 @@
 constexpr milliseconds kSuspicion{300};
 // Time for another entry to answer: several round trips between data centres.
 constexpr milliseconds kPeerPatience{60};
+// Pause after a call for unused tokens that brought none: a program that has
+// spent its budget may keep asking.
+constexpr milliseconds kCallInPause{500};
+// How long answers to a call are taken.
+constexpr base::seconds kCallInMemory{5};
 // Ways that failed in a row after which waiting turns are refused.
 constexpr int kMaxFailures = 3;
 
@@ -123,11 +128,12 @@
     BudgetVerdict verdict = book_.Begin(program, next.budget, next.most, now);
     if (verdict == BudgetVerdict::kReserve)
       return false;
+    if (verdict == BudgetVerdict::kSpent && !next.for_peer &&
+        StartCallIn(program))
+      return true;
     Callback callback = std::move(next.callback);
     pending_[program].waiters.pop_front();
     pending_[program].failures = 0;
-    if (verdict == BudgetVerdict::kSpent)
-      peers_.AnnounceSpent(program, book_.reserved(program));
     callback(verdict == BudgetVerdict::kGranted ? BudgetAnswer::kGranted
                                                 : BudgetAnswer::kSpent);
   }
@@ -149,6 +155,37 @@
   After(program, kStorePatience, [this, program] { Borrow(program); });
 }
 
+bool BudgetService::StartCallIn(const std::string& program) {
+  auto now = base::TimePoint::clock::now();
+  CallIn& call = call_ins_[program];
+  auto answers_due = call.started + kPeerPatience;
+  if (now >= answers_due) {
+    if (call.brought == 0 && now - call.started < kCallInPause)
+      return false;
+    call = {++next_ask_, now, {}, 0};
+    answers_due = now + kPeerPatience;
+    if (!peers_.CallIn({call.id, program, book_.reserved(program)}))
+      return false;
+  }
+  After(program, answers_due - now, [this, program] { Continue(program); });
+  return true;
+}
+
+void BudgetService::OnCallIn(const BudgetCallIn& call,
+                             std::function<void(const BudgetGive&)> reply) {
+  book_.ObserveReserved(call.program, call.reserved,
+                        base::TimePoint::clock::now());
+  if (pending_.contains(call.program))
+    return;
+  BudgetGive give;
+  give.ask = call.call;
+  give.program = call.program;
+  give.tokens = book_.TakeUnused(call.program);
+  give.reserved = book_.reserved(call.program);
+  if (give.tokens > 0)
+    reply(give);
+}
+
 void BudgetService::After(const std::string& program,
                           base::Duration delay,
                           std::function<void()> action) {
@@ -167,6 +204,9 @@
 void BudgetService::Borrow(const std::string& program) {
   Pending& pending = pending_[program];
   const Waiter& first = pending.waiters.front();
+  // The home has not helped.
+  if (pending.failures > 0 && !first.for_peer && StartCallIn(program))
+    return;
   if (++pending.failures > kMaxFailures)
     return FailWaiters(program, "neither store nor home gateway answered");
   if (!first.for_peer) {
@@ -188,8 +228,11 @@
                      [this, program] { Obtain(program); });
     }
   }
-  if (!book_.Advance(program, first.most, first.advanced))
+  if (!book_.Advance(program, first.most, first.advanced)) {
+    if (!first.for_peer && StartCallIn(program))
+      return;
     return FailWaiters(program, "the advance limit is reached");
+  }
   base::LogEvent(base::LogLevel::kInfo, "budget_advanced",
                  {{"program", program},
                   {"tokens", std::to_string(first.most)},
@@ -308,6 +351,9 @@
 void BudgetService::OnGive(const BudgetGive& give) {
   book_.ObserveReserved(give.program, give.reserved,
                         base::TimePoint::clock::now());
+  auto call = call_ins_.find(give.program);
+  if (call != call_ins_.end() && call->second.id == give.ask)
+    return OnCalledIn(call->second, give);
   book_.Receive(give.program, give.tokens);
   if (give.advanced > 0)
     advanced_[give.program] = give.advanced;
@@ -321,8 +367,15 @@
     Continue(give.program);
 }
 
-void BudgetService::OnSpent(const std::string& program, std::int64_t reserved) {
-  book_.ObserveReserved(program, reserved, base::TimePoint::clock::now());
+void BudgetService::OnCalledIn(CallIn& call, const BudgetGive& give) {
+  if (!call.givers.insert(give.giver).second)
+    return;
+  call.brought += give.tokens;
+  book_.Receive(give.program, give.tokens);
+  auto found = pending_.find(give.program);
+  if (found != pending_.end() && !found->second.waiters.empty() &&
+      book_.Covers(give.program, found->second.waiters.front().most))
+    Continue(give.program);
 }
 
 void BudgetService::OnAdvancesLost(base::Duration duration) {
@@ -353,7 +406,11 @@
 }
 
 void BudgetService::Sweep(base::Duration retention) {
-  auto before = base::TimePoint::clock::now() - retention;
+  auto now = base::TimePoint::clock::now();
+  std::erase_if(call_ins_, [now](const auto& entry) {
+    return now - entry.second.started > kCallInMemory;
+  });
+  auto before = now - retention;
   for (const auto& [program, row_version] : book_.Forget(before)) {
     advanced_.erase(program);
     if (row_version == 0)
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -386,31 +386,39 @@
   return Pack(builder);
 }
 
-void PeerLink::AnnounceSpent(const std::string& program,
-                             std::int64_t reserved) {
-  std::string datagram = PackGive({0, program, 0, reserved, 0});
-  for (const std::string& address : directory_.live_addresses())
+bool PeerLink::CallIn(const BudgetCallIn& call) {
+  capnp::MallocMessageBuilder builder;
+  auto body = StartMessage(builder).initBudgetCallIn();
+  body.setCall(call.call);
+  body.setProgram(call.program);
+  body.setReserved(static_cast<std::uint32_t>(call.reserved));
+  std::string datagram = Pack(builder);
+  std::vector<std::string> addresses = directory_.live_addresses();
+  for (const std::string& address : addresses)
     SendTo(address, datagram);
+  return !addresses.empty();
 }
 
 void PeerLink::OnBudgetMessage(const wire::Message::Reader& message) {
+  auto reply = [this, address = AddressText(from_)](const BudgetGive& give) {
+    SendTo(address, PackGive(give));
+  };
   if (message.hasBudgetAsk()) {
     auto body = message.getBudgetAsk();
     BudgetAsk ask{body.getAsk(),    body.getProgram(),  body.getBudget(),
                   body.getTokens(), body.getReserved(), body.getAdvanced()};
-    budgets_->OnAsk(
-        ask, [this, address = AddressText(from_)](const BudgetGive& give) {
-          SendTo(address, PackGive(give));
-        });
+    budgets_->OnAsk(ask, reply);
   }
   if (message.hasBudgetGive()) {
     auto body = message.getBudgetGive();
-    BudgetGive give{body.getAsk(), body.getProgram(), body.getTokens(),
-                    body.getReserved(), body.getAdvanced()};
-    if (give.ask == 0)
-      budgets_->OnSpent(give.program, give.reserved);
-    else
-      budgets_->OnGive(give);
+    budgets_->OnGive({body.getAsk(), message.getSender(), body.getProgram(),
+                      body.getTokens(), body.getReserved(),
+                      body.getAdvanced()});
+  }
+  if (message.hasBudgetCallIn()) {
+    auto body = message.getBudgetCallIn();
+    budgets_->OnCallIn({body.getCall(), body.getProgram(), body.getReserved()},
+                       reply);
   }
 }
 
--- a/packages/protocol/schema/peer.capnp
+++ b/packages/protocol/schema/peer.capnp
@@ -13,7 +13,7 @@
   sequence @1 :UInt64;
   # Load that the sender has open at servers.
   load @2 :Load;
-  # Token budgets: asks, and answers or announcements.
+  # Token budgets: asks for tokens, and tokens handed over.
   budgetAsk @3 :BudgetAsk;
   budgetGive @4 :BudgetGive;
   # Processor share of the sender's machine, in thousandths of a core.
@@ -24,6 +24,8 @@
   prompts @7 :List(Prompt);
   # The same of other gateways, passed on.
   relayedPrompts @8 :List(Prompt);
+  # Call for the tokens of a program that the receiver does not use.
+  budgetCallIn @9 :BudgetCallIn;
 }
 
 # One prompt that a server has read, or is about to.
@@ -71,8 +73,16 @@
   advanced @5 :UInt32;
 }
 
+struct BudgetCallIn {
+  # Identity of the call at its sender.
+  call @0 :UInt64;
+  program @1 :Text;
+  # Tokens that are reserved in all, as far as the sender knows.
+  reserved @2 :UInt32;
+}
+
 struct BudgetGive {
-  # Identity of the ask that this answers; zero for an announcement.
+  # Identity of the ask or the call that this answers.
   ask @0 :UInt64;
   program @1 :Text;
   # Tokens that are the receiver's from now on.
--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -377,6 +377,27 @@
         time.sleep(1.2)
         self.assertEqual(self.spend(gateways[1:], "p8", 100, 1), [200])
 
+    def test_tokens_unused_elsewhere_are_called_in_before_a_turn_is_refused(self):
+        for engine in self.models:
+            engine.events = 1
+        gateways = [self.start(name=f"edge-{i}") for i in range(3)]
+        # All have heard each other.
+        time.sleep(0.7)
+        # Each turn reserves 90 tokens and uses 5 of them, each time at another gateway.
+        statuses = self.spend(gateways, "p11", 200, 24, most=90)
+        self.assertEqual(statuses[:22], [200] * 22)
+        self.assertLessEqual(5 * statuses.count(200), 200 + 90)
+
+    def test_called_in_tokens_keep_the_budget(self):
+        gateways = [self.start(name=f"edge-{i}") for i in range(3)]
+        time.sleep(0.7)
+        with concurrent.futures.ThreadPoolExecutor(6) as pool:
+            parts = [pool.submit(self.spend, gateways[i % 3:] + gateways[:i % 3], "p12", 600, 12) for i in range(6)]
+            statuses = sum((part.result() for part in parts), [])
+        self.assertLessEqual(30 * statuses.count(200), 600 + 40)
+        self.assertGreaterEqual(30 * statuses.count(200), 600 - 6 * 40)
+        self.assertEqual(len(self.runs("/turn/b")), statuses.count(200))
+
 
 class StoreTest(GatewayCase):
     def test_newer_configuration_is_applied_and_older_ones_are_not(self):
