Give back unused tokens when a gateway stops

Cause: what a stopping gateway had reserved and not used counted as spent, as after a kill. Change: from SIGTERM on, the gateway writes back at once what programs of the last 10 s hold unused and no turn uses. Ruled out: giving back for all programs that it remembers, hundreds of calls to the store for programs that have ended.

--- a/packages/forwarding/include/vanillalever/forwarding/budget_book.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_book.h
@@ -25,6 +25,9 @@
   // What a program has not used for this long is given back while its budget
   // is nearly spent: its next turn may come through another entry.
   base::milliseconds return_after{500};
+  // A process that stops gives back what programs have used within this time:
+  // a program's turns are rarely further apart.
+  base::seconds return_when_stopping{10};
   // The budget is nearly spent while less than this many turns are left.
   std::int64_t turns_when_short = 3;
 };
@@ -70,6 +73,9 @@
   // what could have been advanced counts as spent.
   void SetAdvancesLost(bool lost) { advances_lost_ = lost; }
 
+  // The process stops: from now on whatever is not in use is given back.
+  void SetStopping() { stopping_ = true; }
+
   // May a turn that generates at most `most` tokens begin? On kGranted the
   // tokens are taken until End().
   BudgetVerdict Begin(const std::string& program,
@@ -151,6 +157,7 @@
 
   BudgetSettings settings_;
   bool advances_lost_ = false;
+  bool stopping_ = false;
   std::map<std::string, Program> programs_;
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/budget_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_service.h
@@ -61,6 +61,8 @@
   // Processes that may have advanced tokens have ended without making them
   // durable: for `duration` what could have been advanced counts as spent.
   void OnAdvancesLost(base::Duration duration);
+  // The process stops: gives back what its programs do not use.
+  void OnStopping() { book_.SetStopping(); }
   // Whether the store was slow or away when last asked.
   bool store_suspect() const;
 
--- a/packages/forwarding/src/budget_book.cc
+++ b/packages/forwarding/src/budget_book.cc
@@ -77,8 +77,11 @@
 }
 
 bool BudgetBook::MayReturn(const Program& entry, base::TimePoint now) const {
-  return entry.available > 0 && entry.open_turns == 0 &&
-         entry.row.version > 0 && now - entry.used > settings_.return_after &&
+  if (entry.available == 0 || entry.open_turns > 0 || entry.row.version == 0)
+    return false;
+  if (stopping_)
+    return now - entry.used < settings_.return_when_stopping;
+  return now - entry.used > settings_.return_after &&
          entry.left() < settings_.turns_when_short * entry.most;
 }
 
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -222,6 +222,7 @@
   base::LogEvent(base::LogLevel::kInfo, "drain_started",
                  {{"sessions", std::to_string(sessions_.size())}});
   peers_.Leave();
+  budgets_.OnStopping();
 }
 
 void Gateway::CheckDrained() {
--- a/packages/forwarding/tests/budget_book_test.cc
+++ b/packages/forwarding/tests/budget_book_test.cc
@@ -198,5 +198,28 @@
   CHECK(book.size() == 0);
 }
 
+TEST_CASE("a stopping entry gives back what its programs do not use") {
+  BudgetBook book;
+  BudgetRow row;
+  REQUIRE(BeginDurably(book, row, 1000, 50));
+  CHECK(book.Returnable(kStart).empty());
+  book.SetStopping();
+  // The turn in progress keeps its tokens.
+  CHECK(book.Returnable(kStart).empty());
+  book.End(kProgram, 50, 20);
+  REQUIRE(book.Returnable(kStart).size() == 1);
+  auto give_back = book.TakeReturn(kProgram, kStart);
+  REQUIRE(give_back);
+  CHECK(give_back->reserved == 20);
+  CHECK(book.Returnable(kStart).empty());
+  // Programs that ended long ago cost no call to the store.
+  BudgetBook old;
+  BudgetRow old_row;
+  REQUIRE(BeginDurably(old, old_row, 1000, 50));
+  old.End(kProgram, 50, 20);
+  old.SetStopping();
+  CHECK(old.Returnable(kStart + seconds(30)).empty());
+}
+
 }  // namespace
 }  // namespace vanillalever::forwarding
--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -388,6 +388,14 @@
         self.assertEqual(statuses[:22], [200] * 22)
         self.assertLessEqual(5 * statuses.count(200), 200 + 90)
 
+    def test_stopping_gateway_gives_back_what_it_has_not_used(self):
+        gateway = self.start()
+        self.assertEqual(self.spend([gateway], "p13", 600, 2), [200, 200])
+        self.assertGreater(int(self.platform.store.table("budgets")["p13"].split()[0]), 60)
+        gateway.process.send_signal(signal.SIGTERM)
+        self.assertEqual(gateway.process.wait(10), 0)
+        self.assertEqual(int(self.platform.store.table("budgets")["p13"].split()[0]), 60)
+
     def test_called_in_tokens_keep_the_budget(self):
         gateways = [self.start(name=f"edge-{i}") for i in range(3)]
         time.sleep(0.7)
