--- a/packages/forwarding/tests/peer_link_test.cc
+++ b/packages/forwarding/tests/peer_link_test.cc
@@ -164,8 +164,8 @@
       settings.address = addresses[i];
       settings.processor = i == 0 ? 500 : 90;
       settings.direct_peers = direct_peers;
-      links[i] =
-          std::make_unique<PeerLink>(io, settings, table, registries[i], 2 * i + 1);
+      links[i] = std::make_unique<PeerLink>(io, settings, table, registries[i],
+                                            2 * i + 1);
       links[i]->SetPromptObserver(observers[i]);
       links[i]->Start();
     }
--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -45,7 +45,7 @@
 class Gateway:
     """One gateway process."""
 
-    def __init__(self, platform, grace_s=8, name="edge-1", peer_port=0):
+    def __init__(self, platform, grace_s=8, name="edge-1", peer_port=0, store_port=0):
         self.front, self.ready_port = free_port(), free_port()
         self.peer_port = peer_port = peer_port or free_port(socket.SOCK_DGRAM)
         self.directory = tempfile.TemporaryDirectory()
@@ -61,7 +61,7 @@
 bounds:
   graceS: {grace_s}
 provider:
-  address: "127.0.0.1:{platform.store.port}"
+  address: "127.0.0.1:{store_port or platform.store.port}"
 """)
         self.log_path = pathlib.Path(self.directory.name) / "log"
         with open(self.log_path, "wb") as log:
@@ -388,6 +388,28 @@
         self.assertEqual(statuses[:22], [200] * 22)
         self.assertLessEqual(5 * statuses.count(200), 200 + 90)
 
+    def test_budget_holds_while_the_store_turns_one_gateway_away(self):
+        for engine in self.models:
+            engine.events = 9
+        door = self.platform.call(self.platform.make(standin.StoreDoor, self.platform.store))
+        self.addCleanup(lambda: self.platform.call(door.stop()))
+        gateways = [self.start(name="edge-0", store_port=door.port)]
+        gateways += [self.start(name=f"edge-{i}") for i in (1, 2)]
+        time.sleep(0.7)
+        door.mode = "busy"
+        # Until the gateway has noticed.
+        self.spend(gateways[:1], "p14", 1000, 1)
+        time.sleep(0.5)
+        for number in range(8):
+            program = f"p15-{number}"
+            # All but one turn of the budget is used before the gateway that the store turns away hears of the program.
+            statuses = self.spend(gateways[1:2], program, 270, 5, most=45)
+            statuses += self.spend(gateways[:1], program, 270, 3, most=45)
+            statuses += self.spend(gateways[1:], program, 270, 6, most=45)
+            self.assertLessEqual(45 * statuses.count(200), 270 + 45, statuses)
+            # The others have the store: no budget is lost to the outage.
+            self.assertGreaterEqual(45 * statuses.count(200), 270 - 45, statuses)
+
     def test_stopping_gateway_gives_back_what_it_has_not_used(self):
         gateway = self.start()
         self.assertEqual(self.spend([gateway], "p13", 600, 2), [200, 200])
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -172,6 +172,21 @@
                 pass
 
 
+class StoreDoor(Listener):
+    """Another address of a store, which turns its callers away while `mode` is busy."""
+
+    def __init__(self, store):
+        super().__init__()
+        self.store = store
+        self.mode = "ok"
+
+    async def handle(self, request, reader, writer):
+        if self.mode == "busy":
+            writer.write(response(503))
+            return True
+        return await self.store.handle(request, reader, writer)
+
+
 class Backend(Listener):
     """A plain server. `plan` maps a path to how its requests are treated; see handle()."""
 
