Read, write and pass on a gateway's told load in one place

Cause: the fields that one gateway tells of its load at a server were written in two places, collected in a third and merged in a fourth; the outcomes added last had to be put into all of them. Datagrams to several gateways were sent by five loops of the same form. Change: one struct with one function each to fill it from the own load, read it, write it and add it to what is passed on; one function sends to several addresses. Behaviour is unchanged: own entries to be passed on are always new when they are added, since both are sent by the same timer.

--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -128,6 +128,8 @@
   std::string PackGive(const BudgetGive& give);
   void OnBudgetMessage(const protocol::peer::Message::Reader& message);
   void SendTo(const std::string& address, const std::string& datagram);
+  void SendToEach(const std::vector<std::string>& addresses,
+                  const std::string& datagram);
 
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer send_timer_;
@@ -143,18 +145,25 @@
   std::uint64_t peers_lost_ = 0;
   // Servers whose load has changed since the last message.
   std::set<std::string> changed_;
-  // Load of one gateway at one server, to be passed on.
-  struct RelayedLoad {
+  // What one gateway tells of its load at one server.
+  struct ToldLoad {
     std::uint16_t open = 0;
     std::uint32_t prefill_tokens = 0;
+    // Slowness in percent, as reported since the last message; 0 if unknown.
     std::uint16_t slowness = 0;
+    // Outcomes of requests since the last message.
     RequestOutcomes outcomes;
   };
-  // Writes the own load at the server into `entry`.
-  void PackEntry(const ServerSlot& slot,
-                 protocol::peer::ServerLoad::Builder entry) const;
+  // The own load at the server.
+  ToldLoad OwnLoad(const ServerSlot& slot) const;
+  static ToldLoad ReadLoad(const protocol::peer::ServerLoad::Reader& entry);
+  static void WriteLoad(std::uint64_t server,
+                        const ToldLoad& load,
+                        protocol::peer::ServerLoad::Builder entry);
+  // Takes a gateway's load at a server up among those to be passed on.
+  void PassOn(PeerId origin, std::uint64_t server, const ToldLoad& load);
   // By origin and hash of the server's identity.
-  std::map<std::pair<PeerId, std::uint64_t>, RelayedLoad> relay_;
+  std::map<std::pair<PeerId, std::uint64_t>, ToldLoad> relay_;
   // A prompt and the hash of the identity of the server that reads it.
   struct SentPrompt {
     std::uint64_t server = 0;
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -200,32 +200,58 @@
   load.setComplete(complete && count == slots.size());
   auto servers = load.initServers(static_cast<unsigned>(count));
   for (unsigned i = 0; i < count; ++i) {
-    PackEntry(*slots[i], servers[i]);
+    ToldLoad own = OwnLoad(*slots[i]);
     // Complete messages repeat what is open; outcomes count once.
-    if (auto found = outcomes_.find(slots[i]->server.id);
-        !complete && found != outcomes_.end()) {
-      servers[i].setAnswered(
-          static_cast<std::uint16_t>(found->second.answered));
-      servers[i].setFailed(static_cast<std::uint16_t>(found->second.failed));
-    }
+    if (complete)
+      own.outcomes = {};
+    WriteLoad(KeyOf(slots[i]->server.id), own, servers[i]);
   }
   return Pack(builder);
 }
 
-void PeerLink::PackEntry(const ServerSlot& slot,
-                         wire::ServerLoad::Builder entry) const {
-  entry.setServer(KeyOf(slot.server.id));
-  entry.setOpen(static_cast<std::uint16_t>(slot.load.own_open()));
-  entry.setPrefillTokens(
-      static_cast<std::uint32_t>(slot.load.own_prefill_tokens()));
+PeerLink::ToldLoad PeerLink::OwnLoad(const ServerSlot& slot) const {
+  ToldLoad load;
+  load.open = static_cast<std::uint16_t>(slot.load.own_open());
+  load.prefill_tokens =
+      static_cast<std::uint32_t>(slot.load.own_prefill_tokens());
   if (auto found = slowness_.find(slot.server.id); found != slowness_.end())
-    entry.setSlowness(found->second);
+    load.slowness = found->second;
+  if (auto found = outcomes_.find(slot.server.id); found != outcomes_.end())
+    load.outcomes = found->second;
+  return load;
+}
+
+PeerLink::ToldLoad PeerLink::ReadLoad(const wire::ServerLoad::Reader& entry) {
+  return {entry.getOpen(),
+          entry.getPrefillTokens(),
+          entry.getSlowness(),
+          {entry.getAnswered(), entry.getFailed()}};
+}
+
+void PeerLink::WriteLoad(std::uint64_t server,
+                         const ToldLoad& load,
+                         wire::ServerLoad::Builder entry) {
+  entry.setServer(server);
+  entry.setOpen(load.open);
+  entry.setPrefillTokens(load.prefill_tokens);
+  entry.setSlowness(load.slowness);
+  entry.setAnswered(static_cast<std::uint16_t>(load.outcomes.answered));
+  entry.setFailed(static_cast<std::uint16_t>(load.outcomes.failed));
+}
+
+void PeerLink::PassOn(PeerId origin,
+                      std::uint64_t server,
+                      const ToldLoad& load) {
+  ToldLoad& waiting = relay_[{origin, server}];
+  // Newer counts replace older ones; outcomes add up.
+  RequestOutcomes before = waiting.outcomes;
+  waiting = load;
+  waiting.outcomes.answered += before.answered;
+  waiting.outcomes.failed += before.failed;
 }
 
 void PeerLink::SendAll() {
-  std::string datagram = PackLoad(registry_.busy(), true);
-  for (const std::string& address : directory_.addresses())
-    SendTo(address, datagram);
+  SendToEach(directory_.addresses(), PackLoad(registry_.busy(), true));
 }
 
 void PeerLink::SendChanges() {
@@ -238,28 +264,14 @@
     return;
   std::string relay = Relay();
   if (relay == settings_.address) {
-    for (const ServerSlotPtr& slot : slots) {
-      RelayedLoad& load = relay_[{id_, KeyOf(slot->server.id)}];
-      load.open = static_cast<std::uint16_t>(slot->load.own_open());
-      load.prefill_tokens =
-          static_cast<std::uint32_t>(slot->load.own_prefill_tokens());
-      if (auto found = slowness_.find(slot->server.id);
-          found != slowness_.end())
-        load.slowness = found->second;
-      if (auto found = outcomes_.find(slot->server.id);
-          found != outcomes_.end()) {
-        load.outcomes.answered += found->second.answered;
-        load.outcomes.failed += found->second.failed;
-      }
-    }
+    for (const ServerSlotPtr& slot : slots)
+      PassOn(id_, KeyOf(slot->server.id), OwnLoad(*slot));
   } else {
     std::string datagram = PackLoad(slots, false);
-    if (relay.empty()) {
-      for (const std::string& address : directory_.addresses())
-        SendTo(address, datagram);
-    } else {
+    if (relay.empty())
+      SendToEach(directory_.addresses(), datagram);
+    else
       SendTo(relay, datagram);
-    }
   }
   slowness_.clear();
   outcomes_.clear();
@@ -307,12 +319,10 @@
     PackPrompts(sent_prompts_, message.initPrompts(static_cast<unsigned>(
                                    PromptsThatFit(sent_prompts_))));
     std::string datagram = Pack(builder);
-    if (!relay.empty()) {
+    if (relay.empty())
+      SendToEach(directory_.live_addresses(), datagram);
+    else
       SendTo(relay, datagram);
-      continue;
-    }
-    for (const std::string& address : directory_.live_addresses())
-      SendTo(address, datagram);
   }
 }
 
@@ -335,24 +345,14 @@
     for (unsigned i = 0; i < origins.size(); ++i) {
       relayed[i].setOrigin(origins[i].first);
       auto servers = relayed[i].initServers(origins[i].second);
-      for (unsigned k = 0; k < origins[i].second; ++k, ++next) {
-        servers[k].setServer(next->first.second);
-        servers[k].setOpen(next->second.open);
-        servers[k].setPrefillTokens(next->second.prefill_tokens);
-        servers[k].setSlowness(next->second.slowness);
-        servers[k].setAnswered(
-            static_cast<std::uint16_t>(next->second.outcomes.answered));
-        servers[k].setFailed(
-            static_cast<std::uint16_t>(next->second.outcomes.failed));
-      }
+      for (unsigned k = 0; k < origins[i].second; ++k, ++next)
+        WriteLoad(next->first.second, next->second, servers[k]);
     }
     relay_.erase(relay_.begin(), next);
     PackPrompts(relay_prompts_,
                 message.initRelayedPrompts(
                     static_cast<unsigned>(PromptsThatFit(relay_prompts_))));
-    std::string datagram = Pack(builder);
-    for (const std::string& address : directory_.live_addresses())
-      SendTo(address, datagram);
+    SendToEach(directory_.live_addresses(), Pack(builder));
   }
 }
 
@@ -364,6 +364,12 @@
     socket_.send_to(boost::asio::buffer(datagram), *endpoint, 0, ignored);
 }
 
+void PeerLink::SendToEach(const std::vector<std::string>& addresses,
+                          const std::string& datagram) {
+  for (const std::string& address : addresses)
+    SendTo(address, datagram);
+}
+
 wire::Message::Builder PeerLink::StartMessage(capnp::MessageBuilder& builder) {
   auto message = builder.initRoot<wire::Message>();
   message.setSender(id_);
@@ -418,10 +424,8 @@
   body.setCall(call.call);
   body.setProgram(call.program);
   body.setReserved(static_cast<std::uint32_t>(call.reserved));
-  std::string datagram = Pack(builder);
   std::vector<std::string> addresses = directory_.live_addresses();
-  for (const std::string& address : addresses)
-    SendTo(address, datagram);
+  SendToEach(addresses, Pack(builder));
   return !addresses.empty();
 }
 
@@ -480,14 +484,8 @@
     bool relays = !load.getComplete() && Relay() == settings_.address;
     for (auto entry : load.getServers()) {
       TakeLoad(message.getSender(), entry, now);
-      if (relays) {
-        RelayedLoad& load = relay_[{message.getSender(), entry.getServer()}];
-        load.open = entry.getOpen();
-        load.prefill_tokens = entry.getPrefillTokens();
-        load.slowness = entry.getSlowness();
-        load.outcomes.answered += entry.getAnswered();
-        load.outcomes.failed += entry.getFailed();
-      }
+      if (relays)
+        PassOn(message.getSender(), entry.getServer(), ReadLoad(entry));
     }
     for (auto prompt : message.getPrompts())
       TakePrompt(prompt);
@@ -524,13 +522,14 @@
   ServerSlotPtr slot = registry_.find_by_key(entry.getServer());
   if (!slot)
     return;
-  slot->load.OnPeer(origin, {.open = entry.getOpen(),
-                             .prefill_tokens = entry.getPrefillTokens(),
-                             .seen = now});
-  if (entry.getAnswered() + entry.getFailed() > 0)
-    slot->load.OnOutcomes({entry.getAnswered(), entry.getFailed()}, now);
-  if (entry.getSlowness() > 0)
-    slot->load.OnSlowness(entry.getSlowness() / 100.0, now);
+  ToldLoad load = ReadLoad(entry);
+  slot->load.OnPeer(
+      origin,
+      {.open = load.open, .prefill_tokens = load.prefill_tokens, .seen = now});
+  if (load.outcomes.answered + load.outcomes.failed > 0)
+    slot->load.OnOutcomes(load.outcomes, now);
+  if (load.slowness > 0)
+    slot->load.OnSlowness(load.slowness / 100.0, now);
 }
 
 void PeerLink::Tick() {
