Transactions over several rows, and reads of a range, in the shared table

Cause: keeping conversations needs records of several rows written together, and read together; the table offered only single rows and whole partitions. Change: Transact() and ReadRange() are what a store implements; Write(), Read() and List() are written on them once.

--- a/packages/forwarding/include/vanillalever/forwarding/shared_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/shared_table.h
@@ -48,6 +48,26 @@
   kUnknown,
 };
 
+// Rows of one partition with from <= key < to; an empty `to` has no end.
+struct TableRange {
+  std::string table;
+  std::string partition;
+  std::string from;
+  std::string to;
+};
+
+// Outcome of a transaction.
+struct TransactionResult {
+  StoreOutcome outcome = StoreOutcome::kNotDone;
+  // New version of all written rows on kDone.
+  std::uint64_t version = 0;
+  // On kConflict the present rows of those to be written, without the ones that
+  // do not exist.
+  std::vector<TableRow> current;
+  // Why the outcome is kNotDone or kUnknown.
+  std::string reason;
+};
+
 // Outcome of a write.
 struct WriteResult {
   StoreOutcome outcome = StoreOutcome::kNotDone;
@@ -88,19 +108,26 @@
 class SharedTable {
  public:
   virtual ~SharedTable() = default;
-  virtual void Write(TableWrite write,
-                     std::function<void(WriteResult)> done) = 0;
-  virtual void Read(RowName name, std::function<void(ReadResult)> done) = 0;
-  // All rows of a partition, in order of their keys.
-  virtual void List(std::string table,
-                    std::string partition,
-                    std::function<void(ReadResult)> done) = 0;
+  // Applies all writes or none. The rows must be of one partition.
+  virtual void Transact(std::vector<TableWrite> writes,
+                        std::function<void(TransactionResult)> done) = 0;
+  // The rows of a range, in order of their keys.
+  virtual void ReadRange(TableRange range,
+                         std::function<void(ReadResult)> done) = 0;
   // Long poll for the changes of a table after `version`; completes without
   // rows if there are none within `wait`.
   virtual void AwaitChanges(std::string table,
                             std::uint64_t version,
                             base::milliseconds wait,
                             std::function<void(ChangesResult)> done) = 0;
+
+  // Transaction of a single write.
+  void Write(TableWrite write, std::function<void(WriteResult)> done);
+  void Read(RowName name, std::function<void(ReadResult)> done);
+  // All rows of a partition, in order of their keys.
+  void List(std::string table,
+            std::string partition,
+            std::function<void(ReadResult)> done);
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/tests/peer_link_test.cc
+++ b/packages/forwarding/tests/peer_link_test.cc
@@ -28,11 +28,12 @@
  public:
   std::vector<std::string> addresses;
 
-  void Write(TableWrite, std::function<void(WriteResult)>) override {}
-  void Read(RowName, std::function<void(ReadResult)>) override {}
-  void List(std::string,
-            std::string,
-            std::function<void(ReadResult)> done) override {
+  void Transact(std::vector<TableWrite>,
+                std::function<void(TransactionResult)>) override {}
+  void ReadRange(TableRange range,
+                 std::function<void(ReadResult)> done) override {
+    if (!range.to.empty())
+      return;
     ReadResult result;
     result.outcome = StoreOutcome::kDone;
     for (const std::string& address : addresses)
