Keep the conversations of stateful routes

The end of a response is sent once the record is durable; events are not held. 404 only if the store says that no record exists, 503 while it cannot be read. Ruled out: rows by program (a new program may continue an old one's turn); writing without a condition (a reused id would replace a turn).

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -111,6 +111,13 @@
     settings.grace = node.grace;
     settings.peers.address = node.ip + ":" + std::to_string(node.first_port);
     settings.peers.cpu_millicores = node.cpu_millicores;
+    // The rest is for connections, requests in progress and their prompts.
+    constexpr std::size_t kMemoryDivisor = 6;
+    if (node.memory_bytes > 0)
+      settings.conversations.cache.max_bytes =
+          node.memory_bytes / kMemoryDivisor;
+    // The store may count a row's value in its encoding, which adds a third.
+    settings.conversations.max_row_bytes = node.max_row_bytes / 4 * 3 - 1024;
     return settings;
   }
 
--- /dev/null
+++ b/packages/conversation/include/vanillalever/conversation/chain_reader.h
@@ -0,0 +1,46 @@
+#ifndef VANILLALEVER_CONVERSATION_CHAIN_READER_H_
+#define VANILLALEVER_CONVERSATION_CHAIN_READER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "vanillalever/base/clock.h"
+#include "vanillalever/conversation/turn_cache.h"
+#include "vanillalever/conversation/turn_record.h"
+
+namespace vanillalever::conversation {
+
+// Puts a turn and all turns before it together from their records: the first
+// record names the others, which are then read in parallel. Does no I/O. Not
+// thread-safe.
+class ChainReader {
+ public:
+  explicit ChainReader(std::string id) : id_(std::move(id)) {}
+
+  // Ids of the records to be read now; each id is returned once. Turns in
+  // `cache` are not read.
+  std::vector<std::string> TakeUnread(TurnCache& cache, base::TimePoint now);
+  // The record of `id` was read; nothing if it does not exist.
+  void OnRecord(const std::string& id, std::optional<TurnRecord> record);
+
+  // A record that does not exist; empty if there is none. If it is the turn
+  // itself, no such turn was completed; otherwise the conversation is
+  // incomplete and must not be continued.
+  const std::string& missing() const { return missing_; }
+  // The turn with all its predecessors; null until all records are known.
+  TurnPtr Build(TurnCache& cache, base::TimePoint now) const;
+
+  const std::string& id() const { return id_; }
+
+ private:
+  std::string id_;
+  std::string missing_;
+  // Records by turn id; nothing while being read.
+  std::map<std::string, std::optional<TurnRecord>> records_;
+};
+
+}  // namespace vanillalever::conversation
+
+#endif  // VANILLALEVER_CONVERSATION_CHAIN_READER_H_
--- /dev/null
+++ b/packages/conversation/include/vanillalever/conversation/turn.h
@@ -0,0 +1,36 @@
+#ifndef VANILLALEVER_CONVERSATION_TURN_H_
+#define VANILLALEVER_CONVERSATION_TURN_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace vanillalever::conversation {
+
+struct Turn;
+using TurnPtr = std::shared_ptr<const Turn>;
+
+// A completed turn of a conversation. Several turns may have the same
+// predecessor.
+struct Turn {
+  // Id of the request that produced the turn.
+  std::string id;
+  // Turn that this one continues; null for the first turn.
+  TurnPtr previous;
+  // New input of the turn, without the history.
+  std::string input;
+  // Data of each event of the response, each followed by a line feed.
+  std::string output;
+
+  std::size_t bytes() const {
+    return sizeof(Turn) + id.size() + input.size() + output.size();
+  }
+};
+
+// Inputs and outputs of `last` and all turns before it, oldest first: what a
+// server receives ahead of the next turn's input. Empty if `last` is null.
+std::string History(const Turn* last);
+
+}  // namespace vanillalever::conversation
+
+#endif  // VANILLALEVER_CONVERSATION_TURN_H_
--- /dev/null
+++ b/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
@@ -0,0 +1,129 @@
+#ifndef VANILLALEVER_FORWARDING_CONVERSATION_SERVICE_H_
+#define VANILLALEVER_FORWARDING_CONVERSATION_SERVICE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "vanillalever/base/name_table.h"
+#include "vanillalever/base/random.h"
+#include "vanillalever/conversation/chain_reader.h"
+#include "vanillalever/conversation/retention_schedule.h"
+#include "vanillalever/conversation/turn_cache.h"
+#include "vanillalever/forwarding/shared_table.h"
+#include "vanillalever/forwarding/turn_writer.h"
+
+namespace vanillalever::forwarding {
+
+// Settings of ConversationService.
+struct ConversationSettings {
+  conversation::TurnCacheSettings cache;
+  // Maximum size of one row's value in the shared table.
+  std::size_t max_row_bytes = 48 << 10;
+};
+
+// Result of looking a turn up.
+enum class TurnLookup {
+  kFound,
+  kMissing,      // no such turn was completed, or it is no longer kept
+  kUnavailable,  // not known: the store did not respond in time
+};
+
+inline constexpr base::NameTable<TurnLookup, 3> kTurnLookupNames({
+    "found",
+    "missing",
+    "unavailable",
+});
+
+// Keeps the turns of conversations in the shared table, and the recent ones in
+// memory. Event loop's thread only.
+class ConversationService {
+ public:
+  using FindCallback =
+      std::function<void(TurnLookup, const conversation::TurnPtr&)>;
+
+  // Largest input, and largest output, of a turn that can be kept, in bytes:
+  // both fit into one transaction.
+  static constexpr std::size_t kMaxTurnBytes = 320 << 10;
+  // Longest id of a turn.
+  static constexpr std::size_t kMaxIdBytes = 128;
+
+  ConversationService(boost::asio::io_context& context,
+                      SharedTable& table,
+                      std::uint64_t seed,
+                      ConversationSettings settings = {});
+
+  // Looks up the turn with all turns before it, and reports kUnavailable if
+  // that takes longer than until `give_up`. The callback may run inside the
+  // call.
+  void Find(const std::string& id, base::TimePoint give_up, FindCallback done);
+
+  // Makes the turn durable; `done` reports whether it is. After `give_up` the
+  // outcome is reported as not durable, although it may become so.
+  void Record(conversation::TurnPtr turn,
+              base::Duration retention,
+              base::TimePoint give_up,
+              std::function<void(bool recorded)> done);
+
+  // Deletes expired records and removes idle turns from memory. Call
+  // periodically.
+  void Tick();
+
+  std::size_t cached_turns() const { return cache_.size(); }
+  std::size_t cached_bytes() const { return cache_.bytes(); }
+  std::size_t unwritten_turns() const { return writer_.pending(); }
+
+ private:
+  struct Waiter {
+    base::TimePoint give_up{};
+    FindCallback done;
+  };
+  // A lookup in progress, shared by all requests for the same turn.
+  struct Lookup {
+    explicit Lookup(const std::string& id) : reader(id) {}
+    conversation::ChainReader reader;
+    std::vector<Waiter> waiters;
+    int open_reads = 0;
+    int failures = 0;
+    base::TimePoint started{};
+  };
+  using LookupPtr = std::shared_ptr<Lookup>;
+
+  void ReadMore(const LookupPtr& lookup);
+  void ReadRecord(const LookupPtr& lookup, const std::string& id);
+  void OnRead(const LookupPtr& lookup,
+              const std::string& id,
+              const ReadResult& result);
+  // Reads the record again after a delay, unless no request waits any more.
+  void RetryRead(const LookupPtr& lookup,
+                 const std::string& id,
+                 const std::string& reason);
+  void Finish(const LookupPtr& lookup,
+              TurnLookup outcome,
+              const conversation::TurnPtr& turn);
+  void DeleteRecord(const conversation::RetentionSchedule::OwnedRecord& record);
+  // Writes the record of another gateway's turn again.
+  void TakeOver(const conversation::TurnPtr& turn);
+  void OnTakeoverFailed(const conversation::TurnPtr& turn,
+                        bool taken_by_other,
+                        const std::string& reason);
+
+  boost::asio::io_context& context_;
+  SharedTable& table_;
+  ConversationSettings settings_;
+  base::Random random_;
+  conversation::TurnCache cache_;
+  conversation::RetentionSchedule retention_;
+  TurnWriter writer_;
+  std::map<std::string, LookupPtr> lookups_;
+};
+
+}  // namespace vanillalever::forwarding
+
+#endif  // VANILLALEVER_FORWARDING_CONVERSATION_SERVICE_H_
--- a/packages/forwarding/include/vanillalever/forwarding/event_framer.h
+++ b/packages/forwarding/include/vanillalever/forwarding/event_framer.h
@@ -14,6 +14,11 @@
   // Adds bytes and returns the complete events, in order.
   std::string Feed(std::string_view data);
 
+  // Keeps the data of the events from now on.
+  void KeepData() { keep_data_ = true; }
+  // Data of each complete event, followed by a line feed.
+  const std::string& data() const { return data_; }
+
   // Bytes of the incomplete event at the end.
   const std::string& partial() const { return partial_; }
   void DiscardPartial() { partial_.clear(); }
@@ -29,6 +34,8 @@
   std::string partial_;
   std::int64_t events_ = 0;
   std::string last_id_;
+  bool keep_data_ = false;
+  std::string data_;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -43,6 +43,9 @@
   enum class ResponseMode { kNone, kRefusal, kBuffered, kStreamed };
 
   bool ResolveRoute();
+  // Looks up the turn that the request continues, on a stateful route.
+  void FindPreviousTurn();
+  void OnPreviousTurn(TurnLookup outcome, const conversation::TurnPtr& turn);
   void ReserveBudget();
   void OnBudgetResult(BudgetOutcome outcome);
   void Place();
@@ -50,6 +53,10 @@
   // it.
   void WaitForServer();
   void Send(const Placement& placement);
+  // The server has completed a turn of a conversation: makes it durable, then
+  // ends the response.
+  void RecordTurn();
+  void FinishStream();
   std::string RequestText(const ServerSlot& slot) const;
   bool must_not_repeat() const;
   // Removes the request from its server's load, and closes the connection or
@@ -86,6 +93,8 @@
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer wait_timer_;
 
+  // Turn that this one continues, on a stateful route.
+  conversation::TurnPtr previous_turn_;
   bool budget_reserved_ = false;
   std::shared_ptr<ServerConnection> connection_;
   ServerSlotPtr slot_;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -7,6 +7,7 @@
 
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/budget_service.h"
+#include "vanillalever/forwarding/conversation_service.h"
 #include "vanillalever/forwarding/gateway_metrics.h"
 #include "vanillalever/forwarding/peer_link.h"
 #include "vanillalever/forwarding/placement.h"
@@ -28,6 +29,7 @@
   Placer& placer;
   ServerConnectionPool& pool;
   BudgetService& budgets;
+  ConversationService& conversations;
   PeerLink& peers;
   GatewayMetrics& metrics;
   base::Random& random;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -35,6 +35,7 @@
   ConnectionPoolSettings pool;
   RegistrySettings registry;
   BudgetSettings budget;
+  ConversationSettings conversations;
 };
 
 // Forwards callers' requests to backend servers. Runs on one event loop; not
@@ -102,6 +103,7 @@
   ServerConnectionPool pool_;
   PeerLink peers_;
   BudgetService budgets_;
+  ConversationService conversations_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   bool servers_known_ = false;
--- a/packages/forwarding/include/vanillalever/forwarding/route_config.h
+++ b/packages/forwarding/include/vanillalever/forwarding/route_config.h
@@ -49,7 +49,10 @@
   bool sticky = false;
   // A stream may be resumed at another server after its last delivered event.
   bool resumable = false;
-  // How long the budgets of ended programs must be kept.
+  // A request carries only the new input of a turn and names the turn that it
+  // continues; the gateway keeps the turns.
+  bool stateful = false;
+  // How long turns, and the budgets of ended programs, must be kept.
   base::seconds retention{60};
 };
 
--- /dev/null
+++ b/packages/forwarding/src/conversation_service.cc
@@ -0,0 +1,255 @@
+#include "vanillalever/forwarding/conversation_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "vanillalever/base/logging.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+using base::milliseconds;
+using conversation::RetentionSchedule;
+using conversation::TurnPtr;
+
+constexpr milliseconds kFirstRetryDelay{15};
+constexpr milliseconds kMaxRetryDelay{150};
+
+std::string Ms(base::Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
+}  // namespace
+
+ConversationService::ConversationService(boost::asio::io_context& context,
+                                         SharedTable& table,
+                                         std::uint64_t seed,
+                                         ConversationSettings settings)
+    : context_(context),
+      table_(table),
+      settings_(settings),
+      random_(seed),
+      cache_(settings.cache),
+      writer_(context, table, random_.Next()) {}
+
+void ConversationService::Find(const std::string& id,
+                               base::TimePoint give_up,
+                               FindCallback done) {
+  auto now = base::TimePoint::clock::now();
+  if (TurnPtr turn = cache_.Find(id, now))
+    return done(TurnLookup::kFound, turn);
+  // No record can have such an id.
+  if (id.size() > kMaxIdBytes)
+    return done(TurnLookup::kMissing, nullptr);
+  LookupPtr& lookup = lookups_[id];
+  bool started = lookup != nullptr;
+  if (!started) {
+    lookup = std::make_shared<Lookup>(id);
+    lookup->started = now;
+  }
+  lookup->waiters.push_back({give_up, std::move(done)});
+  if (!started)
+    ReadMore(LookupPtr(lookup));
+}
+
+void ConversationService::ReadMore(const LookupPtr& lookup) {
+  auto now = base::TimePoint::clock::now();
+  for (const std::string& id : lookup->reader.TakeUnread(cache_, now)) {
+    ++lookup->open_reads;
+    ReadRecord(lookup, id);
+  }
+}
+
+void ConversationService::ReadRecord(const LookupPtr& lookup,
+                                     const std::string& id) {
+  table_.ReadRange(TurnRowRange(id),
+                   [this, lookup, id](const ReadResult& result) {
+                     OnRead(lookup, id, result);
+                   });
+}
+
+void ConversationService::OnRead(const LookupPtr& lookup,
+                                 const std::string& id,
+                                 const ReadResult& result) {
+  if (result.outcome != StoreOutcome::kDone)
+    return RetryRead(lookup, id, result.reason);
+  std::vector<std::string> rows;
+  for (const TableRow& row : result.rows)
+    rows.push_back(row.value);
+  std::optional<conversation::TurnRecord> record;
+  if (!rows.empty()) {
+    if (auto encoded = conversation::JoinRows(rows))
+      record = conversation::DecodeTurnRecord(*encoded);
+    if (!record)
+      return RetryRead(lookup, id, "the record is unreadable");
+  }
+  --lookup->open_reads;
+  lookup->reader.OnRecord(id, std::move(record));
+  if (lookup->reader.missing() == lookup->reader.id())
+    return Finish(lookup, TurnLookup::kMissing, nullptr);
+  ReadMore(lookup);
+  if (lookup->open_reads > 0)
+    return;
+  auto now = base::TimePoint::clock::now();
+  TurnPtr turn = lookup->reader.Build(cache_, now);
+  if (!turn) {
+    // The turn is kept but not all turns before it, so the conversation cannot
+    // be continued.
+    base::LogEvent(
+        base::LogLevel::kError, "conversation_incomplete",
+        {{"turn", lookup->reader.id()}, {"missing", lookup->reader.missing()}});
+    return Finish(lookup, TurnLookup::kUnavailable, nullptr);
+  }
+  cache_.Put(turn, now);
+  Finish(lookup, TurnLookup::kFound, turn);
+}
+
+void ConversationService::RetryRead(const LookupPtr& lookup,
+                                    const std::string& id,
+                                    const std::string& reason) {
+  auto now = base::TimePoint::clock::now();
+  base::LogEvent(base::LogLevel::kWarning, "turn_read_failed",
+                 {{"turn", lookup->reader.id()},
+                  {"record", id},
+                  {"failures", std::to_string(lookup->failures + 1)},
+                  {"reason", reason}});
+  auto delay = std::min(
+      kMaxRetryDelay, kFirstRetryDelay * (1 << std::min(lookup->failures, 8)));
+  ++lookup->failures;
+  std::vector<Waiter> expired;
+  auto& waiters = lookup->waiters;
+  for (auto waiter = waiters.begin(); waiter != waiters.end();) {
+    if (waiter->give_up > now + delay) {
+      ++waiter;
+      continue;
+    }
+    expired.push_back(std::move(*waiter));
+    waiter = waiters.erase(waiter);
+  }
+  if (waiters.empty()) {
+    if (auto found = lookups_.find(lookup->reader.id());
+        found != lookups_.end() && found->second == lookup)
+      lookups_.erase(found);
+  } else {
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
+    timer->async_wait(
+        [this, lookup, id, timer](boost::system::error_code error) {
+          if (!error)
+            ReadRecord(lookup, id);
+        });
+  }
+  for (const Waiter& waiter : expired)
+    waiter.done(TurnLookup::kUnavailable, nullptr);
+}
+
+void ConversationService::Finish(const LookupPtr& lookup,
+                                 TurnLookup outcome,
+                                 const TurnPtr& turn) {
+  auto now = base::TimePoint::clock::now();
+  base::LogEvent(base::LogLevel::kInfo, "turn_lookup",
+                 {{"turn", lookup->reader.id()},
+                  {"outcome", std::string(kTurnLookupNames.name(outcome))},
+                  {"took_ms", Ms(now - lookup->started)}});
+  if (auto found = lookups_.find(lookup->reader.id());
+      found != lookups_.end() && found->second == lookup)
+    lookups_.erase(found);
+  for (const Waiter& waiter : std::exchange(lookup->waiters, {}))
+    waiter.done(outcome, turn);
+}
+
+void ConversationService::Record(TurnPtr turn,
+                                 base::Duration retention,
+                                 base::TimePoint give_up,
+                                 std::function<void(bool recorded)> done) {
+  auto rows = conversation::SplitIntoRows(
+      conversation::EncodeTurnRecord(conversation::MakeTurnRecord(*turn)),
+      settings_.max_row_bytes);
+  std::size_t count = rows.size();
+  const std::string& id = turn->id;
+  writer_.Write(id, std::move(rows), give_up,
+                [this, turn, retention, count,
+                 done = std::move(done)](TurnWriter::Outcome outcome) {
+                  auto now = base::TimePoint::clock::now();
+                  if (outcome.recorded) {
+                    retention_.OnRecorded(turn,
+                                          {turn->id, outcome.version, count},
+                                          retention, now);
+                    cache_.Put(turn, now);
+                  }
+                  done(outcome.recorded);
+                });
+}
+
+void ConversationService::Tick() {
+  auto now = base::TimePoint::clock::now();
+  cache_.RemoveIdle(now);
+  for (const auto& record : retention_.TakeExpired(now))
+    DeleteRecord(record);
+  for (const TurnPtr& turn : retention_.TakeTakeovers(now))
+    TakeOver(turn);
+}
+
+void ConversationService::DeleteRecord(
+    const RetentionSchedule::OwnedRecord& record) {
+  // The version is not known after a write whose response was lost.
+  if (record.version == 0) {
+    table_.Read(
+        TurnRowName(record.id, 0), [this, record](const ReadResult& result) {
+          if (result.outcome != StoreOutcome::kDone || result.rows.empty())
+            return;
+          RetentionSchedule::OwnedRecord known = record;
+          known.version = result.rows.front().version;
+          DeleteRecord(known);
+        });
+    return;
+  }
+  std::vector<TableWrite> deletes;
+  for (std::size_t i = 0; i < record.rows; ++i)
+    deletes.push_back(
+        {TurnRowName(record.id, i), record.version, std::nullopt});
+  table_.Transact(
+      std::move(deletes), [id = record.id](const TransactionResult& result) {
+        // A conflict: another gateway has taken the record over.
+        if (result.outcome == StoreOutcome::kDone ||
+            result.outcome == StoreOutcome::kConflict)
+          return;
+        base::LogEvent(base::LogLevel::kWarning, "turn_delete_failed",
+                       {{"turn", id}, {"reason", result.reason}});
+      });
+}
+
+void ConversationService::TakeOver(const TurnPtr& turn) {
+  table_.ReadRange(TurnRowRange(turn->id), [this,
+                                            turn](const ReadResult& read) {
+    if (read.outcome != StoreOutcome::kDone || read.rows.empty())
+      return OnTakeoverFailed(turn, false, read.reason);
+    std::vector<TableWrite> writes;
+    for (const TableRow& row : read.rows)
+      writes.push_back({row.name, row.version, row.value});
+    std::size_t count = writes.size();
+    table_.Transact(std::move(writes), [this, turn, count](
+                                           const TransactionResult& result) {
+      if (result.outcome != StoreOutcome::kDone)
+        return OnTakeoverFailed(turn, result.outcome == StoreOutcome::kConflict,
+                                result.reason);
+      retention_.OnTakenOver({turn->id, result.version, count},
+                             base::TimePoint::clock::now());
+    });
+  });
+}
+
+void ConversationService::OnTakeoverFailed(const TurnPtr& turn,
+                                           bool taken_by_other,
+                                           const std::string& reason) {
+  base::LogEvent(base::LogLevel::kWarning, "turn_takeover_failed",
+                 {{"turn", turn->id},
+                  {"taken_by_other", taken_by_other ? "true" : "false"},
+                  {"reason", reason}});
+  retention_.OnTakeoverFailed(turn, taken_by_other,
+                              base::TimePoint::clock::now());
+}
+
+}  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/event_framer.cc
+++ b/packages/forwarding/src/event_framer.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data:";
 
 // Position after the blank line that ends the first event; npos if incomplete.
 std::size_t EventEnd(std::string_view text, std::size_t from) {
@@ -47,6 +48,14 @@
       last_id_ = Trim(line.substr(kIdField.size()));
       ++events_;
     }
+    if (keep_data_ && line.starts_with(kDataField)) {
+      std::string_view value = line.substr(kDataField.size());
+      if (value.starts_with(' '))
+        value.remove_prefix(1);
+      if (value.ends_with('\r'))
+        value.remove_suffix(1);
+      data_.append(value).append("\n");
+    }
     if (end == std::string_view::npos)
       break;
     event.remove_prefix(end + 1);
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -82,7 +82,44 @@
   });
   if (service_->engine)
     chain_ = MakePromptChain(profile_.prompt_parts);
-  ReserveBudget();
+  FindPreviousTurn();
+}
+
+void ForwardedRequest::FindPreviousTurn() {
+  if (!route_->stateful)
+    return ReserveBudget();
+  if (profile_.request_id.empty() ||
+      profile_.request_id.size() > ConversationService::kMaxIdBytes)
+    return SendLocalReply(400, "a turn needs an id");
+  if (request_.body().size() > ConversationService::kMaxTurnBytes)
+    return SendLocalReply(413, "the input is too long to be kept");
+  framer_.KeepData();
+  if (profile_.previous_turn.empty())
+    return ReserveBudget();
+  auto give_up = arrived_at_ + std::chrono::duration_cast<base::Duration>(
+                                   kMaxWaitShare * (deadline_ - arrived_at_));
+  context_.conversations.Find(
+      profile_.previous_turn, give_up,
+      [self = shared_from_this()](TurnLookup outcome,
+                                  const conversation::TurnPtr& turn) {
+        self->OnPreviousTurn(outcome, turn);
+      });
+}
+
+void ForwardedRequest::OnPreviousTurn(TurnLookup outcome,
+                                      const conversation::TurnPtr& turn) {
+  if (done_)
+    return;
+  switch (outcome) {
+    case TurnLookup::kFound:
+      previous_turn_ = turn;
+      return ReserveBudget();
+    case TurnLookup::kMissing:
+      return SendLocalReply(404, "no such turn");
+    case TurnLookup::kUnavailable:
+      return Refuse("the conversation cannot be read: the store is unavailable",
+                    kNotReadyRetryAfter);
+  }
 }
 
 bool ForwardedRequest::ResolveRoute() {
@@ -188,7 +225,9 @@
   options.urgency = kUrgency;
   options.last_event_id =
       framer_.last_id().empty() ? profile_.last_event_id : framer_.last_id();
-  return ServerRequestText(context_.codec, request_, options);
+  return ServerRequestText(context_.codec, request_,
+                           conversation::History(previous_turn_.get()),
+                           options);
 }
 
 void ForwardedRequest::Send(const Placement& placement) {
@@ -335,6 +374,32 @@
   }
   StartRelay();
   sink_->SendChunk(framer_.partial());
+  if (route_->stateful)
+    RecordTurn();
+  else
+    FinishStream();
+}
+
+void ForwardedRequest::RecordTurn() {
+  auto turn = std::make_shared<conversation::Turn>();
+  turn->id = profile_.request_id;
+  turn->previous = previous_turn_;
+  turn->input = request_.body();
+  turn->output = framer_.data();
+  if (turn->output.size() > ConversationService::kMaxTurnBytes)
+    return Fail(502, "the output is too long to be kept");
+  context_.conversations.Record(std::move(turn), route_->retention, deadline_,
+                                [self = shared_from_this()](bool recorded) {
+                                  if (self->done_)
+                                    return;
+                                  if (recorded)
+                                    return self->FinishStream();
+                                  self->Fail(502,
+                                             "the turn could not be recorded");
+                                });
+}
+
+void ForwardedRequest::FinishStream() {
   sink_->FinishStream();
   RecordResponse();
   Finish("answered", "");
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -46,8 +46,10 @@
       pool_(settings_.pool),
       peers_(io, settings_.peers, table, registry_, random_.Next()),
       budgets_(io, table, peers_, random_.Next(), settings_.budget),
-      context_{io,       codec,  nullptr,  registry_, placer_,      pool_,
-               budgets_, peers_, metrics_, random_,   RetryPolicy()} {}
+      conversations_(io, table, random_.Next(), settings_.conversations),
+      context_{io,      codec,    nullptr,  registry_,
+               placer_, pool_,    budgets_, conversations_,
+               peers_,  metrics_, random_,  RetryPolicy()} {}
 
 Gateway::~Gateway() = default;
 
@@ -180,6 +182,7 @@
     last_cleanup_ = now;
     pool_.CloseExpired(now);
     budgets_.Sweep(kBudgetRetention);
+    conversations_.Tick();
   }
   CheckIsolation();
   CheckProvisionalGrants();
--- /dev/null
+++ b/packages/forwarding/src/turn_writer.cc
@@ -0,0 +1,188 @@
+#include "vanillalever/forwarding/turn_writer.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "vanillalever/base/hash.h"
+#include "vanillalever/base/logging.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+using base::milliseconds;
+
+constexpr const char* kTurnTable = "turns";
+// The store writes partitions independently of each other.
+constexpr std::size_t kPartitions = 16;
+// Limits of one transaction; the store's are 100 entries and 1 MB, and values
+// grow by a third in its encoding.
+constexpr std::size_t kMaxRows = 90;
+constexpr std::size_t kMaxBytes = 640 << 10;
+// Separates a turn's id from the number of a further row.
+constexpr char kRowSeparator = '#';
+constexpr milliseconds kFirstRetryDelay{15};
+constexpr milliseconds kMaxRetryDelay{150};
+
+std::size_t PartitionOf(const std::string& id) {
+  return base::Hash64(id) % kPartitions;
+}
+
+std::string PartitionName(std::size_t index) {
+  return "turns-" + std::to_string(index);
+}
+
+}  // namespace
+
+RowName TurnRowName(const std::string& id, std::size_t index) {
+  RowName name{kTurnTable, PartitionName(PartitionOf(id)), id};
+  if (index > 0) {
+    // Padded, so that the rows are in order of their keys.
+    std::string number = std::to_string(index);
+    name.key += kRowSeparator;
+    name.key.append(3 - std::min<std::size_t>(3, number.size()), '0');
+    name.key += number;
+  }
+  return name;
+}
+
+TableRange TurnRowRange(const std::string& id) {
+  constexpr char kAfterSeparator = kRowSeparator + 1;
+  return {kTurnTable, PartitionName(PartitionOf(id)), id, id + kAfterSeparator};
+}
+
+TurnWriter::TurnWriter(boost::asio::io_context& context,
+                       SharedTable& table,
+                       std::uint64_t seed)
+    : context_(context),
+      table_(table),
+      random_(seed),
+      partitions_(kPartitions) {}
+
+void TurnWriter::Write(const std::string& id,
+                       std::vector<std::string> rows,
+                       base::TimePoint give_up,
+                       Callback done) {
+  std::size_t index = PartitionOf(id);
+  std::size_t bytes = 0;
+  for (const std::string& row : rows)
+    bytes += row.size();
+  partitions_[index].waiting.push_back(
+      {id, std::move(rows), bytes, give_up, std::move(done)});
+  ++pending_;
+  if (!partitions_[index].busy)
+    StartTransaction(index);
+}
+
+void TurnWriter::StartTransaction(std::size_t index) {
+  Partition& partition = partitions_[index];
+  partition.busy = false;
+  auto now = base::TimePoint::clock::now();
+  std::size_t rows = 0;
+  std::size_t bytes = 0;
+  std::vector<Job> expired;
+  while (!partition.waiting.empty()) {
+    Job& next = partition.waiting.front();
+    if (next.give_up <= now) {
+      expired.push_back(std::move(next));
+      partition.waiting.pop_front();
+      continue;
+    }
+    rows += next.rows.size();
+    bytes += next.bytes;
+    if (!partition.writing.empty() && (rows > kMaxRows || bytes > kMaxBytes))
+      break;
+    partition.writing.push_back(std::move(next));
+    partition.waiting.pop_front();
+  }
+  if (!partition.writing.empty()) {
+    partition.busy = true;
+    std::vector<TableWrite> writes;
+    for (const Job& job : partition.writing) {
+      for (std::size_t i = 0; i < job.rows.size(); ++i)
+        writes.push_back({TurnRowName(job.id, i), 0, job.rows[i]});
+    }
+    table_.Transact(std::move(writes),
+                    [this, index](const TransactionResult& result) {
+                      OnTransaction(index, result);
+                    });
+  }
+  for (Job& job : expired)
+    Complete(job, {});
+}
+
+void TurnWriter::OnTransaction(std::size_t index,
+                               const TransactionResult& result) {
+  Partition& partition = partitions_[index];
+  switch (result.outcome) {
+    case StoreOutcome::kDone: {
+      partition.failures = 0;
+      auto written = std::exchange(partition.writing, {});
+      // The next transaction begins before callbacks add turns.
+      StartTransaction(index);
+      for (Job& job : written)
+        Complete(job, {true, result.version});
+      return;
+    }
+    case StoreOutcome::kConflict:
+      partition.failures = 0;
+      OnConflict(partition, result);
+      return StartTransaction(index);
+    case StoreOutcome::kNotDone:
+    case StoreOutcome::kUnknown:
+      return RetryLater(index, result.reason);
+  }
+}
+
+void TurnWriter::OnConflict(Partition& partition,
+                            const TransactionResult& result) {
+  std::map<std::string, const std::string*> present;
+  for (const TableRow& row : result.current)
+    present.emplace(row.name.key, &row.value);
+  auto jobs = std::exchange(partition.writing, {});
+  std::reverse(jobs.begin(), jobs.end());
+  for (Job& job : jobs) {
+    auto first = present.find(job.id);
+    if (first == present.end()) {
+      partition.waiting.push_front(std::move(job));
+      continue;
+    }
+    bool same = *first->second == job.rows.front();
+    if (!same) {
+      base::LogEvent(base::LogLevel::kWarning, "turn_id_reused",
+                     {{"turn", job.id}});
+    }
+    Complete(job, {same, 0});
+  }
+}
+
+void TurnWriter::RetryLater(std::size_t index, const std::string& reason) {
+  Partition& partition = partitions_[index];
+  base::LogEvent(base::LogLevel::kWarning, "turn_write_failed",
+                 {{"turn", partition.writing.front().id},
+                  {"turns", std::to_string(partition.writing.size())},
+                  {"failures", std::to_string(partition.failures + 1)},
+                  {"reason", reason}});
+  auto jobs = std::exchange(partition.writing, {});
+  for (auto job = jobs.rbegin(); job != jobs.rend(); ++job)
+    partition.waiting.push_front(std::move(*job));
+  auto delay =
+      std::min(kMaxRetryDelay,
+               kFirstRetryDelay * (1 << std::min(partition.failures, 8)));
+  ++partition.failures;
+  auto jitter = random_.Below(static_cast<std::uint64_t>(delay.count()) + 1);
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      context_, delay / 2 + milliseconds(jitter / 2));
+  timer->async_wait([this, index, timer](boost::system::error_code error) {
+    if (!error)
+      StartTransaction(index);
+  });
+}
+
+void TurnWriter::Complete(Job& job, Outcome outcome) {
+  --pending_;
+  job.done(outcome);
+}
+
+}  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/protocol/schema/turn.capnp
@@ -0,0 +1,18 @@
+@0xd3b1f6a2c48e0975;
+
+# Record of one turn of a conversation, as kept in the shared table. Fields are
+# only added, never renumbered.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("vanillalever::protocol::turn");
+
+struct TurnRecord {
+  # Ids of the earlier turns of the conversation, from the predecessor to older
+  # ones. They are read in parallel; the list is bounded, and the oldest listed
+  # turn names the ones before it.
+  ancestors @0 :List(Text);
+  # New input of the turn, without the history.
+  input @1 :Data;
+  # Data of each event of the response, each followed by a line feed.
+  output @2 :Data;
+}
