Call the store through another gateway while it does not serve this one

Change: RelayedTable makes a transaction or read through a live gateway that announces that it reaches the store: at once while this one does not, after 50 ms if no call succeeds. Both ways may be used for one call, because writes are conditional.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -23,6 +23,7 @@
 #include "vanillalever/base/logging.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/gateway.h"
+#include "vanillalever/forwarding/relayed_table.h"
 #include "vanillalever/forwarding/table_watcher.h"
 #include "vanillalever/http/server.h"
 
@@ -63,10 +64,16 @@
                {.address = settings_.store_address},
                store_calls_,
                store_failures_),
+        table_(threads_,
+               store_,
+               seed_ + 3,
+               counters_.counter("vl_gateway_relayed_store_calls_total",
+                                 "Calls to the store made through another "
+                                 "gateway.")),
         gateway_(threads_.context(),
                  MakeGatewaySettings(settings_),
                  codec_,
-                 store_,
+                 table_,
                  counters_,
                  seed_),
         config_feed_(gateway_),
@@ -91,8 +98,11 @@
                     {"callers", settings_.callers_address},
                     {"readiness", settings_.readiness_address},
                     {"store", settings_.store_address}});
+    table_.SetPeers(gateway_.store_peers());
     gateway_.Listen();
     ServeReadiness();
+    ServePeers();
+    table_.Start();
     config_watcher_.Start();
     server_watcher_.Start();
     CheckStore();
@@ -157,6 +167,19 @@
     readiness_ = std::make_unique<http::Server>(threads_, server, router_);
   }
 
+  // Makes calls to the store for gateways that it does not serve.
+  void ServePeers() {
+    peer_router_.Add("POST", forwarding::RelayedTable::kPath,
+                     [this](const std::shared_ptr<http::Exchange>& exchange) {
+                       table_.Serve(exchange);
+                     });
+    http::ServerSettings server;
+    server.host = settings_.ip;
+    server.port = settings_.first_port;
+    peer_server_ =
+        std::make_unique<http::Server>(threads_, server, peer_router_);
+  }
+
   void CheckStore() {
     gateway_.OnStoreState(config_watcher_.connected() ||
                           server_watcher_.connected());
@@ -201,6 +224,7 @@
   base::Counter& store_failures_;
   adapter::HeaderCodec codec_;
   adapter::StoreClient store_;
+  forwarding::RelayedTable table_;
   forwarding::Gateway gateway_;
   adapter::ConfigFeed config_feed_;
   adapter::ServerFeed server_feed_;
@@ -209,6 +233,8 @@
   boost::asio::steady_timer store_timer_;
   http::Router router_;
   std::unique_ptr<http::Server> readiness_;
+  http::Router peer_router_;
+  std::unique_ptr<http::Server> peer_server_;
 };
 
 int RunGateway() {
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -75,6 +75,7 @@
   void Drain(std::function<void()> done);
 
   GatewayMetrics& metrics() { return metrics_; }
+  StorePeers& store_peers() { return peers_; }
 
   std::shared_ptr<ActiveRequest> OnRequest(
       CallerRequest request,
--- a/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
@@ -39,6 +39,10 @@
                  base::TimePoint now);
   // CPU share of the peer's machine.
   void SetCpuMillicores(const std::string& address, int millicores);
+  // Whether the store responds to the peer, as the peer announces.
+  void SetReachesStore(const std::string& address, bool reaches);
+  // Addresses of the live gateways that reach the store.
+  std::vector<std::string> store_addresses() const;
   // Address of the gateway with the largest CPU share among the live peers and
   // this gateway at `local_address`; the same in all gateways that receive
   // each other's messages.
@@ -65,6 +69,7 @@
     int cpu_millicores = 0;
     base::TimePoint last_message_at{};
     bool live = false;
+    bool reaches_store = false;
   };
 
   PeerDirectorySettings settings_;
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -18,6 +18,7 @@
 #include "vanillalever/forwarding/budget_peers.h"
 #include "vanillalever/forwarding/peer_directory.h"
 #include "vanillalever/forwarding/prompt_observer.h"
+#include "vanillalever/forwarding/relayed_table.h"
 #include "vanillalever/forwarding/server_registry.h"
 #include "vanillalever/forwarding/shared_table.h"
 
@@ -55,7 +56,7 @@
 // Exchanges load, prompts and budget messages with the other gateways, by
 // datagrams. Gateways find each other by rows of the shared table. A lost load
 // message only delays the update. Event loop's thread only.
-class PeerLink final : public BudgetPeers {
+class PeerLink final : public BudgetPeers, public StorePeers {
  public:
   PeerLink(boost::asio::io_context& context,
            PeerLinkSettings settings,
@@ -69,6 +70,11 @@
   BudgetCoordinator RequestTokens(const TokenRequest& request) override;
   bool ReclaimUnused(const ReclaimRequest& request) override;
 
+  std::vector<std::string> StoreAddresses() const override {
+    return directory_.store_addresses();
+  }
+  void SetStoreReachable(bool reachable) override;
+
   // Binds the address. Throws base::Error when it cannot be bound.
   void Start();
 
@@ -142,6 +148,7 @@
   PromptObserver* prompts_ = nullptr;
   const PeerId id_;
   std::uint64_t sequence_ = 0;
+  bool reaches_store_ = true;
   std::uint64_t peers_lost_ = 0;
   // Servers whose load has changed since the last message.
   std::set<std::string> changed_servers_;
--- /dev/null
+++ b/packages/forwarding/include/vanillalever/forwarding/store_path.h
@@ -0,0 +1,58 @@
+#ifndef VANILLALEVER_FORWARDING_STORE_PATH_H_
+#define VANILLALEVER_FORWARDING_STORE_PATH_H_
+
+#include "vanillalever/base/clock.h"
+
+namespace vanillalever::forwarding {
+
+// Settings of StorePath.
+struct StorePathSettings {
+  // A call without a response for this long, while no other call succeeded, is
+  // also made through another gateway. The store normally responds in 10 ms.
+  base::milliseconds patience{50};
+  // Interval of the calls that find out whether the store responds again.
+  base::milliseconds probe_interval{400};
+};
+
+// Decides whether a gateway calls the store itself or through another gateway.
+// The store may refuse or ignore some gateways while it serves the others. Does
+// no I/O. Not thread-safe.
+class StorePath {
+ public:
+  explicit StorePath(StorePathSettings settings = {}) : settings_(settings) {}
+
+  void OnResponse(base::TimePoint now) {
+    reachable_ = true;
+    last_response_ = now;
+  }
+  // A call of this gateway was refused, or its response did not arrive.
+  void OnFailure() { reachable_ = false; }
+
+  // Whether the store responded to this gateway's latest call.
+  bool reachable() const { return reachable_; }
+  // Whether a call that was sent at `sent` is now worth making through another
+  // gateway as well.
+  bool Overdue(base::TimePoint sent, base::TimePoint now) const {
+    return now - sent >= settings_.patience &&
+           now - last_response_ >= settings_.patience;
+  }
+  // Whether to call the store now to find out whether it responds again.
+  bool TakeProbe(base::TimePoint now) {
+    if (reachable_ || now < next_probe_)
+      return false;
+    next_probe_ = now + settings_.probe_interval;
+    return true;
+  }
+
+  const StorePathSettings& settings() const { return settings_; }
+
+ private:
+  StorePathSettings settings_;
+  bool reachable_ = true;
+  base::TimePoint last_response_{};
+  base::TimePoint next_probe_{};
+};
+
+}  // namespace vanillalever::forwarding
+
+#endif  // VANILLALEVER_FORWARDING_STORE_PATH_H_
--- a/packages/forwarding/src/peer_directory.cc
+++ b/packages/forwarding/src/peer_directory.cc
@@ -36,6 +36,20 @@
     found->second.cpu_millicores = millicores;
 }
 
+void PeerDirectory::SetReachesStore(const std::string& address, bool reaches) {
+  if (auto found = peers_.find(address); found != peers_.end())
+    found->second.reaches_store = reaches;
+}
+
+std::vector<std::string> PeerDirectory::store_addresses() const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.live && peer.reaches_store)
+      addresses.push_back(address);
+  }
+  return addresses;
+}
+
 std::string PeerDirectory::Strongest(const std::string& local_address,
                                      int local_millicores) const {
   std::string best = local_address;
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -104,8 +104,12 @@
     // not stop gracefully.
     if (result.outcome == StoreOutcome::kDone)
       previous_exit_ = PreviousExit::kClean;
-    if (result.outcome == StoreOutcome::kConflict)
-      previous_exit_ = PreviousExit::kFailure;
+    if (result.outcome == StoreOutcome::kConflict) {
+      // The row is this process's own if an earlier attempt took effect.
+      bool own =
+          result.current && result.current->value == base::HexString(id_);
+      previous_exit_ = own ? PreviousExit::kClean : PreviousExit::kFailure;
+    }
   });
 }
 
@@ -165,6 +169,12 @@
   ++(failed ? outcomes.failed : outcomes.answered);
 }
 
+void PeerLink::SetStoreReachable(bool reachable) {
+  reaches_store_ = reachable;
+  // The others stop calling the store through this gateway at once.
+  SendFullLoad();
+}
+
 std::string PeerLink::RelayAddress() const {
   if (directory_.live() <= settings_.max_direct_peers)
     return "";
@@ -378,6 +388,7 @@
   auto message = builder.initRoot<wire::Message>();
   message.setSender(id_);
   message.setSequence(++sequence_);
+  message.setReachesStore(reaches_store_);
   message.setProcessor(static_cast<std::uint16_t>(settings_.cpu_millicores));
   return message;
 }
@@ -485,6 +496,8 @@
       OnBudgetMessage(message);
     if (!newest)
       return;
+    directory_.SetReachesStore(AddressText(sender_endpoint_),
+                               message.getReachesStore());
     directory_.SetCpuMillicores(AddressText(sender_endpoint_),
                                 message.getProcessor());
     auto load = message.getLoad();
--- a/packages/forwarding/src/turn_writer.cc
+++ b/packages/forwarding/src/turn_writer.cc
@@ -1,6 +1,7 @@
 #include "vanillalever/forwarding/turn_writer.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <utility>
@@ -165,8 +166,9 @@
                   {"failures", std::to_string(partition.failures + 1)},
                   {"reason", reason}});
   auto jobs = std::exchange(partition.writing, {});
-  for (auto job = jobs.rbegin(); job != jobs.rend(); ++job)
-    partition.waiting.push_front(std::move(*job));
+  partition.waiting.insert(partition.waiting.begin(),
+                           std::make_move_iterator(jobs.begin()),
+                           std::make_move_iterator(jobs.end()));
   auto delay =
       std::min(kMaxRetryDelay,
                kFirstRetryDelay * (1 << std::min(partition.failures, 8)));
--- a/packages/protocol/schema/peer.capnp
+++ b/packages/protocol/schema/peer.capnp
@@ -27,6 +27,9 @@
   relayedPrompts @8 :List(Prompt);
   # Request to release tokens that the receiver does not use.
   budgetCallIn @9 :BudgetCallIn;
+  # The store responds to the sender, so that others can call it through the
+  # sender.
+  reachesStore @10 :Bool;
 }
 
 # One prompt that a server has processed or is about to process.
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -173,7 +173,7 @@
 
 
 class StoreProxy(Listener):
-    """Another address of a store, which refuses requests while `mode` is busy."""
+    """Another address of a store. `mode` is ok, busy (503), reset (closes the connection) or silent (no response)."""
 
     def __init__(self, store):
         super().__init__()
@@ -184,6 +184,11 @@
         if self.mode == "busy":
             writer.write(response(503))
             return True
+        if self.mode == "reset":
+            return False
+        if self.mode == "silent":
+            await asyncio.sleep(30)
+            return False
         return await self.store.handle(request, reader, writer)
 
 
