Provisional grants only while no gateway reaches the store

Change: grants need this gateway and all live ones to announce that they do not reach the store, and a response of the store since the start. For 90 s after such an outage the part of a budget that grants come out of is reserved by the coordinator only. A late reply may only raise what is known to be granted. A store that is merely slow is waited for. Log lines for requests for unused tokens and their outcome. A port in use for relayed calls is logged, not fatal.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -79,13 +79,13 @@
         config_feed_(gateway_),
         server_feed_(gateway_),
         config_watcher_(threads_.context(),
-                        store_,
+                        table_,
                         adapter::kOperatorTable,
                         config_feed_,
                         seed_ + 1,
                         MakeWatcherSettings(settings_)),
         server_watcher_(threads_.context(),
-                        store_,
+                        table_,
                         adapter::kServerTable,
                         server_feed_,
                         seed_ + 2,
@@ -176,8 +176,14 @@
     http::ServerSettings server;
     server.host = settings_.ip;
     server.port = settings_.first_port;
-    peer_server_ =
-        std::make_unique<http::Server>(threads_, server, peer_router_);
+    try {
+      peer_server_ =
+          std::make_unique<http::Server>(threads_, server, peer_router_);
+    } catch (const base::Error& error) {
+      // Other gateways cannot call the store through this one; all else works.
+      base::LogEvent(base::LogLevel::kError, "peer_listener_failed",
+                     {{"reason", base::Describe(error.info())}});
+    }
   }
 
   void CheckStore() {
--- a/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
@@ -63,6 +63,11 @@
   virtual BudgetCoordinator RequestTokens(const TokenRequest& request) = 0;
   // Sends the request to all other gateways. Returns whether there are any.
   virtual bool ReclaimUnused(const ReclaimRequest& request) = 0;
+  // Whether the store responds to this gateway.
+  virtual bool reaches_store() const = 0;
+  // Whether neither this gateway nor any other live one reaches the store, as
+  // all of them have announced.
+  virtual bool store_lost() const = 0;
 };
 
 // Handles budget messages from other gateways.
--- a/packages/forwarding/include/vanillalever/forwarding/budget_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_service.h
@@ -62,6 +62,10 @@
       const ReclaimRequest& request,
       std::function<void(const TokenTransfer&)> reply) override;
 
+  // The store has responded to this process. Before, no tokens are granted
+  // provisionally: an earlier process at this address may have done so in the
+  // same outage.
+  void OnStoreAnswered() { store_answered_ = true; }
   // Processes that may have granted tokens provisionally have ended without
   // committing them: for `duration` the maximum that could have been granted
   // counts as spent.
@@ -98,8 +102,10 @@
     bool store_call_open = false;
     // Id of the latest request to the coordinator; zero if none is open.
     std::uint64_t token_request = 0;
-    // Consecutive failed attempts to obtain tokens.
+    // Consecutive failed attempts to obtain tokens from the coordinator.
     int failures = 0;
+    // Consecutive times that waiters waited for the store.
+    int store_waits = 0;
     // Identifies the latest use of the timer.
     std::uint64_t timer = 0;
   };
@@ -123,9 +129,17 @@
   // last announced.
   std::int64_t GrantedElsewhere(const std::string& program) const;
   void Enqueue(const std::string& program, Waiter waiter);
-  // Obtains tokens for the waiters from the store or, while that is suspect,
-  // from the coordinator.
+  // Obtains tokens for the waiters from the store or, while no gateway reaches
+  // it, from the coordinator.
   void ObtainTokens(const std::string& program);
+  // Waits for the store call in progress, or before the next one.
+  void WaitForStore(const std::string& program, base::Duration delay);
+  // Whether the reservation must be made by the coordinator, because that may
+  // have granted the same tokens provisionally.
+  bool NeedsCoordinator(const Waiter& waiter,
+                        const BudgetReservation& next) const;
+  // Grants tokens provisionally, as the program's coordinator.
+  void GrantProvisionally(const std::string& program);
   void Reserve(const std::string& program, const BudgetReservation& next);
   void OnWritten(const std::string& program,
                  const BudgetReservation& reservation,
@@ -170,6 +184,10 @@
   // The store counts as unavailable or slow until then.
   base::TimePoint suspect_until_{};
   base::TimePoint grants_lost_until_{};
+  // Until then other gateways may hold provisional grants, which they make only
+  // while this one, too, announces that it does not reach the store.
+  base::TimePoint grants_possible_until_{};
+  bool store_answered_ = false;
   // Tokens granted provisionally by other gateways and not yet committed, as
   // last announced, by program.
   std::map<std::string, std::int64_t> granted_elsewhere_;
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -69,6 +69,10 @@
 
   BudgetCoordinator RequestTokens(const TokenRequest& request) override;
   bool ReclaimUnused(const ReclaimRequest& request) override;
+  bool reaches_store() const override { return reaches_store_; }
+  bool store_lost() const override {
+    return !reaches_store_ && directory_.store_addresses().empty();
+  }
 
   std::vector<std::string> StoreAddresses() const override {
     return directory_.store_addresses();
--- a/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
@@ -82,6 +82,7 @@
   void RelayWhenOverdue(const PendingPtr<Result>& call);
   template <typename Result>
   void OnResult(const PendingPtr<Result>& call, Result result);
+  void AnnounceReachable(std::string_view reason);
   void RecordDirect(StoreOutcome outcome, std::string_view reason);
   void Tick();
 
--- a/packages/forwarding/include/vanillalever/forwarding/reservation_ledger.h
+++ b/packages/forwarding/include/vanillalever/forwarding/reservation_ledger.h
@@ -116,6 +116,11 @@
   bool GrantProvisionally(const std::string& program,
                           std::int64_t max_tokens,
                           std::int64_t granted_elsewhere);
+  // Part of a budget that any gateway may reserve while other gateways may hold
+  // provisional grants; these come out of the rest.
+  std::int64_t OrdinaryShare(std::int64_t budget) const {
+    return budget - budget / settings_.provisional_divisor;
+  }
   // Takes all tokens that are reserved here and not in use, for another
   // gateway.
   std::int64_t TakeUnused(const std::string& program);
--- a/packages/forwarding/include/vanillalever/forwarding/store_path.h
+++ b/packages/forwarding/include/vanillalever/forwarding/store_path.h
@@ -1,6 +1,8 @@
 #ifndef VANILLALEVER_FORWARDING_STORE_PATH_H_
 #define VANILLALEVER_FORWARDING_STORE_PATH_H_
 
+#include <algorithm>
+
 #include "vanillalever/base/clock.h"
 
 namespace vanillalever::forwarding {
@@ -10,6 +12,9 @@
   // A call without a response for this long, while no other call succeeded, is
   // also made through another gateway. The store normally responds in 10 ms.
   base::milliseconds patience{50};
+  // The store counts as unreachable if calls are in progress and none has
+  // succeeded for this long.
+  base::milliseconds silence{250};
   // Interval of the calls that find out whether the store responds again.
   base::milliseconds probe_interval{400};
 };
@@ -25,6 +30,20 @@
     reachable_ = true;
     last_response_ = now;
   }
+  // A call of this gateway begins; OnResponse() or OnFailure() ends it.
+  void OnCall(base::TimePoint now) {
+    if (open_calls_++ == 0)
+      silent_since_ = now;
+  }
+  void OnCallEnded() { --open_calls_; }
+  // Whether the store has become silent: it counts as unreachable then.
+  bool TakeSilence(base::TimePoint now) {
+    if (!reachable_ || open_calls_ == 0 ||
+        now - std::max(silent_since_, last_response_) < settings_.silence)
+      return false;
+    reachable_ = false;
+    return true;
+  }
   // A call of this gateway was refused, or its response did not arrive.
   void OnFailure() { reachable_ = false; }
 
@@ -49,6 +68,9 @@
  private:
   StorePathSettings settings_;
   bool reachable_ = true;
+  int open_calls_ = 0;
+  // When the first of the calls in progress began.
+  base::TimePoint silent_since_{};
   base::TimePoint last_response_{};
   base::TimePoint next_probe_{};
 };
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -32,6 +32,13 @@
 constexpr base::seconds kReclaimReplyWindow{5};
 // Consecutive failed attempts after which waiting turns are refused.
 constexpr int kMaxFailures = 3;
+// A store that is merely slow is waited for this many times.
+constexpr int kMaxStoreWaits = 8;
+// Delay before the next call after the store refused one.
+constexpr milliseconds kStoreRetryDelay{25};
+// Longest time between a provisional grant and its commit: an outage, and the
+// pause until the program's next turn.
+constexpr base::seconds kGrantsPossible{90};
 
 RowName RowNameFor(const std::string& program) {
   return {kBudgetTable, std::to_string(base::Hash64(program) % kPartitions),
@@ -134,6 +141,7 @@
     Callback callback = std::move(next.callback);
     pending_[program].waiters.pop_front();
     pending_[program].failures = 0;
+    pending_[program].store_waits = 0;
     callback(verdict == BudgetVerdict::kGranted ? BudgetOutcome::kGranted
                                                 : BudgetOutcome::kSpent);
   }
@@ -144,18 +152,32 @@
 
 void BudgetService::ObtainTokens(const std::string& program) {
   Pending& pending = pending_[program];
-  if (store_suspect())
+  if (peers_.store_lost())
     return RequestFromCoordinator(program);
-  if (pending.store_call_open)
-    return RunAfter(program, kStoreTimeout,
-                    [this, program] { RequestFromCoordinator(program); });
-  auto next =
-      ledger_.NextReservation(program, pending.waiters.front().max_tokens);
-  if (!next)
-    return ProcessWaiters(program);
-  Reserve(program, *next);
-  RunAfter(program, kStoreTimeout,
-           [this, program] { RequestFromCoordinator(program); });
+  if (!pending.store_call_open) {
+    const Waiter& first = pending.waiters.front();
+    auto next = ledger_.NextReservation(program, first.max_tokens);
+    if (!next)
+      return ProcessWaiters(program);
+    if (NeedsCoordinator(first, *next))
+      return RequestFromCoordinator(program);
+    Reserve(program, *next);
+  }
+  WaitForStore(program, kStoreTimeout);
+}
+
+bool BudgetService::NeedsCoordinator(const Waiter& waiter,
+                                     const BudgetReservation& next) const {
+  return !waiter.for_peer &&
+         base::TimePoint::clock::now() < grants_possible_until_ &&
+         next.reserved > ledger_.OrdinaryShare(waiter.budget);
+}
+
+void BudgetService::WaitForStore(const std::string& program,
+                                 base::Duration delay) {
+  if (++pending_[program].store_waits > kMaxStoreWaits)
+    return FailWaiters(program, "the store does not respond in time");
+  RunAfter(program, delay, [this, program] { ObtainTokens(program); });
 }
 
 bool BudgetService::StartReclaim(const std::string& program) {
@@ -169,6 +191,9 @@
     replies_due = now + kPeerTimeout;
     if (!peers_.ReclaimUnused({reclaim.id, program, ledger_.reserved(program)}))
       return false;
+    base::LogEvent(base::LogLevel::kInfo, "budget_reclaim",
+                   {{"program", program},
+                    {"reserved", std::to_string(ledger_.reserved(program))}});
   }
   RunAfter(program, replies_due - now,
            [this, program] { ProcessWaiters(program); });
@@ -234,6 +259,22 @@
                         [this, program] { ObtainTokens(program); });
     }
   }
+  if (peers_.store_lost())
+    return GrantProvisionally(program);
+  // The coordinator itself reserves the tokens that it might have granted.
+  if (!pending.store_call_open) {
+    auto next = ledger_.NextReservation(program, first.max_tokens);
+    if (!next)
+      return ProcessWaiters(program);
+    Reserve(program, *next);
+  }
+  WaitForStore(program, kStoreTimeout);
+}
+
+void BudgetService::GrantProvisionally(const std::string& program) {
+  const Waiter& first = pending_[program].waiters.front();
+  if (!store_answered_)
+    return FailWaiters(program, "the store has not responded since the start");
   if (!ledger_.GrantProvisionally(program, first.max_tokens,
                                   first.granted_elsewhere)) {
     if (!first.for_peer && StartReclaim(program))
@@ -260,6 +301,7 @@
        {"advanced_elsewhere", std::to_string(GrantedElsewhere(program))}});
   auto waiters = std::exchange(pending.waiters, {});
   pending.failures = 0;
+  pending.store_waits = 0;
   if (!pending.store_call_open)
     pending_.erase(program);
   for (const Waiter& waiter : waiters)
@@ -331,8 +373,9 @@
   base::LogEvent(
       base::LogLevel::kWarning, "budget_store_failed",
       {{"program", program}, {"step", std::string(step)}, {"reason", reason}});
-  // The store is suspect now, so that waiting turns use the coordinator.
-  ProcessWaiters(program);
+  if (peers_.store_lost() || pending_[program].waiters.empty())
+    return ProcessWaiters(program);
+  WaitForStore(program, kStoreRetryDelay);
 }
 
 void BudgetService::OnTokenRequest(
@@ -366,14 +409,23 @@
   if (reclaim != reclaims_.end() && reclaim->second.id == transfer.request)
     return OnReclaimed(reclaim->second, transfer);
   ledger_.AddTokens(transfer.program, transfer.tokens);
+  auto found = pending_.find(transfer.program);
+  if (found == pending_.end() ||
+      found->second.token_request != transfer.request) {
+    // A late reply, also of a gateway that is not the coordinator: it may only
+    // raise what is known to be granted.
+    base::LogEvent(base::LogLevel::kInfo, "budget_late_transfer",
+                   {{"program", transfer.program},
+                    {"tokens", std::to_string(transfer.tokens)},
+                    {"advanced", std::to_string(transfer.provisional)}});
+    if (transfer.provisional > GrantedElsewhere(transfer.program))
+      granted_elsewhere_[transfer.program] = transfer.provisional;
+    return;
+  }
   if (transfer.provisional > 0)
     granted_elsewhere_[transfer.program] = transfer.provisional;
   else
     granted_elsewhere_.erase(transfer.program);
-  auto found = pending_.find(transfer.program);
-  if (found == pending_.end() ||
-      found->second.token_request != transfer.request)
-    return;
   found->second.token_request = 0;
   if (!found->second.waiters.empty())
     ProcessWaiters(transfer.program);
@@ -384,6 +436,10 @@
   if (!reclaim.senders.insert(transfer.sender).second)
     return;
   reclaim.received_tokens += transfer.tokens;
+  base::LogEvent(base::LogLevel::kInfo, "budget_reclaimed",
+                 {{"program", transfer.program},
+                  {"peer", base::HexString(transfer.sender)},
+                  {"tokens", std::to_string(transfer.tokens)}});
   ledger_.AddTokens(transfer.program, transfer.tokens);
   auto found = pending_.find(transfer.program);
   if (found != pending_.end() && !found->second.waiters.empty() &&
@@ -401,16 +457,18 @@
 }
 
 void BudgetService::CommitAndRelease() {
-  if (base::TimePoint::clock::now() >= grants_lost_until_)
+  auto now = base::TimePoint::clock::now();
+  if (now >= grants_lost_until_)
     ledger_.SetProvisionalGrantsLost(false);
-  if (store_suspect())
+  if (!peers_.reaches_store())
+    grants_possible_until_ = now + kGrantsPossible;
+  if (peers_.store_lost())
     return;
   for (const std::string& program : ledger_.UncommittedPrograms()) {
     auto commit = ledger_.ProvisionalCommit(program);
     if (commit && !pending_.contains(program))
       Reserve(program, *commit);
   }
-  auto now = base::TimePoint::clock::now();
   for (const std::string& program : ledger_.Releasable(now)) {
     if (pending_.contains(program))
       continue;
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -150,6 +150,7 @@
                  {{"listed", std::to_string(servers.size())},
                   {"known", std::to_string(registry_.size())}});
   servers_known_ = true;
+  budgets_.OnStoreAnswered();
   std::set<std::string> listed;
   for (BackendServer& server : servers) {
     listed.insert(server.id);
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -95,7 +95,13 @@
                                 std::uint64_t version,
                                 base::milliseconds wait,
                                 std::function<void(ChangesResult)> done) {
-  direct_.AwaitChanges(std::move(table), version, wait, std::move(done));
+  direct_.AwaitChanges(
+      std::move(table), version, wait,
+      [this, done = std::move(done)](const ChangesResult& result) {
+        RecordDirect(result.history_lost ? StoreOutcome::kDone : result.outcome,
+                     result.reason);
+        done(result);
+      });
 }
 
 template <typename Result>
@@ -109,7 +115,9 @@
 template <typename Result>
 void RelayedTable::CallDirectly(const PendingPtr<Result>& call) {
   ++call->open;
+  path_.OnCall(base::TimePoint::clock::now());
   auto done = [this, call](Result result) {
+    path_.OnCallEnded();
     RecordDirect(result.outcome, result.reason);
     OnResult(call, std::move(result));
   };
@@ -184,8 +192,11 @@
     path_.OnResponse(base::TimePoint::clock::now());
   else
     path_.OnFailure();
-  if (reached == path_.reachable())
-    return;
+  if (reached != path_.reachable())
+    AnnounceReachable(reason);
+}
+
+void RelayedTable::AnnounceReachable(std::string_view reason) {
   base::LogEvent(base::LogLevel::kWarning, "store_path",
                  {{"reachable", path_.reachable() ? "true" : "false"},
                   {"reason", std::string(path_.reachable() ? "" : reason)}});
@@ -199,9 +210,13 @@
 }
 
 void RelayedTable::Tick() {
+  if (path_.TakeSilence(base::TimePoint::clock::now()))
+    AnnounceReachable("no response");
   if (path_.TakeProbe(base::TimePoint::clock::now())) {
+    path_.OnCall(base::TimePoint::clock::now());
     direct_.Read({kProbeTable, "", kProbeKey},
                  [this](const ReadResult& result) {
+                   path_.OnCallEnded();
                    RecordDirect(result.outcome, result.reason);
                  });
   }
@@ -214,6 +229,7 @@
 
 void RelayedTable::Serve(const std::shared_ptr<http::Exchange>& exchange) {
   auto reply = [this, exchange](const auto& result) {
+    path_.OnCallEnded();
     RecordDirect(result.outcome, result.reason);
     http::Response response;
     response.content_type = "application/octet-stream";
@@ -228,6 +244,7 @@
     response.status = 400;
     return exchange->Send(std::move(response));
   }
+  path_.OnCall(base::TimePoint::clock::now());
   if (auto* range = std::get_if<TableRange>(&*call))
     direct_.ReadRange(std::move(*range), reply);
   else
--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -6,6 +6,7 @@
 import http.client
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -33,6 +34,19 @@
         return probe.getsockname()[1]
 
 
+def free_peer_port():
+    """A port that is free for datagrams and for connections, outside the range of outgoing connections."""
+    while True:
+        port = random.randrange(20000, 30000)
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(socket.AF_INET, kind) as probe:
+                    probe.bind(("127.0.0.1", port))
+            return port
+        except OSError:
+            continue
+
+
 def wait_until(condition, timeout_s=5.0):
     deadline = time.monotonic() + timeout_s
     while time.monotonic() < deadline:
@@ -47,7 +61,7 @@
 
     def __init__(self, platform, grace_s=8, name="edge-1", peer_port=0, store_port=0):
         self.front, self.ready_port = free_port(), free_port()
-        self.peer_port = peer_port = peer_port or free_port(socket.SOCK_DGRAM)
+        self.peer_port = peer_port = peer_port or free_peer_port()
         self.directory = tempfile.TemporaryDirectory()
         settings = pathlib.Path(self.directory.name) / "settings.yaml"
         settings.write_text(f"""
