Probe a server several times before ruling out a crash

Cause: system_CrashingRequest (KNOWN-RED.txt): a process that is ending still accepts connections for a moment, so that one probe after a lost connection saw no crash and the request went on to a third engine.

--- a/packages/sidecar/src/work_executor.cc
+++ b/packages/sidecar/src/work_executor.cc
@@ -78,8 +78,8 @@
       ledger_(incarnation_, {}),
       drain_({}),
       queue_(
-          scheduling::MakeRequestQueue(scheduling::QueueKind::kRemainingWork)) {
-}
+          scheduling::MakeRequestQueue(scheduling::QueueKind::kRemainingWork)),
+      crash_probe_(backend) {}
 
 void WorkExecutor::RunActions(Actions& actions) {
   for (auto& action : actions)
@@ -274,8 +274,8 @@
   if (!result.connection_lost || cancelled)
     return Complete(work, std::move(result), false);
   // A lost connection does not prove that the server crashed.
-  backend_.Probe([this, work, result = std::move(result)](bool reachable) {
-    Complete(work, result, !reachable);
+  crash_probe_.Check([this, work, result = std::move(result)](bool crashed) {
+    Complete(work, result, crashed);
   });
 }
 
@@ -469,6 +469,7 @@
 }
 
 void WorkExecutor::Tick(base::TimePoint now) {
+  crash_probe_.Tick(now);
   Actions actions;
   {
     std::lock_guard lock(mutex_);
--- a/packages/sidecar/src/work_executor.h
+++ b/packages/sidecar/src/work_executor.h
@@ -12,6 +12,7 @@
 
 #include "backend.h"
 #include "cache_releaser.h"
+#include "crash_probe.h"
 #include "vanillalever/base/counters.h"
 #include "vanillalever/execution/drain_state.h"
 #include "vanillalever/execution/work_ledger.h"
@@ -146,6 +147,7 @@
   std::size_t running_at_crash_ = 0;
   base::TimePoint crash_time_;
   base::TimePoint last_probe_;
+  CrashProbe crash_probe_;
 };
 
 }  // namespace vanillalever::sidecar
