Cut off responses without end

Cause: a failing server may send bytes that are no answer until the caller closes. Interim responses, chunk headers and incomplete events were read until the caller's time limit, which kept every received byte and searched it again for the end of an event; a plain response was kept up to 16 MB. Change: limits for unparsed input, interim responses and an event; the limit of a plain response follows the memory limit; the search goes on where it ended. The server's failure is recorded.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -123,9 +123,13 @@
     settings.peers.cpu_millicores = node.cpu_millicores;
     // The rest is for connections, requests in progress and their prompts.
     constexpr std::size_t kMemoryDivisor = 6;
-    if (node.memory_bytes > 0)
+    // Several servers may fail at once by sending without end.
+    constexpr std::size_t kResponseDivisor = 64;
+    if (node.memory_bytes > 0) {
       settings.conversations.cache.max_bytes =
           node.memory_bytes / kMemoryDivisor;
+      settings.max_response_bytes = node.memory_bytes / kResponseDivisor;
+    }
     // The store may count a row's value in its encoding, which adds a third.
     settings.conversations.max_row_bytes = node.max_row_bytes / 4 * 3 - 1024;
     return settings;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -34,6 +34,8 @@
   GatewayMetrics& metrics;
   base::Random& random;
   RetryPolicy retries;
+  // Limit of a response that is relayed only when complete.
+  std::size_t max_response_bytes = 16 << 20;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -31,6 +31,8 @@
   base::milliseconds stop_margin{700};
   // Maximum number of caller connections; further ones are closed at once.
   std::size_t max_sessions = 4000;
+  // Limit of a response that is relayed only when complete.
+  std::size_t max_response_bytes = 16 << 20;
   PlacementSettings placement;
   ConnectionPoolSettings pool;
   RegistrySettings registry;
--- a/packages/forwarding/include/vanillalever/forwarding/server_connection.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_connection.h
@@ -98,6 +98,8 @@
   // The response being read is informational or belongs to another request.
   bool skipping_response_ = false;
   int skipped_responses_ = 0;
+  // Informational (1xx) responses to the present request.
+  int interim_responses_ = 0;
   bool reusable_ = false;
   bool closed_ = false;
   base::TimePoint idle_since_{};
--- a/packages/forwarding/src/event_framer.cc
+++ b/packages/forwarding/src/event_framer.cc
@@ -28,9 +28,13 @@
 }  // namespace
 
 std::string EventFramer::Feed(std::string_view data) {
+  // The end of an event may begin in the bytes received before.
+  constexpr std::size_t kEndBytes = 4;
+  std::size_t searched =
+      partial_.size() < kEndBytes ? 0 : partial_.size() - kEndBytes;
   partial_ += data;
   std::size_t taken = 0;
-  for (std::size_t end = EventEnd(partial_, 0); end != std::string::npos;
+  for (std::size_t end = EventEnd(partial_, searched); end != std::string::npos;
        end = EventEnd(partial_, taken)) {
     ParseEvent(std::string_view(partial_).substr(taken, end - taken));
     taken = end;
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -30,7 +30,8 @@
 constexpr std::uint64_t kRetryAfterJitterMs = 250;
 // Retry-After while no configuration is known or the store is unavailable.
 constexpr milliseconds kNotReadyRetryAfter{500};
-constexpr std::size_t kMaxBufferedResponseBytes = 16 << 20;
+// Longest incomplete event: a failing server may send bytes without end.
+constexpr std::size_t kMaxEventBytes = 256 << 10;
 constexpr int kFirstServerErrorStatus = 500;
 // The same for all requests: a more urgent request would preempt others at the
 // server, whose prompts would have to be prefilled again.
@@ -310,8 +311,10 @@
     return;
   if (response_mode_ == ResponseMode::kBuffered) {
     body_.append(data);
-    if (body_.size() > kMaxBufferedResponseBytes)
+    if (body_.size() > context_.max_response_bytes) {
+      RecordOutcome(true);
       Fail(502, "the response is too large");
+    }
     return;
   }
   if (prefill_tokens_ > 0) {
@@ -320,6 +323,10 @@
     prefill_tokens_ = 0;
   }
   std::string events = framer_.Feed(data);
+  if (framer_.partial().size() > kMaxEventBytes) {
+    RecordOutcome(true);
+    return Fail(502, "an event of the response is too large");
+  }
   if (events.empty())
     return;
   if (!first_output_)
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -47,9 +47,19 @@
       peers_(io, settings_.peers, table, registry_, random_.Next()),
       budgets_(io, table, peers_, random_.Next(), settings_.budget),
       conversations_(io, table, random_.Next(), settings_.conversations),
-      context_{io,      codec,    nullptr,  registry_,
-               placer_, pool_,    budgets_, conversations_,
-               peers_,  metrics_, random_,  RetryPolicy()} {}
+      context_{io,
+               codec,
+               nullptr,
+               registry_,
+               placer_,
+               pool_,
+               budgets_,
+               conversations_,
+               peers_,
+               metrics_,
+               random_,
+               RetryPolicy(),
+               settings_.max_response_bytes} {}
 
 Gateway::~Gateway() = default;
 
--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -15,6 +15,9 @@
 constexpr std::uint32_t kMaxHeaderBytes = 64 << 10;
 // The connection fails after more than this many responses to other requests.
 constexpr int kMaxSkippedResponses = 3;
+// Input that the parser cannot use yet, for example an endless chunk header.
+constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes + kReadSizeBytes;
+constexpr int kMaxInterimResponses = 20;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kFirstRedirectStatus = 300;
 
@@ -84,6 +87,7 @@
   head_received_ = false;
   skipping_response_ = false;
   skipped_responses_ = 0;
+  interim_responses_ = 0;
   parser_.reset();
   boost::asio::async_write(socket_, boost::asio::buffer(text_),
                            [self = shared_from_this()](
@@ -125,8 +129,11 @@
   if (error)
     return Fail("read: " + error.message());
   auto self = shared_from_this();
-  if (Parse())
-    Read();
+  if (!Parse())
+    return;
+  if (buffer_.size() > kMaxUnparsedBytes)
+    return Fail("the response cannot be parsed");
+  Read();
 }
 
 void ServerConnection::OnEof() {
@@ -195,6 +202,10 @@
   const auto& message = parser_->get();
   int status = static_cast<int>(message.result_int());
   if (status < kFirstFinalStatus) {
+    if (++interim_responses_ > kMaxInterimResponses) {
+      Fail("too many interim responses");
+      return false;
+    }
     skipping_response_ = true;
     return true;
   }
--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -59,7 +59,8 @@
 class Gateway:
     """A gateway process."""
 
-    def __init__(self, platform, grace_s=8, name="edge-1", peer_port=0, store_port=0):
+    def __init__(self, platform, grace_s=8, name="edge-1", peer_port=0, store_port=0,
+                 memory_mb=512):
         self.front, self.ready_port = free_port(), free_port()
         self.peer_port = peer_port = peer_port or free_peer_port()
         self.directory = tempfile.TemporaryDirectory()
@@ -72,6 +73,8 @@
   front: "127.0.0.1:{self.front}"
   ready: "127.0.0.1:{self.ready_port}"
 portRange: [{peer_port}, {peer_port}]
+limits:
+  memoryMb: {memory_mb}
 bounds:
   graceS: {grace_s}
 provider:
@@ -96,6 +99,10 @@
         text = connection.getresponse().read().decode()
         return int(re.search(rf"^{name} (-?\d+)$", text, re.M).group(1))
 
+    def resident_bytes(self):
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.search(r"VmRSS:\s+(\d+) kB", status).group(1)) << 10
+
     def log(self):
         return self.log_path.read_text()
 
@@ -265,6 +272,21 @@
         self.assertTrue(wait_until(lambda: any(server.aborted for server in self.tools), 2))
         self.assertLess(time.monotonic() - left, 0.5)
 
+    def test_bytes_without_end_are_cut_off_and_do_not_use_up_memory(self):
+        """Guards against a failing server that sends bytes that are no response until the caller closes."""
+        gateway = self.start(memory_mb=88)
+        before = gateway.resident_bytes()
+        for behaviour in ("endless-head", "endless-interim", "endless-chunk-header", "endless-body"):
+            for path in ("/pay/", "/once/"):
+                with self.subTest(behaviour=behaviour, path=path):
+                    self.plan(path + behaviour, behaviour)
+                    caller = Caller(gateway)
+                    started = time.monotonic()
+                    self.assertEqual(caller.send("POST", path + behaviour, b"x", **turn("p-" + behaviour)).status, 502)
+                    self.assertLess(time.monotonic() - started, 1.5)
+                    caller.close()
+        self.assertLess(gateway.resident_bytes() - before, 8 << 20)
+
     def test_route_timeout_ends_the_wait(self):
         self.plan("/read/9", "hang")
         caller = Caller(self.start())
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -240,6 +240,8 @@
 
     async def run(self, request, reader, writer, behaviour):
         await asyncio.sleep(self.work_s)
+        if behaviour.startswith("endless"):
+            return await self.send_without_end(request, writer, behaviour)
         body = f"{self.identity} ran {request.path}".encode()
         response_bytes = response(200, self.headers(request), body)
         if behaviour == "unproven":
@@ -261,6 +263,24 @@
         return True
 
 
+    async def send_without_end(self, request, writer, behaviour):
+        """Sends bytes that are no response, until the caller closes the connection."""
+        chunked = {**self.headers(request), "Transfer-Encoding": "chunked", "Content-Type": "text/event-stream"}
+        head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in chunked.items()) + "\r\n"
+        filler = b"x" * 8192
+        start, piece = {
+            "endless-head": (b"HTTP/1.1 200 OK\r\nX-Filler: ", filler),
+            "endless-interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+            "endless-chunk-header": (head.encode() + b"1;x=", filler),
+            "endless-body": (head.encode(), f"{len(filler):x}\r\n".encode() + filler + b"\r\n"),
+        }[behaviour]
+        writer.write(start)
+        while not writer.transport.is_closing():
+            writer.write(piece)
+            await writer.drain()
+        return False
+
+
 class Engine(Backend):
     """A model engine: streams `events` events with increasing ids, starting after Last-Event-Id."""
 
@@ -270,6 +290,8 @@
         self.gap_s = 0.01
 
     async def run(self, request, reader, writer, behaviour):
+        if behaviour.startswith("endless"):
+            return await self.send_without_end(request, writer, behaviour)
         text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
         for name, value in self.headers(request).items():
             text += f"{name}: {value}\r\n"
