--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,7 +22,9 @@
 import gateway_test  # noqa: E402
 import standin  # noqa: E402
 
-ROUTES = gateway_test.ROUTES
+ROUTES = gateway_test.ROUTES + [
+    {"prefix": "/chat/", "kind": "streaming", "service": "models", "stateful": True, "sticky": True},
+]
 EVENT_TOKENS = 5
 MAX_TURN_TOKENS = 40
 BUDGET_TOKENS = 240
@@ -97,25 +99,33 @@
     async def request(self, request_id):
         if not self.writer:
             await self.connect()
-        kind = self.random.choice(("read", "pay", "turn", "turn", "once"))
+        kind = self.random.choice(("read", "pay", "turn", "turn", "once", "chat", "chat"))
+        body, previous = b"body", None
+        if kind == "chat":
+            body = self.random.randbytes(self.random.choice((20, 400, 4000, 26000)))
+            previous = self.soak.choose_turn()
         # Most programs are short-lived; the "loop" programs run until their budget is spent.
         program = f"p{int(time.monotonic() * 4)}-{self.random.randrange(3)}" if kind in ("turn", "once") else ""
         if program and self.random.random() < 0.2:
             program = f"loop-{self.random.randrange(20)}"
-        headers = {"Host": "desk.example", "Request-Id": request_id, "Deadline-Ms": "2500", "Content-Length": "4"}
+        headers = {"Host": "desk.example", "Request-Id": request_id, "Deadline-Ms": "2500", "Content-Length": str(len(body))}
+        if previous:
+            headers["Previous-Turn"] = previous
         if program:
             headers.update({"Program-Id": program, "Session-Id": "s" + program, "Token-Budget": str(BUDGET_TOKENS),
                             "Token-Count": f"300,{MAX_TURN_TOKENS}", "Prompt-Prefix": f"aa:200,{program}:100"})
         text = f"POST /{kind}/{request_id} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in headers.items())
         self.soak.sent += 1
-        self.writer.write(text.encode() + b"\r\nbody")
+        self.writer.write(text.encode() + b"\r\n" + body)
         disconnects = self.random.random() < 0.03
         status, fields = await self.read_head()
         if disconnects:
             return self.close()
         self.soak.answers[request_id] = status
-        body = await self.read_body(fields, lambda chunk: self.soak.count_events(program, chunk))
-        self.soak.check_answer(kind, request_id, status, fields, body)
+        answer = await self.read_body(fields, lambda chunk: self.soak.count_events(program, chunk))
+        self.soak.check_answer(kind, request_id, status, fields, answer)
+        if kind == "chat":
+            self.soak.check_turn(request_id, previous, body, status)
         if fields.get("connection") == "close":
             self.close()
 
@@ -142,9 +152,12 @@
         self.random = random.Random(seed)
         self.platform = standin.Platform()
         self.answers, self.program_events, self.violations = {}, {}, []
+        # What the server must receive ahead of the next turn, by the id of each complete turn.
+        self.histories = {}
         self.sent = 0
         self.stopping = False
         self.gateways, self.proxies, self.servers = [], [], []
+        self.store_proxies = []
         self.ended_gateways = []
 
     def add_violation(self, text):
@@ -157,12 +170,49 @@
             self.add_violation(f"{request_id}: success without a Server-Seal")
         if kind in ("read", "pay") and not body.decode().endswith(f"ran /{kind}/{request_id}"):
             self.add_violation(f"{request_id}: response of another request: {body!r}")
-        if kind in ("turn", "once"):
+        if kind in ("turn", "once", "chat"):
             ids = [int(number) for number in re.findall(rb"id: (\d+)", body)]
             if ids != list(range(1, 7)):
                 self.add_violation(f"{request_id}: complete stream with event ids {ids}")
 
+    def choose_turn(self):
+        """A complete turn to continue; none for a new conversation."""
+        recent = list(self.histories)[-60:]
+        return self.random.choice(recent) if recent and self.random.random() < 0.85 else None
+
+    def check_turn(self, request_id, previous, text, status):
+        if status == 404:
+            self.add_violation(f"{request_id}: 404 for the complete turn {previous}")
+        if status != 200:
+            return
+        prompt = self.histories.get(previous, b"") + text
+        received = [run[3] for server in self.servers for run in server.executed[-400:] if run[0] == request_id]
+        if received != [prompt]:
+            self.add_violation(f"{request_id}: the server received {[len(body) for body in received]} bytes instead of "
+                               f"the {len(prompt)} of the conversation after {previous}")
+        if len(prompt) < 120000:
+            self.histories[request_id] = prompt + b"".join(b"token %d\n" % number for number in range(1, 7))
+
+    async def check_conversations(self):
+        """Checks that a sample of all complete turns can be continued."""
+        sample = self.random.sample(sorted(self.histories), min(150, len(self.histories)))
+        caller = Caller(self, 0xffff)
+        for number, previous in enumerate(sample):
+            caller.close()
+            await caller.connect()
+            request_id = f"c{number:015x}"
+            caller.writer.write(f"POST /chat/c HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {request_id}\r\n"
+                                f"Previous-Turn: {previous}\r\nContent-Length: 3\r\n\r\nend".encode())
+            status, fields = await caller.read_head()
+            await caller.read_body(fields, lambda chunk: None)
+            if status != 200:
+                self.add_violation(f"{request_id}: the complete turn {previous} was answered {status}")
+            self.check_turn(request_id, previous, b"end", status)
+        caller.close()
+
     def count_events(self, program, chunk):
+        if not program:
+            return
         count = self.program_events.get(program, 0) + chunk.count(b"id: ")
         self.program_events[program] = count
         if EVENT_TOKENS * count > BUDGET_TOKENS + MAX_TURN_TOKENS:
@@ -174,9 +224,9 @@
             for request_id, path, _, _ in server.executed:
                 executions.setdefault((request_id, path.split("/")[1]), []).append(server.identity)
         for (request_id, kind), servers in executions.items():
-            if kind in ("pay", "once") and len(servers) > 1:
+            if kind in ("pay", "once", "chat") and len(servers) > 1:
                 self.add_violation(f"{request_id}: a {kind} request was executed at {servers}")
-            if self.answers.get(request_id) in NOT_EXECUTED_STATUSES and kind in ("pay", "once"):
+            if self.answers.get(request_id) in NOT_EXECUTED_STATUSES and kind in ("pay", "once", "chat"):
                 self.add_violation(f"{request_id}: answered {self.answers[request_id]} but executed at {servers}")
 
     async def add_server(self, kind, service):
@@ -193,7 +243,8 @@
         return server.entry(state, address=f"127.0.0.1:{server.proxy.port}")
 
     def start_gateway(self, index):
-        gateway = gateway_test.Gateway(self.store_proxy, name=f"edge-{index}")
+        store = type("StoreAddress", (), {"store": self.store_proxies[index]})
+        gateway = gateway_test.Gateway(store, name=f"edge-{index}")
         if index < len(self.gateways):
             self.ended_gateways.append(self.gateways[index])
             self.gateways[index] = gateway
@@ -204,8 +255,8 @@
         """Injects one fault and ends it. Faults may overlap."""
         index = self.random.randrange(len(self.gateways))
         gateway, duration_s = self.gateways[index], self.random.uniform(0.2, 2.5)
-        choice = self.random.choice(("stop", "pause", "kill", "store", "store", "proxy", "proxy", "store_proxy", "replace",
-                                     "plan", "compact", "config"))
+        choice = self.random.choice(("stop", "pause", "kill", "store", "store", "proxy", "proxy", "store_proxy", "store_proxy",
+                                     "replace", "plan", "compact", "config", "kill_all"))
         if choice == "pause":
             gateway.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(duration_s)
@@ -218,19 +269,28 @@
                 self.add_violation(f"a stopped gateway exited with {gateway.process.returncode}")
             if self.gateways[index] is gateway:
                 self.start_gateway(index)
+        elif choice == "kill_all":
+            for killed in self.gateways:
+                killed.process.kill()
+            for number, killed in enumerate(list(self.gateways)):
+                while killed.process.poll() is None:
+                    await asyncio.sleep(0.02)
+                if self.gateways[number] is killed:
+                    self.start_gateway(number)
         elif choice == "store":
             self.platform.store.mode = self.random.choice(("busy", "silent", "lost", "late"))
             await asyncio.sleep(duration_s)
             self.platform.store.mode = "ok"
         elif choice in ("proxy", "store_proxy"):
-            proxy = self.store_proxy.store if choice == "store_proxy" else self.random.choice(self.proxies)
+            proxy = self.random.choice(self.store_proxies if choice == "store_proxy" else self.proxies)
             proxy.mode = self.random.choice(("delay", "reset", "silent", "one_way"))
             await asyncio.sleep(duration_s)
             proxy.mode = "ok"
         elif choice == "replace":
             await self.replace_server(duration_s)
         elif choice == "plan":
-            server, path = self.random.choice(self.servers), self.random.choice(("drop", "half", "stray", "garbage", "shed"))
+            server, path = self.random.choice(self.servers), self.random.choice((
+                "drop", "half", "stray", "garbage", "shed", "endless-head", "endless-chunk-header", "endless-body"))
             server.default = path
             await asyncio.sleep(duration_s)
             server.default = "ok"
@@ -256,8 +316,8 @@
             await self.add_server(standin.Backend, "tools")
             await self.add_server(standin.Engine, "models")
         self.configure()
-        store_proxy = await Proxy(self.platform.store.port).start()
-        self.store_proxy = type("StoreAddress", (), {"store": store_proxy})
+        # One address of the store for each gateway, so that it can refuse single ones.
+        self.store_proxies = [await Proxy(self.platform.store.port).start() for _ in range(3)]
         for index in range(3):
             self.start_gateway(index)
         await asyncio.sleep(1)
@@ -270,6 +330,7 @@
         await self.check_recovery()
         self.stopping = True
         await asyncio.gather(*callers)
+        await self.check_conversations()
         self.check_executions()
 
     async def check_recovery(self):
@@ -299,6 +360,7 @@
             self.platform.close()
         served = sum(1 for status in self.answers.values() if status == 200)
         print(f"seed={self.seed} sent={self.sent} answered={len(self.answers)} served={served} "
+              f"turns={len(self.histories)} "
               f"broken={len(self.violations)}", flush=True)
         for text in self.violations[:5]:
             print("  " + text)
