--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -39,6 +39,11 @@
   void OnConnectionFailed(const std::string& reason, bool sent) override;
 
  private:
+  // Fraction of the time limit that a request waits before it is refused.
+  static constexpr double kMaxWaitShare = 0.35;
+  // Retry-After while no configuration is known or the store is unavailable.
+  static constexpr base::milliseconds kNotReadyRetryAfter{500};
+
   // How the current response is processed.
   enum class ResponseMode { kNone, kRefusal, kBuffered, kStreamed };
 
@@ -79,6 +84,9 @@
   void Finish(std::string_view outcome, std::string_view reason);
   void LogOutcome(std::string_view outcome, std::string_view reason) const;
   base::Duration time_left() const;
+  // Until then the request waits for a server or for its conversation; the rest
+  // of its time limit is left for another attempt of the caller.
+  base::TimePoint wait_limit() const;
 
   ForwardingContext& context_;
   CallerRequest request_;
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -334,6 +334,8 @@
   pending_[program].store_call_open = false;
   if (result.outcome == StoreOutcome::kNotDone)
     return OnStoreFailure(program, "write", result.reason);
+  // The store responds, also if another gateway's reservation came first.
+  pending_[program].store_waits = 0;
   if (result.outcome == StoreOutcome::kDone)
     ledger_.ConfirmReservation(program, reservation, result.version);
   else if (result.current && ApplyRow(program, *result.current, writer))
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -17,9 +17,6 @@
 namespace http = boost::beast::http;
 using base::milliseconds;
 
-// Fraction of its timeout that a request waits for a server before it is
-// refused, which leaves the caller time for another attempt.
-constexpr double kMaxWaitShare = 0.35;
 // Delay before the next placement if no server is available, and its jitter.
 constexpr milliseconds kPlacementRetryDelay{15};
 constexpr std::uint64_t kPlacementRetryJitterMs = 15;
@@ -28,8 +25,6 @@
 // Retry-After of refusals, and its jitter.
 constexpr milliseconds kRetryAfter{250};
 constexpr std::uint64_t kRetryAfterJitterMs = 250;
-// Retry-After while no configuration is known or the store is unavailable.
-constexpr milliseconds kNotReadyRetryAfter{500};
 // Longest incomplete event: a failing server may send bytes without end.
 constexpr std::size_t kMaxEventBytes = 256 << 10;
 constexpr int kFirstServerErrorStatus = 500;
@@ -86,43 +81,6 @@
   FindPreviousTurn();
 }
 
-void ForwardedRequest::FindPreviousTurn() {
-  if (!route_->stateful)
-    return ReserveBudget();
-  if (profile_.request_id.empty() ||
-      profile_.request_id.size() > ConversationService::kMaxIdBytes)
-    return SendLocalReply(400, "a turn needs an id");
-  if (request_.body().size() > ConversationService::kMaxTurnBytes)
-    return SendLocalReply(413, "the input is too long to be kept");
-  framer_.KeepData();
-  if (profile_.previous_turn.empty())
-    return ReserveBudget();
-  auto give_up = arrived_at_ + std::chrono::duration_cast<base::Duration>(
-                                   kMaxWaitShare * (deadline_ - arrived_at_));
-  context_.conversations.Find(
-      profile_.previous_turn, give_up,
-      [self = shared_from_this()](TurnLookup outcome,
-                                  const conversation::TurnPtr& turn) {
-        self->OnPreviousTurn(outcome, turn);
-      });
-}
-
-void ForwardedRequest::OnPreviousTurn(TurnLookup outcome,
-                                      const conversation::TurnPtr& turn) {
-  if (done_)
-    return;
-  switch (outcome) {
-    case TurnLookup::kFound:
-      previous_turn_ = turn;
-      return ReserveBudget();
-    case TurnLookup::kMissing:
-      return SendLocalReply(404, "no such turn");
-    case TurnLookup::kUnavailable:
-      return Refuse("the conversation cannot be read: the store is unavailable",
-                    kNotReadyRetryAfter);
-  }
-}
-
 bool ForwardedRequest::ResolveRoute() {
   config_ = context_.config;
   if (!config_) {
@@ -195,9 +153,7 @@
 
 void ForwardedRequest::WaitForServer() {
   auto now = base::TimePoint::clock::now();
-  auto limit = std::chrono::duration_cast<base::Duration>(
-      kMaxWaitShare * (deadline_ - arrived_at_));
-  if (now - arrived_at_ >= limit && possible_runs_ == 0 && !relaying_) {
+  if (now >= wait_limit() && possible_runs_ == 0 && !relaying_) {
     return Refuse(
         "no server can take the request",
         kRetryAfter + milliseconds(context_.random.Below(kRetryAfterJitterMs)));
@@ -387,25 +343,6 @@
     FinishStream();
 }
 
-void ForwardedRequest::RecordTurn() {
-  auto turn = std::make_shared<conversation::Turn>();
-  turn->id = profile_.request_id;
-  turn->previous = previous_turn_;
-  turn->input = request_.body();
-  turn->output = framer_.data();
-  if (turn->output.size() > ConversationService::kMaxTurnBytes)
-    return Fail(502, "the output is too long to be kept");
-  context_.conversations.Record(std::move(turn), route_->retention, deadline_,
-                                [self = shared_from_this()](bool recorded) {
-                                  if (self->done_)
-                                    return;
-                                  if (recorded)
-                                    return self->FinishStream();
-                                  self->Fail(502,
-                                             "the turn could not be recorded");
-                                });
-}
-
 void ForwardedRequest::FinishStream() {
   sink_->FinishStream();
   RecordResponse();
@@ -553,6 +490,11 @@
   LogOutcome(outcome, reason);
 }
 
+base::TimePoint ForwardedRequest::wait_limit() const {
+  return arrived_at_ + std::chrono::duration_cast<base::Duration>(
+                           kMaxWaitShare * (deadline_ - arrived_at_));
+}
+
 base::Duration ForwardedRequest::time_left() const {
   return std::max(base::Duration(0), deadline_ - base::TimePoint::clock::now());
 }
--- /dev/null
+++ b/packages/forwarding/src/forwarded_request_turns.cc
@@ -0,0 +1,64 @@
+// The part of a request that concerns the conversation of a stateful route.
+
+#include <memory>
+#include <utility>
+
+#include "vanillalever/forwarding/forwarded_request.h"
+
+namespace vanillalever::forwarding {
+
+void ForwardedRequest::FindPreviousTurn() {
+  if (!route_->stateful)
+    return ReserveBudget();
+  if (profile_.request_id.empty() ||
+      profile_.request_id.size() > ConversationService::kMaxIdBytes)
+    return SendLocalReply(400, "a turn needs an id");
+  if (request_.body().size() > ConversationService::kMaxTurnBytes)
+    return SendLocalReply(413, "the input is too long to be kept");
+  framer_.KeepData();
+  if (profile_.previous_turn.empty())
+    return ReserveBudget();
+  context_.conversations.Find(
+      profile_.previous_turn, wait_limit(),
+      [self = shared_from_this()](TurnLookup outcome,
+                                  const conversation::TurnPtr& turn) {
+        self->OnPreviousTurn(outcome, turn);
+      });
+}
+
+void ForwardedRequest::OnPreviousTurn(TurnLookup outcome,
+                                      const conversation::TurnPtr& turn) {
+  if (done_)
+    return;
+  switch (outcome) {
+    case TurnLookup::kFound:
+      previous_turn_ = turn;
+      return ReserveBudget();
+    case TurnLookup::kMissing:
+      return SendLocalReply(404, "no such turn");
+    case TurnLookup::kUnavailable:
+      return Refuse("the conversation cannot be read: the store is unavailable",
+                    kNotReadyRetryAfter);
+  }
+}
+
+void ForwardedRequest::RecordTurn() {
+  auto turn = std::make_shared<conversation::Turn>();
+  turn->id = profile_.request_id;
+  turn->previous = previous_turn_;
+  turn->input = request_.body();
+  turn->output = framer_.data();
+  if (turn->output.size() > ConversationService::kMaxTurnBytes)
+    return Fail(502, "the output is too long to be kept");
+  context_.conversations.Record(std::move(turn), route_->retention, deadline_,
+                                [self = shared_from_this()](bool recorded) {
+                                  if (self->done_)
+                                    return;
+                                  if (recorded)
+                                    return self->FinishStream();
+                                  self->Fail(502,
+                                             "the turn could not be recorded");
+                                });
+}
+
+}  // namespace vanillalever::forwarding
