Remove accessors and a counter that nothing reads

Cause: the availability of the store and the counts of turns were added for callers that do not exist. Change: RelayedTable::store_available(), three accessors of ConversationService, TurnWriter::pending() and its counter are gone; behaviour is unchanged.

--- a/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
@@ -75,10 +75,6 @@
   // periodically.
   void Tick();
 
-  std::size_t cached_turns() const { return cache_.size(); }
-  std::size_t cached_bytes() const { return cache_.bytes(); }
-  std::size_t unwritten_turns() const { return writer_.pending(); }
-
  private:
   struct Waiter {
     base::TimePoint give_up{};
--- a/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
@@ -62,9 +62,6 @@
   // Makes the call of another gateway.
   void Serve(const std::shared_ptr<http::Exchange>& exchange);
 
-  // Whether the store responds to this gateway or to one that it reaches.
-  bool store_available() const;
-
  private:
   template <typename Result>
   struct Pending;
--- a/packages/forwarding/include/vanillalever/forwarding/turn_writer.h
+++ b/packages/forwarding/include/vanillalever/forwarding/turn_writer.h
@@ -47,9 +47,6 @@
              base::TimePoint give_up,
              Callback done);
 
-  // Turns whose record is not yet durable.
-  std::size_t pending() const { return pending_; }
-
  private:
   struct Job {
     std::string id;
@@ -73,13 +70,11 @@
   // waiting.
   void OnConflict(Partition& partition, const TransactionResult& result);
   void RetryLater(std::size_t index, const std::string& reason);
-  void Complete(Job& job, Outcome outcome);
 
   boost::asio::io_context& context_;
   SharedTable& table_;
   base::Random random_;
   std::vector<Partition> partitions_;
-  std::size_t pending_ = 0;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -204,11 +204,6 @@
     peers_->SetStoreReachable(path_.reachable());
 }
 
-bool RelayedTable::store_available() const {
-  return path_.reachable() ||
-         (peers_ != nullptr && !peers_->StoreAddresses().empty());
-}
-
 void RelayedTable::Tick() {
   if (path_.TakeSilence(base::TimePoint::clock::now()))
     AnnounceReachable("no response");
--- a/packages/forwarding/src/turn_writer.cc
+++ b/packages/forwarding/src/turn_writer.cc
@@ -71,7 +71,6 @@
     bytes += row.size();
   partitions_[index].waiting.push_back(
       {id, std::move(rows), bytes, give_up, std::move(done)});
-  ++pending_;
   if (!partitions_[index].busy)
     StartTransaction(index);
 }
@@ -110,7 +109,7 @@
                     });
   }
   for (Job& job : expired)
-    Complete(job, {});
+    job.done({});
 }
 
 void TurnWriter::OnTransaction(std::size_t index,
@@ -123,7 +122,7 @@
       // The next transaction begins before callbacks add turns.
       StartTransaction(index);
       for (Job& job : written)
-        Complete(job, {true, result.version});
+        job.done({true, result.version});
       return;
     }
     case StoreOutcome::kConflict:
@@ -154,7 +153,7 @@
       base::LogEvent(base::LogLevel::kWarning, "turn_id_reused",
                      {{"turn", job.id}});
     }
-    Complete(job, {same, 0});
+    job.done({same, 0});
   }
 }
 
@@ -182,9 +181,4 @@
   });
 }
 
-void TurnWriter::Complete(Job& job, Outcome outcome) {
-  --pending_;
-  job.done(outcome);
-}
-
 }  // namespace vanillalever::forwarding
