Log and count the limits that servers state

Cause: the log showed neither the beginning nor the end of a server's limit, so that the hypotheses of the incident could not be told apart. Change: the limit is decoded, a field of the request line and a counter; no decision uses it.

--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -113,6 +113,8 @@
   std::optional<base::TimePoint> first_output_;
   // Load that the server reported in its response.
   std::optional<LoadReport> reported_;
+  // Limit that the server stated in its response, in requests a second.
+  std::optional<double> stated_limit_;
   // Prompt tokens that the current server has yet to prefill.
   std::int64_t prefill_tokens_ = 0;
   // The current send counts in its server's load.
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -39,6 +39,7 @@
   base::Counter& send_failures;
   base::Counter& new_connections;
   base::Counter& budget_refusals;
+  base::Counter& limited_responses;
   base::Counter& malformed_rows;
   LatencyHistograms latency;
 };
--- a/packages/forwarding/include/vanillalever/forwarding/wire_codec.h
+++ b/packages/forwarding/include/vanillalever/forwarding/wire_codec.h
@@ -38,6 +38,9 @@
   // The response carries the server's proof of origin.
   bool authenticated = false;
   std::optional<LoadReport> load;
+  // Requests a second that the server takes from all gateways together; absent
+  // if it states no limit.
+  std::optional<double> request_limit;
   // Idle time after which the server closes the connection.
   std::optional<base::seconds> idle_timeout;
 };
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -242,6 +242,9 @@
   auto now = base::TimePoint::clock::now();
   slot_->load.OnReachable();
   reported_ = metadata.load;
+  stated_limit_ = metadata.request_limit;
+  if (stated_limit_)
+    context_.metrics.limited_responses.Add();
   if (metadata.load) {
     slot_->load.OnReport(*metadata.load, now);
     context_.peers.OnSlowness(*slot_, metadata.load->slowness);
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -63,6 +63,10 @@
       budget_refusals(registry.counter("vl_gateway_budget_refusals_total",
                                        "Turns refused because the program's "
                                        "budget is spent.")),
+      limited_responses(
+          registry.counter("vl_gateway_limited_answers_total",
+                           "Responses in which the server states a limit on "
+                           "its requests.")),
       malformed_rows(registry.counter(
           "vl_gateway_malformed_entries_total",
           "Store entries skipped because they are malformed.")) {}
