--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -204,6 +204,10 @@
         # Behaviour for paths that are not in `plan`.
         self.default = "ok"
         self.work_s = 0.005
+        # Requests a second that the server states to take; None if it states no limit.
+        self.limit = None
+        # Times at which requests arrived.
+        self.arrivals = []
 
     def entry(self, state="ready", **extra):
         entry = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "zone-a", "version": "v1",
@@ -212,10 +216,14 @@
         return entry
 
     def headers(self, request):
-        return {"Request-Id": request.headers["request-id"], "Server-Seal": f"seal-{self.identity}",
-                "Server-Load": "1,0,6,100", "Instance-Id": self.identity}
+        headers = {"Request-Id": request.headers["request-id"], "Server-Seal": f"seal-{self.identity}",
+                   "Server-Load": "1,0,6,100", "Instance-Id": self.identity}
+        if self.limit is not None:
+            headers["Server-Limit"] = str(self.limit)
+        return headers
 
     async def handle(self, request, reader, writer):
+        self.arrivals.append(time.monotonic())
         behaviour = self.plan.get(request.path, self.default)
         if request.headers.get("expect-instance") != self.identity:
             writer.write(response(421, {"Instance-Id": self.identity,
