--- /dev/null
+++ b/packages/forwarding/include/vanillalever/forwarding/load_update.h
@@ -0,0 +1,34 @@
+#ifndef VANILLALEVER_FORWARDING_LOAD_UPDATE_H_
+#define VANILLALEVER_FORWARDING_LOAD_UPDATE_H_
+
+#include <cstdint>
+
+#include "peer.capnp.h"
+
+#include "vanillalever/forwarding/server_load.h"
+
+namespace vanillalever::forwarding {
+
+// What a gateway announces to the others about one server.
+struct LoadUpdate {
+  // Open requests of the gateway.
+  std::uint16_t open = 0;
+  std::uint32_t prefill_tokens = 0;
+  // Slowness in percent, as reported since the last message; 0 if unknown.
+  std::uint16_t slowness = 0;
+  // Outcomes of requests since the last message.
+  RequestOutcomes outcomes;
+};
+
+LoadUpdate ReadLoad(const protocol::peer::ServerLoad::Reader& reported);
+// `server`: hash of the server's id.
+void WriteLoad(std::uint64_t server,
+               const LoadUpdate& load,
+               protocol::peer::ServerLoad::Builder out);
+// Replaces an update that is still to be relayed by a newer one of the same
+// gateway: outcomes add up.
+void ReplaceLoad(const LoadUpdate& newer, LoadUpdate* pending);
+
+}  // namespace vanillalever::forwarding
+
+#endif  // VANILLALEVER_FORWARDING_LOAD_UPDATE_H_
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -16,6 +16,7 @@
 #include "peer.capnp.h"
 
 #include "vanillalever/forwarding/budget_peers.h"
+#include "vanillalever/forwarding/load_update.h"
 #include "vanillalever/forwarding/peer_directory.h"
 #include "vanillalever/forwarding/prompt_observer.h"
 #include "vanillalever/forwarding/relayed_table.h"
@@ -156,24 +157,8 @@
   std::uint64_t peers_lost_ = 0;
   // Servers whose load has changed since the last message.
   std::set<std::string> changed_servers_;
-  // One gateway's load at one server.
-  struct LoadUpdate {
-    std::uint16_t open = 0;
-    std::uint32_t prefill_tokens = 0;
-    // Slowness in percent, as reported since the last message; 0 if unknown.
-    std::uint16_t slowness = 0;
-    // Outcomes of requests since the last message.
-    RequestOutcomes outcomes;
-  };
   // This gateway's load at the server.
   LoadUpdate LocalLoad(const ServerSlot& slot) const;
-  static LoadUpdate ReadLoad(
-      const protocol::peer::ServerLoad::Reader& reported);
-  static void WriteLoad(std::uint64_t server,
-                        const LoadUpdate& load,
-                        protocol::peer::ServerLoad::Builder out);
-  // Adds a gateway's load at a server to the next relayed message.
-  void AddToRelay(PeerId origin, std::uint64_t server, const LoadUpdate& load);
   // Loads to relay, by origin and hash of the server's id.
   std::map<std::pair<PeerId, std::uint64_t>, LoadUpdate> relayed_loads_;
   // A prompt and the hash of the id of the server that processes it.
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -221,7 +221,7 @@
   return Pack(builder);
 }
 
-PeerLink::LoadUpdate PeerLink::LocalLoad(const ServerSlot& slot) const {
+LoadUpdate PeerLink::LocalLoad(const ServerSlot& slot) const {
   LoadUpdate load;
   load.open = static_cast<std::uint16_t>(slot.load.local_open());
   load.prefill_tokens =
@@ -233,36 +233,6 @@
   return load;
 }
 
-PeerLink::LoadUpdate PeerLink::ReadLoad(
-    const wire::ServerLoad::Reader& reported) {
-  return {reported.getOpen(),
-          reported.getPrefillTokens(),
-          reported.getSlowness(),
-          {reported.getAnswered(), reported.getFailed()}};
-}
-
-void PeerLink::WriteLoad(std::uint64_t server,
-                         const LoadUpdate& load,
-                         wire::ServerLoad::Builder out) {
-  out.setServer(server);
-  out.setOpen(load.open);
-  out.setPrefillTokens(load.prefill_tokens);
-  out.setSlowness(load.slowness);
-  out.setAnswered(static_cast<std::uint16_t>(load.outcomes.answered));
-  out.setFailed(static_cast<std::uint16_t>(load.outcomes.failed));
-}
-
-void PeerLink::AddToRelay(PeerId origin,
-                          std::uint64_t server,
-                          const LoadUpdate& load) {
-  LoadUpdate& pending = relayed_loads_[{origin, server}];
-  // The newer load replaces the older one; outcomes add up.
-  RequestOutcomes before = pending.outcomes;
-  pending = load;
-  pending.outcomes.answered += before.answered;
-  pending.outcomes.failed += before.failed;
-}
-
 void PeerLink::SendFullLoad() {
   SendToEach(directory_.addresses(), PackLoad(registry_.busy(), true));
 }
@@ -278,7 +248,8 @@
   std::string relay = RelayAddress();
   if (relay == settings_.address) {
     for (const ServerSlotPtr& slot : slots)
-      AddToRelay(id_, ServerKey(slot->server.id), LocalLoad(*slot));
+      ReplaceLoad(LocalLoad(*slot),
+                  &relayed_loads_[{id_, ServerKey(slot->server.id)}]);
   } else {
     std::string datagram = PackLoad(slots, false);
     if (relay.empty())
@@ -507,7 +478,8 @@
     for (auto server : load.getServers()) {
       ApplyLoad(message.getSender(), server, now);
       if (relays)
-        AddToRelay(message.getSender(), server.getServer(), ReadLoad(server));
+        ReplaceLoad(ReadLoad(server),
+                    &relayed_loads_[{message.getSender(), server.getServer()}]);
     }
     for (auto prompt : message.getPrompts())
       ApplyPrompt(prompt);
