Space the requests of all gateways by the rate that a server states

Cause: no part of the gateway read the limit. Class: a statement of a server about itself that reaches no decision, and a bound on the sum over gateways, which no gateway can keep alone. Change: RequestRateLimit counts the requests of all gateways, which announce them; the wait is part of a server's estimate; QueuePolicy lets a request wait in order, or refuses it at once. Of low limits only some gateways make use, as the test with 41 gateways showed that too many requests cross otherwise. Load messages carry at most 40 servers each and continue in further ones; those beyond the 60th were dropped before.

--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -1,6 +1,8 @@
 #ifndef VANILLALEVER_FORWARDING_FORWARDED_REQUEST_H_
 #define VANILLALEVER_FORWARDING_FORWARDED_REQUEST_H_
 
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,6 +45,9 @@
   static constexpr double kMaxWaitShare = 0.35;
   // Retry-After while no configuration is known or the store is unavailable.
   static constexpr base::milliseconds kNotReadyRetryAfter{500};
+  // Retry-After while no server takes the request, and its jitter.
+  static constexpr base::milliseconds kRetryAfter{250};
+  static constexpr std::uint64_t kRetryAfterJitterMs = 250;
 
   // How the current response is processed.
   enum class ResponseMode { kNone, kRefusal, kBuffered, kStreamed };
@@ -57,6 +62,13 @@
   // No server is available: places the request again after a delay, or refuses
   // it.
   void WaitForServer();
+  // Sends the request at once, or when its server takes it by the rate that the
+  // server states, or refuses it.
+  void SendWhenTaken(const Placement& placement);
+  void RetrySameServer();
+  void CountTowardRate(ServerSlot& slot);
+  void WaitThen(base::Duration delay,
+                std::function<void(ForwardedRequest&)> action);
   void Send(const Placement& placement);
   // The server has completed a turn of a conversation: makes it durable, then
   // ends the response.
@@ -70,6 +82,7 @@
   void OnSendFailed(SendFailure failure, const std::string& reason);
   void OnTimeout();
 
+  void RecordStatedLimit(int status, const ResponseMetadata& metadata);
   // Records in the server's load whether the current send failed.
   void RecordOutcome(bool failed);
   void RecordFirstOutput();
@@ -127,6 +140,8 @@
   int sends_ = 0;
   int same_server_attempts_ = 0;
   int waits_ = 0;
+  // Time spent waiting for servers that limit their requests.
+  base::Duration rate_waited_{0};
 
   ResponseMode response_mode_ = ResponseMode::kNone;
   int status_ = 0;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -11,6 +11,7 @@
 #include "vanillalever/forwarding/gateway_metrics.h"
 #include "vanillalever/forwarding/peer_link.h"
 #include "vanillalever/forwarding/placement.h"
+#include "vanillalever/forwarding/queue_policy.h"
 #include "vanillalever/forwarding/retry_policy.h"
 #include "vanillalever/forwarding/route_config.h"
 #include "vanillalever/forwarding/server_connection_pool.h"
@@ -34,6 +35,7 @@
   GatewayMetrics& metrics;
   base::Random& random;
   RetryPolicy retries;
+  QueuePolicy queue;
   // Limit of a response that is relayed only when complete.
   std::size_t max_response_bytes = 16 << 20;
 };
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -40,6 +40,7 @@
   base::Counter& new_connections;
   base::Counter& budget_refusals;
   base::Counter& limited_responses;
+  base::Counter& rate_waits;
   base::Counter& malformed_rows;
   LatencyHistograms latency;
 };
--- a/packages/forwarding/include/vanillalever/forwarding/load_update.h
+++ b/packages/forwarding/include/vanillalever/forwarding/load_update.h
@@ -2,9 +2,12 @@
 #define VANILLALEVER_FORWARDING_LOAD_UPDATE_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "peer.capnp.h"
 
+#include "vanillalever/base/clock.h"
+#include "vanillalever/forwarding/request_rate_limit.h"
 #include "vanillalever/forwarding/server_load.h"
 
 namespace vanillalever::forwarding {
@@ -18,12 +21,18 @@
   std::uint16_t slowness = 0;
   // Outcomes of requests since the last message.
   RequestOutcomes outcomes;
+  // What the server said about its request rate, and the requests that the
+  // gateway has sent to it since its start.
+  std::optional<RateStatement> rate;
+  std::uint32_t sends = 0;
 };
 
-LoadUpdate ReadLoad(const protocol::peer::ServerLoad::Reader& reported);
+LoadUpdate ReadLoad(const protocol::peer::ServerLoad::Reader& reported,
+                    base::TimePoint now);
 // `server`: hash of the server's id.
 void WriteLoad(std::uint64_t server,
                const LoadUpdate& load,
+               base::TimePoint now,
                protocol::peer::ServerLoad::Builder out);
 // Replaces an update that is still to be relayed by a newer one of the same
 // gateway: outcomes add up.
--- a/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
@@ -59,6 +59,9 @@
   // that sent a message within the retention time. Of the parts of a
   // partitioned deployment at most one is not in the minority.
   bool InMinority(base::TimePoint now) const;
+  // Fraction of the gateways that sent a message within the retention time
+  // which is live, this gateway included.
+  double ReachableShare(base::TimePoint now) const;
   // Number of live gateways.
   std::size_t live() const;
 
@@ -72,6 +75,9 @@
     bool reaches_store = false;
   };
 
+  // Gateways that sent a message within the retention time, and this one.
+  std::size_t Recent(base::TimePoint now) const;
+
   PeerDirectorySettings settings_;
   std::map<std::string, Peer> peers_;
   std::vector<PeerId> lost_;
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -90,6 +90,8 @@
   void OnPromptSent(const ServerSlot& slot, const PromptChain& chain);
   // This gateway's load at the server has changed.
   void OnLoadChanged(const ServerSlot& slot);
+  // A request counts toward the rate that the server states; announced at once.
+  void OnRateUsed(const ServerSlot& slot);
   // A request ended at the server.
   void OnOutcome(const ServerSlot& slot, bool failed);
   // The server has just reported its slowness.
@@ -99,6 +101,8 @@
   void Unregister();
 
   PreviousExit previous_exit() const { return previous_exit_; }
+  // Updates how the gateways share the rates that servers state.
+  void ShareRates();
   // Whether this gateway may be partitioned; see PeerDirectory::InMinority().
   bool in_minority() const {
     return directory_.InMinority(base::TimePoint::clock::now());
@@ -114,8 +118,9 @@
   void OnDatagram(std::size_t size);
   void ScheduleSend();
   base::Duration BatchDelay() const;
-  // Message with this gateway's load at as many of `slots` as fit.
-  std::string PackLoad(const std::vector<ServerSlotPtr>& slots, bool complete);
+  // Messages with this gateway's load at `slots`.
+  std::vector<std::string> PackLoad(const std::vector<ServerSlotPtr>& slots,
+                                    bool complete);
   // Sends this gateway's whole load to all gateways.
   void SendFullLoad();
   // Sends the load changes since the last message.
@@ -158,7 +163,7 @@
   // Servers whose load has changed since the last message.
   std::set<std::string> changed_servers_;
   // This gateway's load at the server.
-  LoadUpdate LocalLoad(const ServerSlot& slot) const;
+  LoadUpdate LocalLoad(const ServerSlot& slot, base::TimePoint now) const;
   // Loads to relay, by origin and hash of the server's id.
   std::map<std::pair<PeerId, std::uint64_t>, LoadUpdate> relayed_loads_;
   // A prompt and the hash of the id of the server that processes it.
--- a/packages/forwarding/include/vanillalever/forwarding/placement.h
+++ b/packages/forwarding/include/vanillalever/forwarding/placement.h
@@ -37,6 +37,9 @@
   double failure_penalty_ms = 500;
   // Failure rate below which no penalty applies.
   double tolerated_failure_share = 0.1;
+  // Factor on the wait for a server that limits its requests: a request that
+  // waits there also delays those that come to the server after it.
+  double rate_wait_factor = 4;
   // Network round trip within the data centre and to another one.
   double local_round_trip_ms = 0.4;
   double remote_round_trip_ms = 2.5;
@@ -66,12 +69,15 @@
   int open = 0;
   // Slowdown factor of the chosen server at the time of the decision.
   double slowness = 1;
+  // Time until the server takes another request, by the rate that it states.
+  base::Duration rate_wait{0};
   // Number of servers compared.
   int candidates = 0;
 };
 
 // Chooses the server at which a request costs the least time: the time to its
-// completion plus the delay that it causes to the requests running there.
+// completion, including the wait for a server that limits its requests, plus
+// the delay that it causes to the requests running there.
 // Intended for workloads in which prefill takes much of the servers' time.
 // Not thread-safe.
 class Placer {
@@ -104,6 +110,7 @@
                          bool preferred,
                          base::TimePoint now) const;
   double RoundTripMs(const ServerSlot& slot) const;
+  static base::Duration RateWait(const ServerSlot& slot, base::TimePoint now);
   // Expected cost of a failure at the server. Added like any other cost, so
   // that a failing server is still used when waiting at the others costs more.
   double FailurePenaltyMs(const ServerSlot& slot, base::TimePoint now) const;
--- a/packages/forwarding/include/vanillalever/forwarding/server_registry.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_registry.h
@@ -12,6 +12,7 @@
 
 #include "vanillalever/base/clock.h"
 #include "vanillalever/forwarding/backend_server.h"
+#include "vanillalever/forwarding/request_rate_limit.h"
 #include "vanillalever/forwarding/server_load.h"
 
 namespace vanillalever::forwarding {
@@ -20,6 +21,7 @@
 struct ServerSlot {
   BackendServer server;
   ServerLoad load;
+  RequestRateLimit rate_limit;
   // Set while the row is missing from the store but may return.
   std::optional<base::TimePoint> removal_deadline;
   // Removed from the registry; requests in progress may still hold the slot.
@@ -65,8 +67,15 @@
   ServerSlotPtr find(const std::string& id) const;
   // Server whose id has this base::Hash64 value; null if there is none.
   ServerSlotPtr find_by_id_hash(std::uint64_t id_hash) const;
-  // Servers at which this gateway has open requests.
-  std::vector<ServerSlotPtr> busy() const;
+  // Servers about which this gateway has something to announce to the others:
+  // open requests, or a limit that the server states.
+  std::vector<ServerSlotPtr> announced(base::TimePoint now) const;
+  // See RequestRateLimit::SetReachableShare().
+  void SetReachableShare(double share);
+  // Ranks this gateway among the live ones for each server that states a limit;
+  // see RequestRateLimit::SetRank(). `addresses`: all live gateways.
+  void RankGateways(const std::string& own_address,
+                    const std::vector<std::string>& addresses);
   // Removes the load of a gateway that has ended or is about to announce its
   // complete load.
   void RemovePeer(std::uint64_t peer);
@@ -77,6 +86,7 @@
   void RebuildService(const std::string& service);
 
   RegistrySettings settings_;
+  double reachable_share_ = 1;
   std::map<std::string, ServerSlotPtr> by_id_;
   std::unordered_map<std::uint64_t, ServerSlotPtr> by_id_hash_;
   std::map<std::string, std::vector<ServerSlotPtr>> by_service_;
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/status.hpp>
 
 #include "vanillalever/base/logging.h"
+#include "vanillalever/forwarding/rate_limit_log.h"
 #include "vanillalever/forwarding/server_request_text.h"
 
 namespace vanillalever::forwarding {
@@ -17,17 +18,12 @@
 namespace http = boost::beast::http;
 using base::milliseconds;
 
-// Delay before the next placement if no server is available, and its jitter.
-constexpr milliseconds kPlacementRetryDelay{15};
-constexpr std::uint64_t kPlacementRetryJitterMs = 15;
 // Refusals by servers after which the request waits before the next placement.
 constexpr std::size_t kMaxConsecutiveRefusals = 3;
-// Retry-After of refusals, and its jitter.
-constexpr milliseconds kRetryAfter{250};
-constexpr std::uint64_t kRetryAfterJitterMs = 250;
 // Longest incomplete event: a failing server may send bytes without end.
 constexpr std::size_t kMaxEventBytes = 256 << 10;
 constexpr int kFirstServerErrorStatus = 500;
+constexpr int kMisdirectedStatus = 421;
 // The same for all requests: a more urgent request would preempt others at the
 // server, whose prompts would have to be prefilled again.
 constexpr int kUrgency = 5;
@@ -148,26 +144,7 @@
       context_.registry.servers(service_->name), request, now);
   if (!placement.slot || excluded_.size() >= kMaxConsecutiveRefusals)
     return WaitForServer();
-  Send(placement);
-}
-
-void ForwardedRequest::WaitForServer() {
-  auto now = base::TimePoint::clock::now();
-  if (now >= wait_limit() && possible_runs_ == 0 && !relaying_) {
-    return Refuse(
-        "no server can take the request",
-        kRetryAfter + milliseconds(context_.random.Below(kRetryAfterJitterMs)));
-  }
-  ++waits_;
-  excluded_.clear();
-  wait_timer_.expires_after(
-      kPlacementRetryDelay +
-      milliseconds(context_.random.Below(kPlacementRetryJitterMs)));
-  wait_timer_.async_wait(
-      [weak = weak_from_this()](boost::system::error_code error) {
-        if (auto self = weak.lock(); !error && self)
-          self->Place();
-      });
+  SendWhenTaken(placement);
 }
 
 bool ForwardedRequest::must_not_repeat() const {
@@ -243,8 +220,7 @@
   slot_->load.OnReachable();
   reported_ = metadata.load;
   stated_limit_ = metadata.request_limit;
-  if (stated_limit_)
-    context_.metrics.limited_responses.Add();
+  RecordStatedLimit(status, metadata);
   if (metadata.load) {
     slot_->load.OnReport(*metadata.load, now);
     context_.peers.OnSlowness(*slot_, metadata.load->slowness);
@@ -294,6 +270,23 @@
   sink_->SendChunk(events);
 }
 
+void ForwardedRequest::RecordStatedLimit(int status,
+                                         const ResponseMetadata& metadata) {
+  if (metadata.request_limit)
+    context_.metrics.limited_responses.Add();
+  // A response of another server, or one without proof, says nothing about the
+  // end of this server's limit.
+  if (status == kMisdirectedStatus ||
+      (!metadata.request_limit && !metadata.authenticated))
+    return;
+  RateStatement statement{metadata.request_limit,
+                          base::TimePoint::clock::now()};
+  if (!slot_->rate_limit.OnStatement(statement))
+    return;
+  LogRateLimit(*slot_, "response");
+  context_.peers.OnLoadChanged(*slot_);
+}
+
 void ForwardedRequest::RecordOutcome(bool failed) {
   slot_->load.OnOutcomes({failed ? 0 : 1, failed ? 1 : 0},
                          base::TimePoint::clock::now());
@@ -400,21 +393,8 @@
     case RetryDecision::kRetryOtherServer:
       excluded_.push_back(id);
       return Place();
-    case RetryDecision::kRetrySameServer: {
-      base::milliseconds backoff =
-          context_.retries.Backoff(++same_server_attempts_);
-      wait_timer_.expires_after(backoff);
-      wait_timer_.async_wait(
-          [weak = weak_from_this()](boost::system::error_code error) {
-            auto self = weak.lock();
-            if (error || !self || self->done_)
-              return;
-            Placement placement;
-            placement.slot = self->slot_;
-            self->Send(placement);
-          });
-      return;
-    }
+    case RetryDecision::kRetrySameServer:
+      return RetrySameServer();
     case RetryDecision::kGiveUp:
       return Fail(502, reason);
   }
--- a/packages/forwarding/src/forwarded_request_log.cc
+++ b/packages/forwarding/src/forwarded_request_log.cc
@@ -55,6 +55,7 @@
        {"slowness", Decimal(placement_.slowness)},
        {"estimate_ms", Decimal(placement_.estimate_ms)},
        {"reported", ReportText(reported_)},
+       {"rate_wait_ms", Ms(rate_waited_)},
        {"limit", stated_limit_ ? Decimal(*stated_limit_) : "-"},
        {"first_ms", first_output_ ? Ms(*first_output_ - sent_at_) : "-"},
        {"took_ms", Ms(now - arrived_at_)}});
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -59,6 +59,7 @@
                metrics_,
                random_,
                RetryPolicy(),
+               QueuePolicy(),
                settings_.max_response_bytes} {}
 
 Gateway::~Gateway() = default;
@@ -195,6 +196,7 @@
     budgets_.Sweep(kBudgetRetention);
     conversations_.Tick();
   }
+  peers_.ShareRates();
   CheckIsolation();
   CheckProvisionalGrants();
   budgets_.CommitAndRelease();
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -67,6 +67,9 @@
           registry.counter("vl_gateway_limited_answers_total",
                            "Responses in which the server states a limit on "
                            "its requests.")),
+      rate_waits(registry.counter("vl_gateway_rate_waits_total",
+                                  "Requests that waited for a server that "
+                                  "limits its requests.")),
       malformed_rows(registry.counter(
           "vl_gateway_malformed_entries_total",
           "Store entries skipped because they are malformed.")) {}
--- a/packages/forwarding/src/peer_directory.cc
+++ b/packages/forwarding/src/peer_directory.cc
@@ -90,13 +90,21 @@
   return addresses;
 }
 
-bool PeerDirectory::InMinority(base::TimePoint now) const {
+std::size_t PeerDirectory::Recent(base::TimePoint now) const {
   std::size_t recent = 1;
   for (const auto& [address, peer] : peers_)
     recent += peer.id != 0 && now - peer.last_message_at <= settings_.retention
                   ? 1
                   : 0;
-  return 2 * (live() + 1) <= recent;
+  return recent;
+}
+
+bool PeerDirectory::InMinority(base::TimePoint now) const {
+  return 2 * (live() + 1) <= Recent(now);
+}
+
+double PeerDirectory::ReachableShare(base::TimePoint now) const {
+  return static_cast<double>(live() + 1) / static_cast<double>(Recent(now));
 }
 
 std::size_t PeerDirectory::live() const {
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -14,6 +14,7 @@
 #include "vanillalever/base/error.h"
 #include "vanillalever/base/hash.h"
 #include "vanillalever/base/logging.h"
+#include "vanillalever/forwarding/rate_limit_log.h"
 #include "vanillalever/http/address.h"
 
 namespace vanillalever::forwarding {
@@ -24,7 +25,7 @@
 
 constexpr const char* kGatewayTable = "gateways";
 // Servers in one message, so that it fits into one packet.
-constexpr std::size_t kMaxServers = 60;
+constexpr std::size_t kMaxServers = 40;
 // Prompt parts in one message, so that it fits into one packet.
 constexpr std::size_t kMaxPromptParts = 40;
 
@@ -152,6 +153,17 @@
   ScheduleSend();
 }
 
+void PeerLink::OnRateUsed(const ServerSlot& slot) {
+  changed_servers_.insert(slot.server.id);
+  SendLoadChanges();
+}
+
+void PeerLink::ShareRates() {
+  registry_.SetReachableShare(
+      directory_.ReachableShare(base::TimePoint::clock::now()));
+  registry_.RankGateways(settings_.address, directory_.live_addresses());
+}
+
 void PeerLink::OnPromptSent(const ServerSlot& slot, const PromptChain& chain) {
   if (chain.links.empty())
     return;
@@ -202,26 +214,36 @@
   });
 }
 
-std::string PeerLink::PackLoad(const std::vector<ServerSlotPtr>& slots,
-                               bool complete) {
-  // Servers that do not fit are sent with a later message.
-  std::size_t count = std::min(slots.size(), kMaxServers);
-  capnp::MallocMessageBuilder builder;
-  auto message = StartMessage(builder);
-  auto load = message.initLoad();
-  load.setComplete(complete && count == slots.size());
-  auto servers = load.initServers(static_cast<unsigned>(count));
-  for (unsigned i = 0; i < count; ++i) {
-    LoadUpdate update = LocalLoad(*slots[i]);
-    // Complete messages repeat the open load; outcomes must count only once.
-    if (complete)
-      update.outcomes = {};
-    WriteLoad(ServerKey(slots[i]->server.id), update, servers[i]);
-  }
-  return Pack(builder);
+std::vector<std::string> PeerLink::PackLoad(
+    const std::vector<ServerSlotPtr>& slots,
+    bool complete) {
+  auto now = base::TimePoint::clock::now();
+  std::vector<std::string> datagrams;
+  std::size_t first = 0;
+  do {
+    std::size_t count = std::min(slots.size() - first, kMaxServers);
+    capnp::MallocMessageBuilder builder;
+    auto message = StartMessage(builder);
+    auto load = message.initLoad();
+    load.setComplete(complete && first == 0);
+    load.setContinued(complete && first > 0);
+    auto servers = load.initServers(static_cast<unsigned>(count));
+    for (unsigned i = 0; i < count; ++i) {
+      const ServerSlot& slot = *slots[first + i];
+      LoadUpdate update = LocalLoad(slot, now);
+      // Complete messages repeat the open load; outcomes must count only once.
+      if (complete)
+        update.outcomes = {};
+      WriteLoad(ServerKey(slot.server.id), update, now, servers[i]);
+    }
+    datagrams.push_back(Pack(builder));
+    first += count;
+  } while (first < slots.size());
+  return datagrams;
 }
 
-LoadUpdate PeerLink::LocalLoad(const ServerSlot& slot) const {
+LoadUpdate PeerLink::LocalLoad(const ServerSlot& slot,
+                               base::TimePoint now) const {
   LoadUpdate load;
   load.open = static_cast<std::uint16_t>(slot.load.local_open());
   load.prefill_tokens =
@@ -230,11 +252,15 @@
     load.slowness = found->second;
   if (auto found = outcomes_.find(slot.server.id); found != outcomes_.end())
     load.outcomes = found->second;
+  load.rate = slot.rate_limit.recent_statement(now);
+  load.sends = slot.rate_limit.sends();
   return load;
 }
 
 void PeerLink::SendFullLoad() {
-  SendToEach(directory_.addresses(), PackLoad(registry_.busy(), true));
+  auto now = base::TimePoint::clock::now();
+  for (const std::string& datagram : PackLoad(registry_.announced(now), true))
+    SendToEach(directory_.addresses(), datagram);
 }
 
 void PeerLink::SendLoadChanges() {
@@ -245,17 +271,19 @@
   }
   if (slots.empty())
     return;
+  auto now = base::TimePoint::clock::now();
   std::string relay = RelayAddress();
   if (relay == settings_.address) {
     for (const ServerSlotPtr& slot : slots)
-      ReplaceLoad(LocalLoad(*slot),
+      ReplaceLoad(LocalLoad(*slot, now),
                   &relayed_loads_[{id_, ServerKey(slot->server.id)}]);
   } else {
-    std::string datagram = PackLoad(slots, false);
-    if (relay.empty())
-      SendToEach(directory_.addresses(), datagram);
-    else
-      SendTo(relay, datagram);
+    for (const std::string& datagram : PackLoad(slots, false)) {
+      if (relay.empty())
+        SendToEach(directory_.addresses(), datagram);
+      else
+        SendTo(relay, datagram);
+    }
   }
   slowness_.clear();
   outcomes_.clear();
@@ -312,6 +340,7 @@
 }
 
 void PeerLink::SendRelayed() {
+  auto now = base::TimePoint::clock::now();
   while (!relayed_loads_.empty() || !relayed_prompts_.empty()) {
     capnp::MallocMessageBuilder builder;
     auto message = StartMessage(builder);
@@ -331,7 +360,7 @@
       relayed[i].setOrigin(origins[i].first);
       auto servers = relayed[i].initServers(origins[i].second);
       for (unsigned k = 0; k < origins[i].second; ++k, ++next)
-        WriteLoad(next->first.second, next->second, servers[k]);
+        WriteLoad(next->first.second, next->second, now, servers[k]);
     }
     relayed_loads_.erase(relayed_loads_.begin(), next);
     PackPrompts(relayed_prompts_,
@@ -474,11 +503,12 @@
     auto load = message.getLoad();
     if (load.getComplete())
       registry_.RemovePeer(message.getSender());
-    bool relays = !load.getComplete() && RelayAddress() == settings_.address;
+    bool relays = !load.getComplete() && !load.getContinued() &&
+                  RelayAddress() == settings_.address;
     for (auto server : load.getServers()) {
       ApplyLoad(message.getSender(), server, now);
       if (relays)
-        ReplaceLoad(ReadLoad(server),
+        ReplaceLoad(ReadLoad(server, now),
                     &relayed_loads_[{message.getSender(), server.getServer()}]);
     }
     for (auto prompt : message.getPrompts())
@@ -517,7 +547,7 @@
   ServerSlotPtr slot = registry_.find_by_id_hash(reported.getServer());
   if (!slot)
     return;
-  LoadUpdate load = ReadLoad(reported);
+  LoadUpdate load = ReadLoad(reported, now);
   slot->load.OnPeerLoad(origin, {.open = load.open,
                                  .prefill_tokens = load.prefill_tokens,
                                  .received_at = now});
@@ -525,6 +555,11 @@
     slot->load.OnOutcomes(load.outcomes, now);
   if (load.slowness > 0)
     slot->load.OnSlowness(load.slowness / 100.0, now);
+  if (load.rate) {
+    if (slot->rate_limit.OnStatement(*load.rate))
+      LogRateLimit(*slot, "peer");
+    slot->rate_limit.OnPeerSends(origin, load.sends, now);
+  }
 }
 
 void PeerLink::Tick() {
--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -15,6 +15,9 @@
 // Ranks suspect and full servers behind all others.
 constexpr double kLastResortPenaltyMs = 1e6;
 
+// Wait for a server that is left to other gateways.
+constexpr base::seconds kUnavailableWait{3600};
+
 // Rendezvous hashing: all gateways choose the same server for a key while the
 // set of servers stays the same.
 const ServerSlot* PreferredServer(const std::vector<ServerSlotPtr>& servers,
@@ -74,6 +77,10 @@
     // A small bonus breaks ties between servers without a cached prefix.
     if (slot.get() == preferred && request.service.engine)
       estimate.total_ms -= 2 * kTieThresholdMs;
+    base::Duration rate_wait = RateWait(*slot, now);
+    estimate.total_ms +=
+        settings_.rate_wait_factor *
+        std::chrono::duration<double, std::milli>(rate_wait).count();
     estimate.total_ms += FailurePenaltyMs(*slot, now);
     if (slot->load.suspect(now) || slot->load.full(now))
       estimate.total_ms += kLastResortPenaltyMs;
@@ -87,6 +94,7 @@
     best_ms = estimate.total_ms;
     best.estimate_ms = estimate.total_ms;
     best.prefill_tokens = estimate.prefill_tokens;
+    best.rate_wait = rate_wait;
     best.open = slot->load.open(now);
     best.slowness = slot->load.slowness(now);
   }
@@ -165,6 +173,12 @@
   return std::max(0.0, excess) * settings_.failure_penalty_ms;
 }
 
+base::Duration Placer::RateWait(const ServerSlot& slot, base::TimePoint now) {
+  if (!slot.rate_limit.accepts_requests())
+    return kUnavailableWait;
+  return std::max(base::Duration(0), slot.rate_limit.next_send_at() - now);
+}
+
 double Placer::RoundTripMs(const ServerSlot& slot) const {
   return slot.server.data_centre == data_centre_
              ? settings_.local_round_trip_ms
--- a/packages/forwarding/src/server_registry.cc
+++ b/packages/forwarding/src/server_registry.cc
@@ -1,5 +1,6 @@
 #include "vanillalever/forwarding/server_registry.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "vanillalever/base/hash.h"
@@ -25,6 +26,7 @@
   }
   current = std::make_shared<ServerSlot>();
   current->server = std::move(server);
+  current->rate_limit.SetReachableShare(reachable_share_);
   by_id_hash_[base::Hash64(current->server.id)] = current;
   RebuildService(service);
 }
@@ -75,15 +77,38 @@
   return found == by_id_hash_.end() ? nullptr : found->second;
 }
 
-std::vector<ServerSlotPtr> ServerRegistry::busy() const {
+void ServerRegistry::RankGateways(const std::string& own_address,
+                                  const std::vector<std::string>& addresses) {
+  for (const auto& [id, slot] : by_id_) {
+    if (!slot->rate_limit.per_second())
+      continue;
+    // Rendezvous hashing.
+    std::uint64_t own = base::Hash64(id, base::Hash64(own_address));
+    auto ahead = std::count_if(
+        addresses.begin(), addresses.end(), [&](const std::string& address) {
+          return base::Hash64(id, base::Hash64(address)) > own;
+        });
+    slot->rate_limit.SetRank(static_cast<std::size_t>(ahead));
+  }
+}
+
+std::vector<ServerSlotPtr> ServerRegistry::announced(
+    base::TimePoint now) const {
   std::vector<ServerSlotPtr> slots;
   for (const auto& [id, slot] : by_id_) {
-    if (slot->load.local_open() > 0)
+    if (slot->load.local_open() > 0 || slot->rate_limit.recent_statement(now))
       slots.push_back(slot);
   }
   return slots;
 }
 
+void ServerRegistry::SetReachableShare(double share) {
+  if (std::exchange(reachable_share_, share) == share)
+    return;
+  for (const auto& [id, slot] : by_id_)
+    slot->rate_limit.SetReachableShare(share);
+}
+
 void ServerRegistry::RemovePeer(std::uint64_t peer) {
   for (const auto& [id, slot] : by_id_)
     slot->load.RemovePeer(peer);
--- a/packages/protocol/schema/peer.capnp
+++ b/packages/protocol/schema/peer.capnp
@@ -46,6 +46,9 @@
   # there is unchanged.
   complete @0 :Bool;
   servers @1 :List(ServerLoad);
+  # Lists further servers of the sender's last complete load, which did not fit
+  # into one message.
+  continued @2 :Bool;
 }
 
 # Changes of one gateway's load, relayed by another.
@@ -67,6 +70,15 @@
   # since the sender's last message.
   answered @4 :UInt16;
   failed @5 :UInt16;
+  # Requests a second that the server takes from all gateways, in thousandths; 0
+  # if it stated no limit. Absent if rateStated is not set.
+  rateMilli @6 :UInt32;
+  # Age of that statement in ms.
+  rateAgeMs @7 :UInt32;
+  rateStated @8 :Bool;
+  # Requests that the sender has sent to the server since its start; only with
+  # rateStated.
+  sends @9 :UInt32;
 }
 
 struct BudgetAsk {
