--- a/packages/forwarding/src/server_registry.cc
+++ b/packages/forwarding/src/server_registry.cc
@@ -83,10 +83,13 @@
     if (!slot->rate_limit.per_second())
       continue;
     // Rendezvous hashing.
-    std::uint64_t own = base::Hash64(id, base::Hash64(own_address));
+    auto weight = [&server = id](const std::string& address) {
+      return base::Hash64(server, base::Hash64(address));
+    };
     auto ahead = std::count_if(
-        addresses.begin(), addresses.end(), [&](const std::string& address) {
-          return base::Hash64(id, base::Hash64(address)) > own;
+        addresses.begin(), addresses.end(),
+        [&weight, own = weight(own_address)](const std::string& address) {
+          return weight(address) > own;
         });
     slot->rate_limit.SetRank(static_cast<std::size_t>(ahead));
   }
