Log the software versions of a request's servers and the attempt that it resumes

Cause: the log could not tell a change of version within a response from one between two attempts of a caller. Change: the version and the resumed attempt are decoded and logged; no decision uses them.

--- a/packages/forwarding/include/vanillalever/forwarding/backend_server.h
+++ b/packages/forwarding/include/vanillalever/forwarding/backend_server.h
@@ -16,6 +16,8 @@
   // Identifies this run of the server.
   std::string id;
   std::string service;
+  // Version of the server's software; empty if unknown.
+  std::string software_version;
   // "ip:port".
   std::string address;
   std::string data_centre;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -124,6 +124,8 @@
   // Times of the latest send and of its first output.
   base::TimePoint sent_at_{};
   std::optional<base::TimePoint> first_output_;
+  // Software version of the server that sent the first event.
+  std::string first_version_;
   // Load that the server reported in its response.
   std::optional<LoadReport> reported_;
   // Limit that the server stated in its response, in requests a second.
--- a/packages/forwarding/include/vanillalever/forwarding/request_profile.h
+++ b/packages/forwarding/include/vanillalever/forwarding/request_profile.h
@@ -45,6 +45,9 @@
   // Id of the last stream event that the caller received; empty to start the
   // stream from its beginning.
   std::string last_event_id;
+  // Id of the caller's earlier attempt that brought the first event of the
+  // stream; empty unless the caller takes a stream up again.
+  std::string resumed_request;
   // Id of the turn that this one continues; empty at the start of a
   // conversation. Used on stateful routes.
   std::string previous_turn;
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -310,6 +310,7 @@
   if (relaying_)
     return;
   relaying_ = true;
+  first_version_ = slot_->server.software_version;
   sink_->StartStream(status_, response_fields_);
 }
 
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -136,6 +136,7 @@
         {{"server", server.id},
          {"address", server.address},
          {"service", server.service},
+         {"version", server.software_version},
          {"state",
           server.state == ServerState::kReady ? "ready" : "draining"}});
     pool_.CloseIdle(server.id);
