--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -198,6 +198,8 @@
     def __init__(self, identity, service):
         super().__init__()
         self.identity, self.service = identity, service
+        # Version of the server's software.
+        self.version = "v1"
         self.executed = []
         self.aborted = []
         self.plan = {}
@@ -210,7 +212,7 @@
         self.arrivals = []
 
     def entry(self, state="ready", **extra):
-        entry = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "zone-a", "version": "v1",
+        entry = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": "zone-a", "version": self.version,
                  "slots": 6, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1}
         entry.update(extra)
         return entry
@@ -296,6 +298,8 @@
         super().__init__(identity, service)
         self.events = 6
         self.gap_s = 0.01
+        # First word of the data of each event.
+        self.word = "token"
 
     async def run(self, request, reader, writer, behaviour):
         if behaviour.startswith("endless"):
@@ -307,7 +311,10 @@
         first = int(request.headers.get("last-event-id") or 0) + 1
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.gap_s)
-            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            event = f"id: {number}\ndata: {self.word} {number}\n\n".encode()
+            if behaviour == "crash" and number == first + 2:
+                await self.stop()
+                return False
             if behaviour == "break" and number == first + 2:
                 # A truncated event, then the end of the connection.
                 writer.write(b"8\r\nid: 9\nda\r\n")
@@ -345,8 +352,10 @@
             return function(*arguments, **named)
         return self.call(invoke())
 
-    def add(self, kind, identity, service):
+    def add(self, kind, identity, service, **attributes):
         server = self.call(self.make(kind, identity, service))
+        for name, value in attributes.items():
+            setattr(server, name, value)
         self.servers[identity] = server
         self.run(self.store.put, "servers", identity, server.entry())
         return server
