Let the writer of turns write the records of any table

Cause: the version that began a stream has to be kept like a turn is. Change: TurnWriter is RecordWriter and takes the table's name; its log events name the table. Behaviour is unchanged.

--- a/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
@@ -16,8 +16,8 @@
 #include "vanillalever/conversation/chain_reader.h"
 #include "vanillalever/conversation/retention_schedule.h"
 #include "vanillalever/conversation/turn_cache.h"
+#include "vanillalever/forwarding/record_writer.h"
 #include "vanillalever/forwarding/shared_table.h"
-#include "vanillalever/forwarding/turn_writer.h"
 
 namespace vanillalever::forwarding {
 
@@ -116,7 +116,7 @@
   base::Random random_;
   conversation::TurnCache cache_;
   conversation::RetentionSchedule retention_;
-  TurnWriter writer_;
+  RecordWriter writer_;
   std::map<std::string, LookupPtr> lookups_;
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/turn_writer.h
+++ b/packages/forwarding/include/vanillalever/forwarding/record_writer.h
@@ -1,5 +1,5 @@
-#ifndef VANILLALEVER_FORWARDING_TURN_WRITER_H_
-#define VANILLALEVER_FORWARDING_TURN_WRITER_H_
+#ifndef VANILLALEVER_FORWARDING_RECORD_WRITER_H_
+#define VANILLALEVER_FORWARDING_RECORD_WRITER_H_
 
 #include <cstdint>
 #include <deque>
@@ -15,19 +15,22 @@
 
 namespace vanillalever::forwarding {
 
-// Row that holds a part of a turn's record; `index` is 0 for the first row.
-RowName TurnRowName(const std::string& id, std::size_t index);
-// All rows of a turn's record.
-TableRange TurnRowRange(const std::string& id);
+// Row that holds a part of a record; `index` is 0 for the first row.
+RowName RecordRowName(const std::string& table,
+                      const std::string& id,
+                      std::size_t index);
+// All rows of a record.
+TableRange RecordRowRange(const std::string& table, const std::string& id);
 
-// Writes the records of turns to the shared table. One transaction per
-// partition is in progress; turns that end meanwhile share the next one. A
-// write whose outcome is unknown is repeated: the rows of a turn are written
-// only while they do not exist, and a present row with the same value was
-// written by an earlier attempt. Event loop's thread only.
-class TurnWriter {
+// Writes records, each of one or several rows, to one table, which the id
+// divides into partitions. One transaction per partition is in progress;
+// records that come meanwhile share the next one. A write whose outcome is
+// unknown is repeated: the rows of a record are written only while they do not
+// exist, and a present row with the same value was written by an earlier
+// attempt. Event loop's thread only.
+class RecordWriter {
  public:
-  // Result of writing one turn.
+  // Result of writing one record.
   struct Outcome {
     // The record is durable.
     bool recorded = false;
@@ -36,11 +39,12 @@
   };
   using Callback = std::function<void(Outcome)>;
 
-  TurnWriter(boost::asio::io_context& context,
-             SharedTable& table,
-             std::uint64_t seed);
+  RecordWriter(boost::asio::io_context& context,
+               SharedTable& table,
+               std::string name,
+               std::uint64_t seed);
 
-  // Writes `rows` as the record of turn `id`, and repeats the write until it
+  // Writes `rows` as the record `id`, and repeats the write until it
   // succeeds or `give_up` has passed. Must not need more than one transaction.
   void Write(const std::string& id,
              std::vector<std::string> rows,
@@ -57,7 +61,7 @@
   };
   struct Partition {
     std::deque<Job> waiting;
-    // Turns of the transaction in progress.
+    // Records of the transaction in progress.
     std::vector<Job> writing;
     // A transaction or the delay after a failed one is in progress.
     bool busy = false;
@@ -66,17 +70,18 @@
 
   void StartTransaction(std::size_t index);
   void OnTransaction(std::size_t index, const TransactionResult& result);
-  // After a conflict: completes the turns that exist, and keeps the others
+  // After a conflict: completes the records that exist, and keeps the others
   // waiting.
   void OnConflict(Partition& partition, const TransactionResult& result);
   void RetryLater(std::size_t index, const std::string& reason);
 
   boost::asio::io_context& context_;
   SharedTable& table_;
+  const std::string name_;
   base::Random random_;
   std::vector<Partition> partitions_;
 };
 
 }  // namespace vanillalever::forwarding
 
-#endif  // VANILLALEVER_FORWARDING_TURN_WRITER_H_
+#endif  // VANILLALEVER_FORWARDING_RECORD_WRITER_H_
--- a/packages/forwarding/src/conversation_service.cc
+++ b/packages/forwarding/src/conversation_service.cc
@@ -14,6 +14,7 @@
 using conversation::RetentionSchedule;
 using conversation::TurnPtr;
 
+constexpr const char* kTurnTable = "turns";
 constexpr milliseconds kFirstRetryDelay{15};
 constexpr milliseconds kMaxRetryDelay{150};
 
@@ -33,7 +34,7 @@
       settings_(settings),
       random_(seed),
       cache_(settings.cache),
-      writer_(context, table, random_.Next()) {}
+      writer_(context, table, kTurnTable, random_.Next()) {}
 
 void ConversationService::Find(const std::string& id,
                                base::TimePoint give_up,
@@ -65,7 +66,7 @@
 
 void ConversationService::ReadRecord(const LookupPtr& lookup,
                                      const std::string& id) {
-  table_.ReadRange(TurnRowRange(id),
+  table_.ReadRange(RecordRowRange(kTurnTable, id),
                    [this, lookup, id](const ReadResult& result) {
                      OnRead(lookup, id, result);
                    });
@@ -171,7 +172,7 @@
   const std::string& id = turn->id;
   writer_.Write(id, std::move(rows), give_up,
                 [this, turn, retention, count,
-                 done = std::move(done)](TurnWriter::Outcome outcome) {
+                 done = std::move(done)](RecordWriter::Outcome outcome) {
                   auto now = base::TimePoint::clock::now();
                   if (outcome.recorded) {
                     retention_.OnRecorded(turn,
@@ -197,7 +198,8 @@
   // The version is not known after a write whose response was lost.
   if (record.version == 0) {
     table_.Read(
-        TurnRowName(record.id, 0), [this, record](const ReadResult& result) {
+        RecordRowName(kTurnTable, record.id, 0),
+        [this, record](const ReadResult& result) {
           if (result.outcome != StoreOutcome::kDone || result.rows.empty())
             return;
           RetentionSchedule::OwnedRecord known = record;
@@ -208,8 +210,8 @@
   }
   std::vector<TableWrite> deletes;
   for (std::size_t i = 0; i < record.rows; ++i)
-    deletes.push_back(
-        {TurnRowName(record.id, i), record.version, std::nullopt});
+    deletes.push_back({RecordRowName(kTurnTable, record.id, i), record.version,
+                       std::nullopt});
   table_.Transact(
       std::move(deletes), [id = record.id](const TransactionResult& result) {
         // A conflict: another gateway has taken the record over.
@@ -222,23 +224,26 @@
 }
 
 void ConversationService::TakeOver(const TurnPtr& turn) {
-  table_.ReadRange(TurnRowRange(turn->id), [this,
-                                            turn](const ReadResult& read) {
-    if (read.outcome != StoreOutcome::kDone || read.rows.empty())
-      return OnTakeoverFailed(turn, false, read.reason);
-    std::vector<TableWrite> writes;
-    for (const TableRow& row : read.rows)
-      writes.push_back({row.name, row.version, row.value});
-    std::size_t count = writes.size();
-    table_.Transact(std::move(writes), [this, turn, count](
-                                           const TransactionResult& result) {
-      if (result.outcome != StoreOutcome::kDone)
-        return OnTakeoverFailed(turn, result.outcome == StoreOutcome::kConflict,
+  table_.ReadRange(
+      RecordRowRange(kTurnTable, turn->id),
+      [this, turn](const ReadResult& read) {
+        if (read.outcome != StoreOutcome::kDone || read.rows.empty())
+          return OnTakeoverFailed(turn, false, read.reason);
+        std::vector<TableWrite> writes;
+        for (const TableRow& row : read.rows)
+          writes.push_back({row.name, row.version, row.value});
+        std::size_t count = writes.size();
+        table_.Transact(std::move(writes),
+                        [this, turn, count](const TransactionResult& result) {
+                          if (result.outcome != StoreOutcome::kDone)
+                            return OnTakeoverFailed(
+                                turn, result.outcome == StoreOutcome::kConflict,
                                 result.reason);
-      retention_.OnTakenOver({turn->id, result.version, count},
-                             base::TimePoint::clock::now());
-    });
-  });
+                          retention_.OnTakenOver(
+                              {turn->id, result.version, count},
+                              base::TimePoint::clock::now());
+                        });
+      });
 }
 
 void ConversationService::OnTakeoverFailed(const TurnPtr& turn,
--- a/packages/forwarding/src/turn_writer.cc
+++ b/packages/forwarding/src/record_writer.cc
@@ -1,4 +1,4 @@
-#include "vanillalever/forwarding/turn_writer.h"
+#include "vanillalever/forwarding/record_writer.h"
 
 #include <algorithm>
 #include <iterator>
@@ -14,14 +14,13 @@
 
 using base::milliseconds;
 
-constexpr const char* kTurnTable = "turns";
 // The store writes partitions independently of each other.
 constexpr std::size_t kPartitions = 16;
 // Limits of one transaction; the store's are 100 entries and 1 MB, and values
 // grow by a third in its encoding.
 constexpr std::size_t kMaxRows = 90;
 constexpr std::size_t kMaxBytes = 640 << 10;
-// Separates a turn's id from the number of a further row.
+// Separates a record's id from the number of a further row.
 constexpr char kRowSeparator = '#';
 constexpr milliseconds kFirstRetryDelay{15};
 constexpr milliseconds kMaxRetryDelay{150};
@@ -30,14 +29,16 @@
   return base::Hash64(id) % kPartitions;
 }
 
-std::string PartitionName(std::size_t index) {
-  return "turns-" + std::to_string(index);
+std::string PartitionName(const std::string& table, std::size_t index) {
+  return table + "-" + std::to_string(index);
 }
 
 }  // namespace
 
-RowName TurnRowName(const std::string& id, std::size_t index) {
-  RowName name{kTurnTable, PartitionName(PartitionOf(id)), id};
+RowName RecordRowName(const std::string& table,
+                      const std::string& id,
+                      std::size_t index) {
+  RowName name{table, PartitionName(table, PartitionOf(id)), id};
   if (index > 0) {
     // Padded, so that the rows are in order of their keys.
     std::string number = std::to_string(index);
@@ -48,23 +49,26 @@
   return name;
 }
 
-TableRange TurnRowRange(const std::string& id) {
+TableRange RecordRowRange(const std::string& table, const std::string& id) {
   constexpr char kAfterSeparator = kRowSeparator + 1;
-  return {kTurnTable, PartitionName(PartitionOf(id)), id, id + kAfterSeparator};
+  return {table, PartitionName(table, PartitionOf(id)), id,
+          id + kAfterSeparator};
 }
 
-TurnWriter::TurnWriter(boost::asio::io_context& context,
-                       SharedTable& table,
-                       std::uint64_t seed)
+RecordWriter::RecordWriter(boost::asio::io_context& context,
+                           SharedTable& table,
+                           std::string name,
+                           std::uint64_t seed)
     : context_(context),
       table_(table),
+      name_(std::move(name)),
       random_(seed),
       partitions_(kPartitions) {}
 
-void TurnWriter::Write(const std::string& id,
-                       std::vector<std::string> rows,
-                       base::TimePoint give_up,
-                       Callback done) {
+void RecordWriter::Write(const std::string& id,
+                         std::vector<std::string> rows,
+                         base::TimePoint give_up,
+                         Callback done) {
   std::size_t index = PartitionOf(id);
   std::size_t bytes = 0;
   for (const std::string& row : rows)
@@ -75,7 +79,7 @@
     StartTransaction(index);
 }
 
-void TurnWriter::StartTransaction(std::size_t index) {
+void RecordWriter::StartTransaction(std::size_t index) {
   Partition& partition = partitions_[index];
   partition.busy = false;
   auto now = base::TimePoint::clock::now();
@@ -101,7 +105,7 @@
     std::vector<TableWrite> writes;
     for (const Job& job : partition.writing) {
       for (std::size_t i = 0; i < job.rows.size(); ++i)
-        writes.push_back({TurnRowName(job.id, i), 0, job.rows[i]});
+        writes.push_back({RecordRowName(name_, job.id, i), 0, job.rows[i]});
     }
     table_.Transact(std::move(writes),
                     [this, index](const TransactionResult& result) {
@@ -112,14 +116,14 @@
     job.done({});
 }
 
-void TurnWriter::OnTransaction(std::size_t index,
-                               const TransactionResult& result) {
+void RecordWriter::OnTransaction(std::size_t index,
+                                 const TransactionResult& result) {
   Partition& partition = partitions_[index];
   switch (result.outcome) {
     case StoreOutcome::kDone: {
       partition.failures = 0;
       auto written = std::exchange(partition.writing, {});
-      // The next transaction begins before callbacks add turns.
+      // The next transaction begins before callbacks add records.
       StartTransaction(index);
       for (Job& job : written)
         job.done({true, result.version});
@@ -135,8 +139,8 @@
   }
 }
 
-void TurnWriter::OnConflict(Partition& partition,
-                            const TransactionResult& result) {
+void RecordWriter::OnConflict(Partition& partition,
+                              const TransactionResult& result) {
   std::map<std::string, const std::string*> present;
   for (const TableRow& row : result.current)
     present.emplace(row.name.key, &row.value);
@@ -150,18 +154,19 @@
     }
     bool same = *first->second == job.rows.front();
     if (!same) {
-      base::LogEvent(base::LogLevel::kWarning, "turn_id_reused",
-                     {{"turn", job.id}});
+      base::LogEvent(base::LogLevel::kWarning, "record_id_reused",
+                     {{"table", name_}, {"record", job.id}});
     }
     job.done({same, 0});
   }
 }
 
-void TurnWriter::RetryLater(std::size_t index, const std::string& reason) {
+void RecordWriter::RetryLater(std::size_t index, const std::string& reason) {
   Partition& partition = partitions_[index];
-  base::LogEvent(base::LogLevel::kWarning, "turn_write_failed",
-                 {{"turn", partition.writing.front().id},
-                  {"turns", std::to_string(partition.writing.size())},
+  base::LogEvent(base::LogLevel::kWarning, "record_write_failed",
+                 {{"table", name_},
+                  {"record", partition.writing.front().id},
+                  {"records", std::to_string(partition.writing.size())},
                   {"failures", std::to_string(partition.failures + 1)},
                   {"reason", reason}});
   auto jobs = std::exchange(partition.writing, {});
