Let streams go on only at the software version that began them

Callers got streams, answered 200 and complete, whose first events came from one software version and the rest from another (ORDER). Cause: placement regarded servers of one service as interchangeable, also for the rest of a stream: within a response after a failure, and for a caller that takes a stream up again, where no gateway knew the version. Class: state that a later request depends on, kept by one process or not at all. Change: placement can be bound to a version; StreamOrigins keeps which versions served recently in the shared table, and the version of each stream while there are several. Where the version is unknown or gone the request is refused at once, having run nowhere.

--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -45,6 +45,8 @@
   static constexpr double kMaxWaitShare = 0.35;
   // Retry-After while no configuration is known or the store is unavailable.
   static constexpr base::milliseconds kNotReadyRetryAfter{500};
+  // Retry-After of a stream that cannot go on: its caller may start it anew.
+  static constexpr base::milliseconds kNotResumableRetryAfter{50};
   // Retry-After while no server takes the request, and its jitter.
   static constexpr base::milliseconds kRetryAfter{250};
   static constexpr std::uint64_t kRetryAfterJitterMs = 250;
@@ -53,6 +55,14 @@
   enum class ResponseMode { kNone, kRefusal, kBuffered, kStreamed };
 
   bool ResolveRoute();
+  // Looks up the version that began the stream, if the caller takes one up.
+  void FindOrigin();
+  void OnOrigin(OriginLookup outcome, const std::string& version);
+  // The first event of the response has arrived.
+  void RecordOrigin();
+  // Whether a server is registered at which the request may run.
+  bool VersionServes() const;
+  bool may_be_resumed() const;
   // Looks up the turn that the request continues, on a stateful route.
   void FindPreviousTurn();
   void OnPreviousTurn(TurnLookup outcome, const conversation::TurnPtr& turn);
@@ -124,8 +134,9 @@
   // Times of the latest send and of its first output.
   base::TimePoint sent_at_{};
   std::optional<base::TimePoint> first_output_;
-  // Software version of the server that sent the first event.
-  std::string first_version_;
+  // Software version of the server that sent the stream's first event, to this
+  // or an earlier attempt; the stream goes on nowhere else.
+  std::optional<std::string> stream_version_;
   // Load that the server reported in its response.
   std::optional<LoadReport> reported_;
   // Limit that the server stated in its response, in requests a second.
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -16,6 +16,7 @@
 #include "vanillalever/forwarding/route_config.h"
 #include "vanillalever/forwarding/server_connection_pool.h"
 #include "vanillalever/forwarding/server_registry.h"
+#include "vanillalever/forwarding/stream_origins.h"
 #include "vanillalever/forwarding/wire_codec.h"
 
 namespace vanillalever::forwarding {
@@ -31,6 +32,7 @@
   ServerConnectionPool& pool;
   BudgetService& budgets;
   ConversationService& conversations;
+  StreamOrigins& origins;
   PeerLink& peers;
   GatewayMetrics& metrics;
   base::Random& random;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -90,6 +90,8 @@
  private:
   void Accept();
   void Tick();
+  // Registers the server. Returns whether anything but its counts has changed.
+  bool PutServer(BackendServer server);
   void CheckDrained();
   void CheckIsolation();
   // Notifies the budget service when provisional grants may have been lost.
@@ -107,6 +109,7 @@
   PeerLink peers_;
   BudgetService budgets_;
   ConversationService conversations_;
+  StreamOrigins origins_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   bool servers_known_ = false;
--- a/packages/forwarding/include/vanillalever/forwarding/placement.h
+++ b/packages/forwarding/include/vanillalever/forwarding/placement.h
@@ -53,6 +53,11 @@
   bool sticky = false;
   // Ids of servers that must not be chosen.
   const std::vector<std::string>& excluded;
+  // Software version that the server must have; null for any.
+  const std::string* software_version = nullptr;
+  // A caller may take the stream up again, so that its server's version must be
+  // known to all gateways.
+  bool resumable = false;
 };
 
 // Result of a placement.
--- a/packages/forwarding/include/vanillalever/forwarding/server_registry.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_registry.h
@@ -14,6 +14,7 @@
 #include "vanillalever/forwarding/backend_server.h"
 #include "vanillalever/forwarding/request_rate_limit.h"
 #include "vanillalever/forwarding/server_load.h"
+#include "vanillalever/forwarding/version_history.h"
 
 namespace vanillalever::forwarding {
 
@@ -22,6 +23,9 @@
   BackendServer server;
   ServerLoad load;
   RequestRateLimit rate_limit;
+  // The shared table names the server's software version among those that
+  // serve; until then callers' streams should not begin there.
+  bool version_stored = false;
   // Set while the row is missing from the store but may return.
   std::optional<base::TimePoint> removal_deadline;
   // Removed from the registry; requests in progress may still hold the slot.
@@ -70,6 +74,11 @@
   // Servers about which this gateway has something to announce to the others:
   // open requests, or a limit that the server states.
   std::vector<ServerSlotPtr> announced(base::TimePoint now) const;
+  // Software versions of the registered servers, by service.
+  std::map<std::string, std::set<std::string>> versions() const;
+  // Sets ServerSlot::version_stored for the servers of a service.
+  void MarkVersionsStored(const std::string& service,
+                          const ServedVersions& stored);
   // See RequestRateLimit::SetReachableShare().
   void SetReachableShare(double share);
   // Ranks this gateway among the live ones for each server that states a limit;
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -74,7 +74,7 @@
   });
   if (service_->engine)
     chain_ = MakePromptChain(profile_.prompt_parts);
-  FindPreviousTurn();
+  FindOrigin();
 }
 
 bool ForwardedRequest::ResolveRoute() {
@@ -138,8 +138,10 @@
   if (done_)
     return;
   auto now = base::TimePoint::clock::now();
-  PlacementRequest request{profile_, chain_, *service_, route_->sticky,
-                           excluded_};
+  PlacementRequest request{
+      profile_,        chain_,    *service_,
+      route_->sticky,  excluded_, stream_version_ ? &*stream_version_ : nullptr,
+      may_be_resumed()};
   Placement placement = context_.placer.Place(
       context_.registry.servers(service_->name), request, now);
   if (!placement.slot || excluded_.size() >= kMaxConsecutiveRefusals)
@@ -310,7 +312,7 @@
   if (relaying_)
     return;
   relaying_ = true;
-  first_version_ = slot_->server.software_version;
+  RecordOrigin();
   sink_->StartStream(status_, response_fields_);
 }
 
--- /dev/null
+++ b/packages/forwarding/src/forwarded_request_resume.cc
@@ -0,0 +1,70 @@
+// The part of a request that concerns streams which callers take up again.
+
+#include <algorithm>
+
+#include "vanillalever/base/logging.h"
+#include "vanillalever/forwarding/forwarded_request.h"
+
+namespace vanillalever::forwarding {
+
+bool ForwardedRequest::may_be_resumed() const {
+  return route_->kind == RequestKind::kStreaming && route_->resumable;
+}
+
+void ForwardedRequest::FindOrigin() {
+  if (!may_be_resumed() || profile_.last_event_id.empty())
+    return FindPreviousTurn();
+  context_.origins.Find(service_->name, profile_.resumed_request, wait_limit(),
+                        [self = shared_from_this()](
+                            OriginLookup outcome, const std::string& version) {
+                          self->OnOrigin(outcome, version);
+                        });
+}
+
+void ForwardedRequest::OnOrigin(OriginLookup outcome,
+                                const std::string& version) {
+  if (done_)
+    return;
+  base::LogEvent(base::LogLevel::kInfo, "origin_lookup",
+                 {{"request", profile_.request_id},
+                  {"resumes", profile_.resumed_request},
+                  {"outcome", std::string(kOriginLookupNames.name(outcome))},
+                  {"version", version}});
+  switch (outcome) {
+    case OriginLookup::kKnown:
+      stream_version_ = version;
+      if (!VersionServes())
+        return Refuse("no server of the version that began the stream serves",
+                      kNotResumableRetryAfter);
+      return FindPreviousTurn();
+    case OriginLookup::kUnknown:
+      return Refuse("the version that began the stream is not known",
+                    kNotResumableRetryAfter);
+    case OriginLookup::kUnavailable:
+      return Refuse(
+          "the version that began the stream cannot be read: the store is "
+          "unavailable",
+          kNotReadyRetryAfter);
+  }
+}
+
+void ForwardedRequest::RecordOrigin() {
+  if (!may_be_resumed() || stream_version_)
+    return;
+  stream_version_ = slot_->server.software_version;
+  context_.origins.Record(profile_.request_id,
+                          {service_->name, *stream_version_}, deadline_);
+}
+
+bool ForwardedRequest::VersionServes() const {
+  if (!stream_version_)
+    return true;
+  const auto& servers = context_.registry.servers(service_->name);
+  return std::any_of(servers.begin(), servers.end(),
+                     [this](const ServerSlotPtr& slot) {
+                       return slot->accepts_requests() &&
+                              slot->server.software_version == *stream_version_;
+                     });
+}
+
+}  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/forwarded_request_wait.cc
+++ b/packages/forwarding/src/forwarded_request_wait.cc
@@ -18,6 +18,9 @@
 }  // namespace
 
 void ForwardedRequest::WaitForServer() {
+  if (!VersionServes())
+    return Refuse("no server of the version that began the stream serves",
+                  kNotResumableRetryAfter);
   auto now = base::TimePoint::clock::now();
   if (now >= wait_limit() && possible_runs_ == 0 && !relaying_) {
     return Refuse(
@@ -68,8 +71,13 @@
   if (placement.rate_wait >= time_left())
     return Fail(502, "the server takes no request before the time limit");
   CountTowardRate(*slot_);
-  WaitThen(placement.rate_wait,
-           [placement](ForwardedRequest& self) { self.Send(placement); });
+  WaitThen(placement.rate_wait, [placement](ForwardedRequest& self) {
+    // A server that has started again may have another version.
+    if (placement.slot->removed)
+      self.Place();
+    else
+      self.Send(placement);
+  });
 }
 
 void ForwardedRequest::CountTowardRate(ServerSlot& slot) {
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -47,6 +47,7 @@
       peers_(io, settings_.peers, table, registry_, random_.Next()),
       budgets_(io, table, peers_, random_.Next(), settings_.budget),
       conversations_(io, table, random_.Next(), settings_.conversations),
+      origins_(io, table, registry_, random_.Next()),
       context_{io,
                codec,
                nullptr,
@@ -55,6 +56,7 @@
                pool_,
                budgets_,
                conversations_,
+               origins_,
                peers_,
                metrics_,
                random_,
@@ -126,9 +128,15 @@
 }
 
 void Gateway::OnServerPut(BackendServer server) {
+  if (PutServer(std::move(server)))
+    origins_.OnServersChanged();
+}
+
+bool Gateway::PutServer(BackendServer server) {
   ServerSlotPtr known = registry_.find(server.id);
   bool changed = !known || known->server.state != server.state ||
                  known->server.address != server.address ||
+                 known->server.software_version != server.software_version ||
                  known->server.started_at_ms != server.started_at_ms;
   if (changed) {
     base::LogEvent(
@@ -144,6 +152,7 @@
       placer_.RemoveServer(server.id);
   }
   registry_.Put(std::move(server));
+  return changed;
 }
 
 void Gateway::OnServerRemoved(const std::string& id, bool may_return) {
@@ -155,6 +164,7 @@
   registry_.Remove(id);
   pool_.CloseIdle(id);
   placer_.RemoveServer(id);
+  origins_.OnServersChanged();
 }
 
 void Gateway::OnServersListed(std::vector<BackendServer> servers) {
@@ -166,9 +176,10 @@
   std::set<std::string> listed;
   for (BackendServer& server : servers) {
     listed.insert(server.id);
-    OnServerPut(std::move(server));
+    PutServer(std::move(server));
   }
   registry_.MarkUnlistedMissing(listed, base::TimePoint::clock::now());
+  origins_.OnServersChanged();
 }
 
 void Gateway::OnPeerPrompt(const ServerSlot& slot, const PromptChain& chain) {
@@ -186,16 +197,21 @@
 
 void Gateway::Tick() {
   auto now = base::TimePoint::clock::now();
-  for (const std::string& id : registry_.RemoveExpired(now)) {
+  std::vector<std::string> expired = registry_.RemoveExpired(now);
+  for (const std::string& id : expired) {
     base::LogEvent(base::LogLevel::kInfo, "server_lapsed", {{"server", id}});
     pool_.CloseIdle(id);
     placer_.RemoveServer(id);
   }
+  if (!expired.empty())
+    origins_.OnServersChanged();
+  origins_.Tick();
   if (now - last_cleanup_ >= kCleanupInterval) {
     last_cleanup_ = now;
     pool_.CloseExpired(now);
     budgets_.Sweep(kBudgetRetention);
     conversations_.Tick();
+    origins_.DeleteExpired();
   }
   peers_.ShareRates();
   CheckIsolation();
--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -18,6 +18,11 @@
 // Wait for a server that is left to other gateways.
 constexpr base::seconds kUnavailableWait{3600};
 
+bool HasVersion(const ServerSlot& slot, const PlacementRequest& request) {
+  return request.software_version == nullptr ||
+         slot.server.software_version == *request.software_version;
+}
+
 // Rendezvous hashing: all gateways choose the same server for a key while the
 // set of servers stays the same.
 const ServerSlot* PreferredServer(const std::vector<ServerSlotPtr>& servers,
@@ -62,7 +67,7 @@
   std::uint64_t ties = 1;
   for (const ServerSlotPtr& slot : servers) {
     const auto& excluded = request.excluded;
-    if (!slot->accepts_requests() ||
+    if (!slot->accepts_requests() || !HasVersion(*slot, request) ||
         std::find(excluded.begin(), excluded.end(), slot->server.id) !=
             excluded.end())
       continue;
@@ -82,7 +87,8 @@
         settings_.rate_wait_factor *
         std::chrono::duration<double, std::milli>(rate_wait).count();
     estimate.total_ms += FailurePenaltyMs(*slot, now);
-    if (slot->load.suspect(now) || slot->load.full(now))
+    bool version_unknown = request.resumable && !slot->version_stored;
+    if (slot->load.suspect(now) || slot->load.full(now) || version_unknown)
       estimate.total_ms += kLastResortPenaltyMs;
     if (best.slot && estimate.total_ms > best_ms + kTieThresholdMs)
       continue;
--- a/packages/forwarding/src/server_registry.cc
+++ b/packages/forwarding/src/server_registry.cc
@@ -12,9 +12,11 @@
 
 void ServerRegistry::Put(BackendServer server) {
   ServerSlotPtr& slot = by_id_[server.id];
-  bool restarted = slot && (slot->server.address != server.address ||
-                            slot->server.service != server.service ||
-                            slot->server.started_at_ms != server.started_at_ms);
+  bool restarted =
+      slot && (slot->server.address != server.address ||
+               slot->server.service != server.service ||
+               slot->server.software_version != server.software_version ||
+               slot->server.started_at_ms != server.started_at_ms);
   if (restarted)
     Erase(server.id);
   ServerSlotPtr& current = by_id_[server.id];
@@ -77,6 +79,19 @@
   return found == by_id_hash_.end() ? nullptr : found->second;
 }
 
+std::map<std::string, std::set<std::string>> ServerRegistry::versions() const {
+  std::map<std::string, std::set<std::string>> versions;
+  for (const auto& [id, slot] : by_id_)
+    versions[slot->server.service].insert(slot->server.software_version);
+  return versions;
+}
+
+void ServerRegistry::MarkVersionsStored(const std::string& service,
+                                        const ServedVersions& stored) {
+  for (const ServerSlotPtr& slot : servers(service))
+    slot->version_stored = stored.contains(slot->server.software_version);
+}
+
 void ServerRegistry::RankGateways(const std::string& own_address,
                                   const std::vector<std::string>& addresses) {
   for (const auto& [id, slot] : by_id_) {
--- /dev/null
+++ b/packages/forwarding/src/stream_origins.cc
@@ -0,0 +1,331 @@
+#include "vanillalever/forwarding/stream_origins.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "vanillalever/base/logging.h"
+
+namespace vanillalever::forwarding {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+
+constexpr const char* kVersionTable = "versions";
+constexpr const char* kStreamTable = "streams";
+// Longer than a caller tries to complete a stream.
+constexpr seconds kRetention{30};
+// A record that another gateway has just begun to write is found by a second
+// read.
+constexpr milliseconds kReadInterval{30};
+constexpr int kMaxReads = 2;
+constexpr std::size_t kMaxIdBytes = 128;
+// Rows deleted by one transaction, and how long fewer expired ones wait.
+constexpr std::size_t kMaxDeletes = 90;
+constexpr seconds kMaxDeleteDelay{60};
+
+std::int64_t NowMs() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+RowName VersionRow(const std::string& service) {
+  return {kVersionTable, "", service};
+}
+
+}  // namespace
+
+StreamOrigins::StreamOrigins(boost::asio::io_context& context,
+                             SharedTable& table,
+                             ServerRegistry& registry,
+                             std::uint64_t seed)
+    : context_(context),
+      table_(table),
+      registry_(registry),
+      writer_(context, table, kStreamTable, seed) {}
+
+void StreamOrigins::OnServersChanged() {
+  std::map<std::string, std::set<std::string>> registered =
+      registry_.versions();
+  for (const auto& [service, state] : services_)
+    registered.try_emplace(service);
+  for (const auto& [service, versions] : registered) {
+    if (services_[service].known)
+      ApplyRegistered(service, versions);
+    else
+      ReadVersions(service);
+  }
+}
+
+void StreamOrigins::ReadVersions(const std::string& service) {
+  ServiceState& state = services_[service];
+  if (std::exchange(state.busy, true))
+    return;
+  table_.Read(VersionRow(service), [this, service](const ReadResult& result) {
+    OnVersionsRead(service, result);
+  });
+}
+
+void StreamOrigins::OnVersionsRead(const std::string& service,
+                                   const ReadResult& result) {
+  ServiceState& state = services_[service];
+  state.busy = false;
+  if (result.outcome != StoreOutcome::kDone)
+    return;
+  state.known = true;
+  if (!result.rows.empty())
+    ApplyStored(service, result.rows.front());
+  auto registered = registry_.versions();
+  ApplyRegistered(service, registered[service]);
+}
+
+void StreamOrigins::ApplyStored(const std::string& service,
+                                const TableRow& row) {
+  ServiceState& state = services_[service];
+  state.row_version = row.version;
+  auto stored = DecodeServedVersions(row.value);
+  if (!stored) {
+    base::LogEvent(base::LogLevel::kWarning, "stream_row_malformed",
+                   {{"table", row.name.table}, {"key", row.name.key}});
+  }
+  state.stored = stored.value_or(ServedVersions());
+  state.history.Merge(state.stored);
+}
+
+void StreamOrigins::ApplyRegistered(const std::string& service,
+                                    const std::set<std::string>& registered) {
+  ServiceState& state = services_[service];
+  bool was_sole = SoleVersion(service).has_value();
+  state.history.Update(registered, NowMs());
+  state.changed = state.history.versions() != state.stored;
+  registry_.MarkVersionsStored(service, state.stored);
+  if (was_sole && !SoleVersion(service))
+    RecordRecent(service);
+  if (state.changed)
+    WriteVersions(service);
+}
+
+void StreamOrigins::WriteVersions(const std::string& service) {
+  ServiceState& state = services_[service];
+  if (std::exchange(state.busy, true))
+    return;
+  state.changed = false;
+  ServedVersions versions = state.history.versions();
+  TableWrite write;
+  write.name = VersionRow(service);
+  write.expected_version = state.row_version;
+  write.value = EncodeServedVersions(versions);
+  table_.Write(std::move(write),
+               [this, service, versions](const WriteResult& result) {
+                 OnVersionsWritten(service, versions, result);
+               });
+}
+
+void StreamOrigins::OnVersionsWritten(const std::string& service,
+                                      const ServedVersions& written,
+                                      const WriteResult& result) {
+  ServiceState& state = services_[service];
+  state.busy = false;
+  switch (result.outcome) {
+    case StoreOutcome::kDone:
+      state.row_version = result.version;
+      state.stored = written;
+      registry_.MarkVersionsStored(service, written);
+      base::LogEvent(
+          base::LogLevel::kInfo, "versions_stored",
+          {{"service", service}, {"versions", std::to_string(written.size())}});
+      if (state.changed)
+        WriteVersions(service);
+      return;
+    case StoreOutcome::kConflict: {
+      state.row_version = 0;
+      state.stored.clear();
+      if (result.current)
+        ApplyStored(service, *result.current);
+      auto registered = registry_.versions();
+      return ApplyRegistered(service, registered[service]);
+    }
+    case StoreOutcome::kNotDone:
+    case StoreOutcome::kUnknown:
+      // Tick() repeats the write.
+      state.changed = true;
+      base::LogEvent(base::LogLevel::kWarning, "versions_write_failed",
+                     {{"service", service}, {"reason", result.reason}});
+      return;
+  }
+}
+
+std::optional<std::string> StreamOrigins::SoleVersion(
+    const std::string& service) const {
+  auto found = services_.find(service);
+  if (found == services_.end() || !found->second.known)
+    return std::nullopt;
+  return found->second.history.sole_version(NowMs());
+}
+
+void StreamOrigins::Record(const std::string& request_id,
+                           StreamOrigin origin,
+                           base::TimePoint give_up) {
+  if (request_id.empty() || request_id.size() > kMaxIdBytes)
+    return;
+  auto [stream, added] = recent_.try_emplace(request_id);
+  if (!added)
+    return;
+  recent_order_.push_back(request_id);
+  bool sole = SoleVersion(origin.service).has_value();
+  stream->second.origin = std::move(origin);
+  stream->second.began_at = base::TimePoint::clock::now();
+  stream->second.give_up = give_up;
+  if (!sole)
+    WriteOrigin(request_id, stream->second);
+}
+
+void StreamOrigins::WriteOrigin(const std::string& request_id,
+                                RecentStream& stream) {
+  stream.recorded = true;
+  writer_.Write(
+      request_id, {EncodeStreamOrigin(stream.origin)}, stream.give_up,
+      [this, request_id](RecordWriter::Outcome outcome) {
+        // A row that an attempt without a response wrote has an unknown
+        // version, and stays.
+        if (outcome.recorded && outcome.version == 0)
+          return;
+        if (!outcome.recorded) {
+          base::LogEvent(base::LogLevel::kWarning, "origin_not_recorded",
+                         {{"request", request_id}});
+          return;
+        }
+        own_records_.push_back({RecordRowName(kStreamTable, request_id, 0),
+                                outcome.version,
+                                base::TimePoint::clock::now() + kRetention});
+      });
+}
+
+void StreamOrigins::RecordRecent(const std::string& service) {
+  auto now = base::TimePoint::clock::now();
+  for (auto& [request_id, stream] : recent_) {
+    if (!stream.recorded && stream.give_up > now &&
+        stream.origin.service == service)
+      WriteOrigin(request_id, stream);
+  }
+}
+
+void StreamOrigins::Find(const std::string& service,
+                         const std::string& request_id,
+                         base::TimePoint give_up,
+                         FindCallback done) {
+  if (auto found = recent_.find(request_id);
+      found != recent_.end() && found->second.origin.service == service)
+    return done(OriginLookup::kKnown, found->second.origin.version);
+  auto lookup = std::make_shared<Lookup>(
+      Lookup{service, request_id, give_up, std::move(done)});
+  if (SoleVersion(service))
+    ConfirmSole(lookup);
+  else
+    ReadOrigin(lookup);
+}
+
+void StreamOrigins::ConfirmSole(const std::shared_ptr<Lookup>& lookup) {
+  table_.Read(
+      VersionRow(lookup->service), [this, lookup](const ReadResult& result) {
+        // While the store is unavailable no server of another version can have
+        // begun to serve.
+        if (result.outcome == StoreOutcome::kDone && !result.rows.empty()) {
+          ApplyStored(lookup->service, result.rows.front());
+          auto registered = registry_.versions();
+          ApplyRegistered(lookup->service, registered[lookup->service]);
+        }
+        if (auto sole = SoleVersion(lookup->service))
+          return lookup->done(OriginLookup::kKnown, *sole);
+        ReadOrigin(lookup);
+      });
+}
+
+void StreamOrigins::ReadOrigin(const std::shared_ptr<Lookup>& lookup) {
+  if (lookup->request_id.empty() || lookup->request_id.size() > kMaxIdBytes)
+    return lookup->done(OriginLookup::kUnknown, "");
+  ++lookup->reads;
+  table_.Read(RecordRowName(kStreamTable, lookup->request_id, 0),
+              [this, lookup](const ReadResult& result) {
+                OnOriginRead(lookup, result);
+              });
+}
+
+void StreamOrigins::OnOriginRead(const std::shared_ptr<Lookup>& lookup,
+                                 const ReadResult& result) {
+  bool responded = result.outcome == StoreOutcome::kDone;
+  if (responded && !result.rows.empty()) {
+    auto origin = DecodeStreamOrigin(result.rows.front().value);
+    if (!origin) {
+      base::LogEvent(base::LogLevel::kWarning, "stream_row_malformed",
+                     {{"table", kStreamTable}, {"key", lookup->request_id}});
+    }
+    if (origin && origin->service == lookup->service)
+      return lookup->done(OriginLookup::kKnown, origin->version);
+    return lookup->done(OriginLookup::kUnknown, "");
+  }
+  if (responded && lookup->reads >= kMaxReads)
+    return lookup->done(OriginLookup::kUnknown, "");
+  if (base::TimePoint::clock::now() + kReadInterval >= lookup->give_up)
+    return lookup->done(
+        responded ? OriginLookup::kUnknown : OriginLookup::kUnavailable, "");
+  auto timer =
+      std::make_shared<boost::asio::steady_timer>(context_, kReadInterval);
+  timer->async_wait([this, lookup, timer](boost::system::error_code error) {
+    if (!error)
+      ReadOrigin(lookup);
+  });
+}
+
+void StreamOrigins::Tick() {
+  auto now = base::TimePoint::clock::now();
+  while (!recent_order_.empty()) {
+    auto oldest = recent_.find(recent_order_.front());
+    if (oldest != recent_.end() && now - oldest->second.began_at < kRetention)
+      break;
+    if (oldest != recent_.end())
+      recent_.erase(oldest);
+    recent_order_.pop_front();
+  }
+  for (auto& [service, state] : services_) {
+    if (!state.known)
+      ReadVersions(service);
+    else if (state.changed)
+      WriteVersions(service);
+  }
+}
+
+void StreamOrigins::DeleteExpired() {
+  auto now = base::TimePoint::clock::now();
+  bool overdue = !own_records_.empty() &&
+                 own_records_.front().expires_at + kMaxDeleteDelay <= now;
+  std::map<std::string, std::vector<TableWrite>> deletes;
+  std::deque<OwnRecord> kept;
+  for (OwnRecord& record : own_records_) {
+    std::vector<TableWrite>& writes = deletes[record.name.partition];
+    if (record.expires_at <= now && writes.size() < kMaxDeletes)
+      writes.push_back({record.name, record.version, std::nullopt});
+    else
+      kept.push_back(record);
+  }
+  bool full = false;
+  for (const auto& [partition, writes] : deletes)
+    full |= writes.size() == kMaxDeletes;
+  if (!overdue && !full)
+    return;
+  own_records_ = std::move(kept);
+  for (auto& [partition, writes] : deletes) {
+    if (writes.empty())
+      continue;
+    table_.Transact(std::move(writes), [](const TransactionResult& result) {
+      if (result.outcome != StoreOutcome::kDone)
+        base::LogEvent(base::LogLevel::kWarning, "origin_delete_failed",
+                       {{"reason", result.reason}});
+    });
+  }
+}
+
+}  // namespace vanillalever::forwarding
