Soak servers of two software versions, stated limits and broken streams

Cause: the soak knew neither versions nor limits, and its callers never took a stream up again. Change: replaced servers have one of two versions, a fault lets a server state a limit, streams are long enough to be hit midway, and callers resume them at any gateway; a stream with events of two versions is a violation.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,8 @@
 """
 import argparse
 import asyncio
+import collections
+import functools
 import pathlib
 import random
 import re
@@ -28,6 +30,8 @@
 EVENT_TOKENS = 5
 MAX_TURN_TOKENS = 40
 BUDGET_TOKENS = 240
+# First word of the events of each software version.
+WORDS = {"v1": "token", "v2": "piece"}
 NOT_EXECUTED_STATUSES = (402, 408, 421, 429, 503)
 
 
@@ -74,6 +78,8 @@
         self.soak, self.number = soak, number
         self.random = random.Random(soak.seed * 1000 + number)
         self.reader = self.writer = None
+        # Events of the response that is being read.
+        self.partial = b""
 
     async def run(self):
         count = 0
@@ -122,13 +128,33 @@
         if disconnects:
             return self.close()
         self.soak.answers[request_id] = status
-        answer = await self.read_body(fields, lambda chunk: self.soak.count_events(program, chunk))
+        count = functools.partial(self.soak.count_events, program)
+        try:
+            answer = await self.read_body(fields, count)
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            if kind == "turn" and b"id: " in self.partial:
+                await self.resume(request_id, headers, body, self.partial, count)
+            raise
         self.soak.check_answer(kind, request_id, status, fields, answer)
         if kind == "chat":
-            self.soak.check_turn(request_id, previous, body, status)
+            self.soak.check_turn(request_id, previous, body, status, answer)
         if fields.get("connection") == "close":
             self.close()
 
+    async def resume(self, first_id, headers, body, text, count):
+        """Takes a broken stream up again, at any gateway."""
+        self.close()
+        await self.connect()
+        events = text[:text.rindex(b"\n\n") + 2]
+        headers = dict(headers, **{"Request-Id": "e" + first_id, "Resumes": first_id,
+                                   "Last-Event-Id": re.findall(rb"id: (\d+)", events)[-1].decode()})
+        head = f"POST /turn/{first_id} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in headers.items())
+        self.writer.write(head.encode() + b"\r\n" + body)
+        status, fields = await self.read_head()
+        answer = await self.read_body(fields, count)
+        self.soak.resumed[status] += 1
+        self.soak.check_answer("turn", first_id, status, fields, events + answer)
+
     async def read_head(self):
         lines = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
         fields = dict(line.lower().split(": ", 1) for line in lines[1:] if ": " in line)
@@ -137,11 +163,12 @@
     async def read_body(self, fields, on_chunk):
         if fields.get("transfer-encoding") != "chunked":
             return await self.reader.readexactly(int(fields.get("content-length", 0)))
-        body = b""
+        body = self.partial = b""
         while size := int(await self.reader.readline(), 16):
             chunk = await self.reader.readexactly(size + 2)
             on_chunk(chunk[:-2])
             body += chunk[:-2]
+            self.partial = body
         await self.reader.readline()
         return body
 
@@ -159,6 +186,8 @@
         self.gateways, self.proxies, self.servers = [], [], []
         self.store_proxies = []
         self.ended_gateways = []
+        # Streams taken up again, by status.
+        self.resumed = collections.Counter()
 
     def add_violation(self, text):
         self.violations.append(text)
@@ -174,13 +203,16 @@
             ids = [int(number) for number in re.findall(rb"id: (\d+)", body)]
             if ids != list(range(1, 7)):
                 self.add_violation(f"{request_id}: complete stream with event ids {ids}")
+            words = set(re.findall(rb"data: (\w+)", body))
+            if len(words) != 1:
+                self.add_violation(f"{request_id}: events of several software versions: {words}")
 
     def choose_turn(self):
         """A complete turn to continue; none for a new conversation."""
         recent = list(self.histories)[-60:]
         return self.random.choice(recent) if recent and self.random.random() < 0.85 else None
 
-    def check_turn(self, request_id, previous, text, status):
+    def check_turn(self, request_id, previous, text, status, answer):
         if status == 404:
             self.add_violation(f"{request_id}: 404 for the complete turn {previous}")
         if status != 200:
@@ -191,7 +223,8 @@
             self.add_violation(f"{request_id}: the server received {[len(body) for body in received]} bytes instead of "
                                f"the {len(prompt)} of the conversation after {previous}")
         if len(prompt) < 120000:
-            self.histories[request_id] = prompt + b"".join(b"token %d\n" % number for number in range(1, 7))
+            output = b"".join(data + b"\n" for data in re.findall(rb"data: (.*)", answer))
+            self.histories[request_id] = prompt + output
 
     async def check_conversations(self):
         """Checks that a sample of all complete turns can be continued."""
@@ -204,10 +237,10 @@
             caller.writer.write(f"POST /chat/c HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {request_id}\r\n"
                                 f"Previous-Turn: {previous}\r\nContent-Length: 3\r\n\r\nend".encode())
             status, fields = await caller.read_head()
-            await caller.read_body(fields, lambda chunk: None)
+            answer = await caller.read_body(fields, lambda chunk: None)
             if status != 200:
                 self.add_violation(f"{request_id}: the complete turn {previous} was answered {status}")
-            self.check_turn(request_id, previous, b"end", status)
+            self.check_turn(request_id, previous, b"end", status, answer)
         caller.close()
 
     def count_events(self, program, chunk):
@@ -229,8 +262,11 @@
             if self.answers.get(request_id) in NOT_EXECUTED_STATUSES and kind in ("pay", "once", "chat"):
                 self.add_violation(f"{request_id}: answered {self.answers[request_id]} but executed at {servers}")
 
-    async def add_server(self, kind, service):
+    async def add_server(self, kind, service, version="v1"):
         server = await kind(f"{service[0]}-{len(self.servers)}", service).start()
+        server.version, server.word = version, WORDS[version]
+        # Long enough for faults to hit streams midway.
+        server.gap_s = self.random.uniform(0.01, 0.08)
         proxy = await Proxy(server.port).start()
         server.proxy = proxy
         self.servers.append(server)
@@ -256,7 +292,7 @@
         index = self.random.randrange(len(self.gateways))
         gateway, duration_s = self.gateways[index], self.random.uniform(0.2, 2.5)
         choice = self.random.choice(("stop", "pause", "kill", "store", "store", "proxy", "proxy", "store_proxy", "store_proxy",
-                                     "replace", "plan", "compact", "config", "kill_all"))
+                                     "replace", "replace", "plan", "compact", "config", "kill_all", "limit"))
         if choice == "pause":
             gateway.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(duration_s)
@@ -290,10 +326,15 @@
             await self.replace_server(duration_s)
         elif choice == "plan":
             server, path = self.random.choice(self.servers), self.random.choice((
-                "drop", "half", "stray", "garbage", "shed", "endless-head", "endless-chunk-header", "endless-body"))
+                "drop", "half", "stray", "garbage", "shed", "break", "endless-head", "endless-chunk-header", "endless-body"))
             server.default = path
             await asyncio.sleep(duration_s)
             server.default = "ok"
+        elif choice == "limit":
+            server = self.random.choice(self.servers)
+            server.limit = self.random.choice((0, 0.5, 4, 20))
+            await asyncio.sleep(duration_s)
+            server.limit = None
         elif choice == "compact":
             self.platform.store.compact()
         elif choice == "config":
@@ -302,7 +343,7 @@
     async def replace_server(self, duration_s):
         old = self.random.choice([server for server in self.servers if not getattr(server, "gone", False)])
         old.gone = True
-        await self.add_server(type(old), old.service)
+        await self.add_server(type(old), old.service, self.random.choice(list(WORDS)))
         self.platform.store.put("servers", old.identity, self.registration(old, "draining"))
         await asyncio.sleep(duration_s)
         self.platform.store.put("servers", old.identity, None)
@@ -361,7 +402,7 @@
         served = sum(1 for status in self.answers.values() if status == 200)
         print(f"seed={self.seed} sent={self.sent} answered={len(self.answers)} served={served} "
               f"turns={len(self.histories)} "
-              f"broken={len(self.violations)}", flush=True)
+              f"resumed={dict(self.resumed)} broken={len(self.violations)}", flush=True)
         for text in self.violations[:5]:
             print("  " + text)
         return not self.violations
