Test that a late second copy of a response reaches nobody

Cause: reported by operators of similar systems; not shown by a test here. Change: a stand-in server that sends each response twice.

--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -249,6 +249,18 @@
         response = Caller(self.start()).send("POST", "/pay/6", b"x")
         self.assertEqual((response.status, "ran /pay/6" in response.text), (200, True))
 
+    def test_late_second_copy_of_a_response_reaches_nobody(self):
+        caller = Caller(self.start())
+        self.plan("/pay/t0", "twice")
+        for number in range(6):
+            path = f"/pay/t{number}"
+            for server in self.tools:
+                server.plan[path] = "twice"
+            response = caller.send("POST", path, b"x")
+            self.assertEqual((response.status, response.text.endswith(f"ran {path}")), (200, True))
+            # The copy arrives on the idle connection, or after the next request.
+            time.sleep(0.02 * (number % 4))
+
     def test_success_without_proof_of_origin_is_never_forwarded(self):
         caller = Caller(self.start())
         self.plan("/pay/p", "unproven")
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -265,6 +265,14 @@
             other = dict(self.headers(request), **{"Request-Id": "another"})
             writer.write(response(200, other, b"stray") + response_bytes)
             return True
+        if behaviour == "twice":
+            # A second copy of the response, after the caller may have sent another request.
+            writer.write(response_bytes)
+            await writer.drain()
+            self.plan[request.path] = "ok"
+            await asyncio.sleep(0.05)
+            writer.write(response_bytes)
+            return True
         if behaviour == "garbage":
             writer.write(b"\x00\x01 not http\r\n\r\n")
             await writer.drain()
