Explain the new members of a request, and set what placement gets by name

Cause: found in reading the change as a newcomer. Change: comments and one initializer; behaviour is unchanged.

--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -75,8 +75,11 @@
   // Sends the request at once, or when its server takes it by the rate that the
   // server states, or refuses it.
   void SendWhenTaken(const Placement& placement);
+  // Sends the request again to the server that may have run it, after a delay.
   void RetrySameServer();
+  // A request to the server counts toward the rate that the server states.
   void CountTowardRate(ServerSlot& slot);
+  // Runs `action` after the delay, unless the request has ended by then.
   void WaitThen(base::Duration delay,
                 std::function<void(ForwardedRequest&)> action);
   void Send(const Placement& placement);
@@ -92,6 +95,7 @@
   void OnSendFailed(SendFailure failure, const std::string& reason);
   void OnTimeout();
 
+  // Records what the server's response says about its request rate.
   void RecordStatedLimit(int status, const ResponseMetadata& metadata);
   // Records in the server's load whether the current send failed.
   void RecordOutcome(bool failed);
--- a/packages/forwarding/include/vanillalever/forwarding/stream_origins.h
+++ b/packages/forwarding/include/vanillalever/forwarding/stream_origins.h
@@ -49,6 +49,7 @@
   using FindCallback =
       std::function<void(OriginLookup, const std::string& version)>;
 
+  // `peers` tell whether any gateway reaches the store.
   StreamOrigins(boost::asio::io_context& context,
                 SharedTable& table,
                 ServerRegistry& registry,
@@ -74,7 +75,7 @@
   void DeleteExpired();
 
  private:
-  // Versions of one service, and its row in the shared table.
+  // Versions that serve one service, and their row in the shared table.
   struct ServiceState {
     VersionHistory history;
     // Value of the row, as last read or written.
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -138,10 +138,11 @@
   if (done_)
     return;
   auto now = base::TimePoint::clock::now();
-  PlacementRequest request{
-      profile_,        chain_,    *service_,
-      route_->sticky,  excluded_, stream_version_ ? &*stream_version_ : nullptr,
-      may_be_resumed()};
+  PlacementRequest request{profile_, chain_, *service_, route_->sticky,
+                           excluded_};
+  if (stream_version_)
+    request.software_version = &*stream_version_;
+  request.resumable = may_be_resumed();
   Placement placement = context_.placer.Place(
       context_.registry.servers(service_->name), request, now);
   if (!placement.slot || excluded_.size() >= kMaxConsecutiveRefusals)
