Write the origins of streams without crowding out other calls to the store

Callers of a grown deployment were refused: the budgets of their programs could not be reserved. Cause: while several versions serve, each stream was a transaction of its own, and one that the store refused for its rate was repeated within 15 to 150 ms, so that the refusals kept the store busy. Change: the origins that gather in an interval, which grows with the number of gateways, share one transaction; a refused one is not repeated and delays the next by 1 s.

--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -101,6 +101,8 @@
   void Unregister();
 
   PreviousExit previous_exit() const { return previous_exit_; }
+  // Number of other live gateways.
+  std::size_t live() const { return directory_.live(); }
   // Updates how the gateways share the rates that servers state.
   void ShareRates();
   // Whether this gateway may be partitioned; see PeerDirectory::InMinority().
--- a/packages/forwarding/include/vanillalever/forwarding/stream_origins.h
+++ b/packages/forwarding/include/vanillalever/forwarding/stream_origins.h
@@ -13,10 +13,10 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "vanillalever/base/name_table.h"
 #include "vanillalever/forwarding/budget_peers.h"
-#include "vanillalever/forwarding/record_writer.h"
 #include "vanillalever/forwarding/server_registry.h"
 #include "vanillalever/forwarding/shared_table.h"
 #include "vanillalever/forwarding/stream_record.h"
@@ -53,8 +53,11 @@
   StreamOrigins(boost::asio::io_context& context,
                 SharedTable& table,
                 ServerRegistry& registry,
-                const BudgetPeers& peers,
-                std::uint64_t seed);
+                const BudgetPeers& peers);
+
+  // Number of live gateways, this one included: together they leave most of the
+  // store's rate to other calls.
+  void SetLiveGateways(std::size_t count) { live_gateways_ = count; }
 
   // The registered servers have changed, or were listed for the first time.
   void OnServersChanged();
@@ -120,6 +123,11 @@
                        const std::set<std::string>& registered);
   std::optional<std::string> SoleVersion(const std::string& service) const;
   void WriteOrigin(const std::string& request_id, RecentStream& stream);
+  void ScheduleWrite();
+  // Writes the origins that have gathered in one transaction.
+  void WriteOrigins();
+  void OnOriginsWritten(const std::vector<std::string>& request_ids,
+                        const TransactionResult& result);
   // Records the streams that began while one version served.
   void RecordRecent(const std::string& service);
   // Reads which versions serve, as another gateway may have seen a new one
@@ -134,7 +142,13 @@
   SharedTable& table_;
   ServerRegistry& registry_;
   const BudgetPeers& peers_;
-  RecordWriter writer_;
+  boost::asio::steady_timer write_timer_;
+  std::size_t live_gateways_ = 1;
+  // Attempts whose origins the next transaction writes.
+  std::vector<std::string> unwritten_;
+  bool write_scheduled_ = false;
+  // The store refused the last transaction, or did not respond.
+  bool store_overloaded_ = false;
   std::map<std::string, ServiceState> services_;
   // Streams that began at this gateway, by the caller's attempt.
   std::unordered_map<std::string, RecentStream> recent_;
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -47,7 +47,7 @@
       peers_(io, settings_.peers, table, registry_, random_.Next()),
       budgets_(io, table, peers_, random_.Next(), settings_.budget),
       conversations_(io, table, random_.Next(), settings_.conversations),
-      origins_(io, table, registry_, peers_, random_.Next()),
+      origins_(io, table, registry_, peers_),
       context_{io,
                codec,
                nullptr,
@@ -214,6 +214,7 @@
     origins_.DeleteExpired();
   }
   peers_.ShareRates();
+  origins_.SetLiveGateways(peers_.live() + 1);
   CheckIsolation();
   CheckProvisionalGrants();
   budgets_.CommitAndRelease();
--- a/packages/forwarding/src/stream_origins.cc
+++ b/packages/forwarding/src/stream_origins.cc
@@ -1,5 +1,6 @@
 #include "vanillalever/forwarding/stream_origins.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -25,8 +26,15 @@
 // begun to serve; a store that is silent for this long counts as such.
 constexpr milliseconds kConfirmTimeout{300};
 constexpr std::size_t kMaxIdBytes = 128;
-// Rows deleted by one transaction, and how long fewer expired ones wait.
-constexpr std::size_t kMaxDeletes = 90;
+// Interval between the transactions of a gateway, for each live gateway: a
+// partition of the store takes 200 transactions a second.
+constexpr milliseconds kWriteInterval{7};
+// The same after the store refused one.
+constexpr milliseconds kOverloadDelay{1000};
+// Rows of one transaction; the store's limit is 100 entries, of which a
+// conditional write needs two.
+constexpr std::size_t kMaxRows = 48;
+// How long fewer expired rows than a transaction takes wait to be deleted.
 constexpr seconds kMaxDeleteDelay{60};
 
 std::int64_t NowMs() {
@@ -35,6 +43,10 @@
       .count();
 }
 
+RowName StreamRow(const std::string& request_id) {
+  return {kStreamTable, kStreamTable, request_id};
+}
+
 RowName VersionRow(const std::string& service) {
   return {kVersionTable, "", service};
 }
@@ -44,13 +56,12 @@
 StreamOrigins::StreamOrigins(boost::asio::io_context& context,
                              SharedTable& table,
                              ServerRegistry& registry,
-                             const BudgetPeers& peers,
-                             std::uint64_t seed)
+                             const BudgetPeers& peers)
     : context_(context),
       table_(table),
       registry_(registry),
       peers_(peers),
-      writer_(context, table, kStreamTable, seed) {}
+      write_timer_(context) {}
 
 void StreamOrigins::OnServersChanged() {
   std::map<std::string, std::set<std::string>> registered =
@@ -191,22 +202,77 @@
 void StreamOrigins::WriteOrigin(const std::string& request_id,
                                 RecentStream& stream) {
   stream.recorded = true;
-  writer_.Write(
-      request_id, {EncodeStreamOrigin(stream.origin)}, stream.give_up,
-      [this, request_id](RecordWriter::Outcome outcome) {
-        // A row that an attempt without a response wrote has an unknown
-        // version, and stays.
-        if (outcome.recorded && outcome.version == 0)
-          return;
-        if (!outcome.recorded) {
-          base::LogEvent(base::LogLevel::kWarning, "origin_not_recorded",
-                         {{"request", request_id}});
-          return;
-        }
-        own_records_.push_back({RecordRowName(kStreamTable, request_id, 0),
-                                outcome.version,
-                                base::TimePoint::clock::now() + kRetention});
-      });
+  unwritten_.push_back(request_id);
+  ScheduleWrite();
+}
+
+void StreamOrigins::ScheduleWrite() {
+  if (unwritten_.empty() || std::exchange(write_scheduled_, true))
+    return;
+  base::Duration delay =
+      kWriteInterval * static_cast<std::int64_t>(live_gateways_);
+  if (store_overloaded_)
+    delay = std::max<base::Duration>(delay, kOverloadDelay);
+  write_timer_.expires_after(delay);
+  write_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error)
+      WriteOrigins();
+  });
+}
+
+void StreamOrigins::WriteOrigins() {
+  auto now = base::TimePoint::clock::now();
+  std::vector<std::string> request_ids;
+  std::vector<TableWrite> writes;
+  // The newest streams last longest.
+  while (!unwritten_.empty() && writes.size() < kMaxRows) {
+    std::string request_id = std::move(unwritten_.back());
+    unwritten_.pop_back();
+    auto found = recent_.find(request_id);
+    if (found == recent_.end() || found->second.give_up <= now)
+      continue;
+    writes.push_back(
+        {StreamRow(request_id), 0, EncodeStreamOrigin(found->second.origin)});
+    request_ids.push_back(std::move(request_id));
+  }
+  if (writes.empty()) {
+    write_scheduled_ = false;
+    return;
+  }
+  table_.Transact(std::move(writes),
+                  [this, request_ids](const TransactionResult& result) {
+                    OnOriginsWritten(request_ids, result);
+                  });
+}
+
+void StreamOrigins::OnOriginsWritten(
+    const std::vector<std::string>& request_ids,
+    const TransactionResult& result) {
+  write_scheduled_ = false;
+  store_overloaded_ = result.outcome == StoreOutcome::kNotDone ||
+                      result.outcome == StoreOutcome::kUnknown;
+  if (result.outcome == StoreOutcome::kDone) {
+    auto expires_at = base::TimePoint::clock::now() + kRetention;
+    for (const std::string& request_id : request_ids)
+      own_records_.push_back(
+          {StreamRow(request_id), result.version, expires_at});
+  } else if (result.outcome == StoreOutcome::kConflict) {
+    // A caller has used an id twice: the other streams are written without it.
+    std::set<std::string> present;
+    for (const TableRow& row : result.current)
+      present.insert(row.name.key);
+    for (const std::string& request_id : request_ids) {
+      if (!present.contains(request_id))
+        unwritten_.push_back(request_id);
+    }
+  } else {
+    // Not repeated: these calls must not add to the load of the store.
+    base::LogEvent(base::LogLevel::kWarning, "origins_not_recorded",
+                   {{"streams", std::to_string(request_ids.size())},
+                    {"first", request_ids.front()},
+                    {"reason", result.reason}});
+  }
+  ScheduleWrite();
 }
 
 void StreamOrigins::RecordRecent(const std::string& service) {
@@ -265,7 +331,7 @@
   if (lookup->request_id.empty() || lookup->request_id.size() > kMaxIdBytes)
     return lookup->done(OriginLookup::kUnknown, "");
   ++lookup->reads;
-  table_.Read(RecordRowName(kStreamTable, lookup->request_id, 0),
+  table_.Read(StreamRow(lookup->request_id),
               [this, lookup](const ReadResult& result) {
                 OnOriginRead(lookup, result);
               });
@@ -323,14 +389,14 @@
   std::deque<OwnRecord> kept;
   for (OwnRecord& record : own_records_) {
     std::vector<TableWrite>& writes = deletes[record.name.partition];
-    if (record.expires_at <= now && writes.size() < kMaxDeletes)
+    if (record.expires_at <= now && writes.size() < kMaxRows)
       writes.push_back({record.name, record.version, std::nullopt});
     else
       kept.push_back(record);
   }
   bool full = false;
   for (const auto& [partition, writes] : deletes)
-    full |= writes.size() == kMaxDeletes;
+    full |= writes.size() == kMaxRows;
   if (!overdue && !full)
     return;
   own_records_ = std::move(kept);
