Delete expired stream records from the front of their queue

Cause: deletion still grouped records by partition, of which there is one since the origins of an interval share a transaction, and copied the whole queue once a second. Change: the queue is in the order of expiry, so that the first rows are taken; the same transactions are made.

--- a/packages/forwarding/include/vanillalever/forwarding/stream_origins.h
+++ b/packages/forwarding/include/vanillalever/forwarding/stream_origins.h
@@ -97,7 +97,7 @@
     bool recorded = false;
   };
   struct OwnRecord {
-    RowName name;
+    std::string request_id;
     std::uint64_t version = 0;
     base::TimePoint expires_at{};
   };
--- a/packages/forwarding/src/stream_origins.cc
+++ b/packages/forwarding/src/stream_origins.cc
@@ -254,8 +254,7 @@
   if (result.outcome == StoreOutcome::kDone) {
     auto expires_at = base::TimePoint::clock::now() + kRetention;
     for (const std::string& request_id : request_ids)
-      own_records_.push_back(
-          {StreamRow(request_id), result.version, expires_at});
+      own_records_.push_back({request_id, result.version, expires_at});
   } else if (result.outcome == StoreOutcome::kConflict) {
     // A caller has used an id twice: the other streams are written without it.
     std::set<std::string> present;
@@ -383,32 +382,26 @@
 
 void StreamOrigins::DeleteExpired() {
   auto now = base::TimePoint::clock::now();
-  bool overdue = !own_records_.empty() &&
-                 own_records_.front().expires_at + kMaxDeleteDelay <= now;
-  std::map<std::string, std::vector<TableWrite>> deletes;
-  std::deque<OwnRecord> kept;
-  for (OwnRecord& record : own_records_) {
-    std::vector<TableWrite>& writes = deletes[record.name.partition];
-    if (record.expires_at <= now && writes.size() < kMaxRows)
-      writes.push_back({record.name, record.version, std::nullopt});
-    else
-      kept.push_back(record);
+  std::vector<TableWrite> deletes;
+  // Records are in the order of their expiry.
+  for (const OwnRecord& record : own_records_) {
+    if (record.expires_at > now || deletes.size() == kMaxRows)
+      break;
+    deletes.push_back(
+        {StreamRow(record.request_id), record.version, std::nullopt});
   }
-  bool full = false;
-  for (const auto& [partition, writes] : deletes)
-    full |= writes.size() == kMaxRows;
-  if (!overdue && !full)
+  bool overdue = !deletes.empty() &&
+                 own_records_.front().expires_at + kMaxDeleteDelay <= now;
+  if (!overdue && deletes.size() < kMaxRows)
     return;
-  own_records_ = std::move(kept);
-  for (auto& [partition, writes] : deletes) {
-    if (writes.empty())
-      continue;
-    table_.Transact(std::move(writes), [](const TransactionResult& result) {
-      if (result.outcome != StoreOutcome::kDone)
-        base::LogEvent(base::LogLevel::kWarning, "origin_delete_failed",
-                       {{"reason", result.reason}});
-    });
-  }
+  own_records_.erase(
+      own_records_.begin(),
+      own_records_.begin() + static_cast<std::ptrdiff_t>(deletes.size()));
+  table_.Transact(std::move(deletes), [](const TransactionResult& result) {
+    if (result.outcome != StoreOutcome::kDone)
+      base::LogEvent(base::LogLevel::kWarning, "origin_delete_failed",
+                     {{"reason", result.reason}});
+  });
 }
 
 }  // namespace vanillalever::forwarding
