Ask the registry for the versions of one service

Cause: each answer of the store built the versions of all services to use those of one, in four places. Change: ServerRegistry::versions() takes the service; ApplyRegistered() asks it itself.

--- a/packages/forwarding/include/vanillalever/forwarding/server_registry.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_registry.h
@@ -74,8 +74,10 @@
   // Servers about which this gateway has something to announce to the others:
   // open requests, or a limit that the server states.
   std::vector<ServerSlotPtr> announced(base::TimePoint now) const;
-  // Software versions of the registered servers, by service.
-  std::map<std::string, std::set<std::string>> versions() const;
+  // Services that have or had registered servers.
+  std::vector<std::string> services() const;
+  // Software versions of a service's registered servers.
+  std::set<std::string> versions(const std::string& service) const;
   // Sets ServerSlot::version_stored for the servers of a service.
   void MarkVersionsStored(const std::string& service,
                           const ServedVersions& stored);
--- a/packages/forwarding/include/vanillalever/forwarding/stream_origins.h
+++ b/packages/forwarding/include/vanillalever/forwarding/stream_origins.h
@@ -119,8 +119,8 @@
   void OnVersionsWritten(const std::string& service,
                          const ServedVersions& written,
                          const WriteResult& result);
-  void ApplyRegistered(const std::string& service,
-                       const std::set<std::string>& registered);
+  // Compares the stored versions with those of the registered servers.
+  void ApplyRegistered(const std::string& service);
   std::optional<std::string> SoleVersion(const std::string& service) const;
   void WriteOrigin(const std::string& request_id, RecentStream& stream);
   void ScheduleWrite();
--- a/packages/forwarding/src/server_registry.cc
+++ b/packages/forwarding/src/server_registry.cc
@@ -79,10 +79,18 @@
   return found == by_id_hash_.end() ? nullptr : found->second;
 }
 
-std::map<std::string, std::set<std::string>> ServerRegistry::versions() const {
-  std::map<std::string, std::set<std::string>> versions;
-  for (const auto& [id, slot] : by_id_)
-    versions[slot->server.service].insert(slot->server.software_version);
+std::vector<std::string> ServerRegistry::services() const {
+  std::vector<std::string> names;
+  for (const auto& [name, slots] : by_service_)
+    names.push_back(name);
+  return names;
+}
+
+std::set<std::string> ServerRegistry::versions(
+    const std::string& service) const {
+  std::set<std::string> versions;
+  for (const ServerSlotPtr& slot : servers(service))
+    versions.insert(slot->server.software_version);
   return versions;
 }
 
--- a/packages/forwarding/src/stream_origins.cc
+++ b/packages/forwarding/src/stream_origins.cc
@@ -64,13 +64,9 @@
       write_timer_(context) {}
 
 void StreamOrigins::OnServersChanged() {
-  std::map<std::string, std::set<std::string>> registered =
-      registry_.versions();
-  for (const auto& [service, state] : services_)
-    registered.try_emplace(service);
-  for (const auto& [service, versions] : registered) {
+  for (const std::string& service : registry_.services()) {
     if (services_[service].known)
-      ApplyRegistered(service, versions);
+      ApplyRegistered(service);
     else
       ReadVersions(service);
   }
@@ -94,8 +90,7 @@
   state.known = true;
   if (!result.rows.empty())
     ApplyStored(service, result.rows.front());
-  auto registered = registry_.versions();
-  ApplyRegistered(service, registered[service]);
+  ApplyRegistered(service);
 }
 
 void StreamOrigins::ApplyStored(const std::string& service,
@@ -111,11 +106,10 @@
   state.history.Merge(state.stored);
 }
 
-void StreamOrigins::ApplyRegistered(const std::string& service,
-                                    const std::set<std::string>& registered) {
+void StreamOrigins::ApplyRegistered(const std::string& service) {
   ServiceState& state = services_[service];
   bool was_sole = SoleVersion(service).has_value();
-  state.history.Update(registered, NowMs());
+  state.history.Update(registry_.versions(service), NowMs());
   state.changed = state.history.versions() != state.stored;
   registry_.MarkVersionsStored(service, state.stored);
   if (was_sole && !SoleVersion(service))
@@ -156,14 +150,12 @@
       if (state.changed)
         WriteVersions(service);
       return;
-    case StoreOutcome::kConflict: {
+    case StoreOutcome::kConflict:
       state.row_version = 0;
       state.stored.clear();
       if (result.current)
         ApplyStored(service, *result.current);
-      auto registered = registry_.versions();
-      return ApplyRegistered(service, registered[service]);
-    }
+      return ApplyRegistered(service);
     case StoreOutcome::kNotDone:
     case StoreOutcome::kUnknown:
       // Tick() repeats the write.
@@ -305,8 +297,7 @@
       VersionRow(lookup->service), [this, lookup](const ReadResult& result) {
         if (result.outcome == StoreOutcome::kDone && !result.rows.empty()) {
           ApplyStored(lookup->service, result.rows.front());
-          auto registered = registry_.versions();
-          ApplyRegistered(lookup->service, registered[lookup->service]);
+          ApplyRegistered(lookup->service);
         }
         OnSoleConfirmed(lookup);
       });
