--- a/packages/conversation/src/turn_record.cc
+++ b/packages/conversation/src/turn_record.cc
@@ -10,15 +10,13 @@
 
 #include "turn.capnp.h"
 
+#include "vanillalever/protocol/packed_message.h"
+
 namespace vanillalever::conversation {
 namespace {
 
 namespace wire = protocol::turn;
-
-kj::ArrayPtr<const kj::byte> Bytes(std::string_view text) {
-  return kj::arrayPtr(reinterpret_cast<const kj::byte*>(text.data()),
-                      text.size());
-}
+using protocol::Bytes;
 
 std::string ToString(capnp::Data::Reader data) {
   return {reinterpret_cast<const char*>(data.begin()), data.size()};
@@ -49,10 +47,7 @@
     ancestors.set(i, record.ancestors[i]);
   root.setInput(Bytes(record.input));
   root.setOutput(Bytes(record.output));
-  kj::VectorOutputStream stream;
-  capnp::writePackedMessage(stream, message);
-  auto bytes = stream.getArray();
-  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+  return protocol::Pack(message);
 }
 
 std::optional<TurnRecord> DecodeTurnRecord(std::string_view bytes) {
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -16,12 +16,14 @@
 #include "vanillalever/base/logging.h"
 #include "vanillalever/forwarding/rate_limit_log.h"
 #include "vanillalever/http/address.h"
+#include "vanillalever/protocol/packed_message.h"
 
 namespace vanillalever::forwarding {
 namespace {
 
 using boost::asio::ip::udp;
 namespace wire = protocol::peer;
+using protocol::Pack;
 
 constexpr const char* kGatewayTable = "gateways";
 // Servers in one message, so that it fits into one packet.
@@ -54,13 +56,6 @@
   return chain;
 }
 
-std::string Pack(capnp::MessageBuilder& message) {
-  kj::VectorOutputStream stream;
-  capnp::writePackedMessage(stream, message);
-  auto bytes = stream.getArray();
-  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
-}
-
 }  // namespace
 
 PeerLink::PeerLink(boost::asio::io_context& context,
--- a/packages/forwarding/src/stream_record.cc
+++ b/packages/forwarding/src/stream_record.cc
@@ -7,22 +7,14 @@
 
 #include "stream.capnp.h"
 
+#include "vanillalever/protocol/packed_message.h"
+
 namespace vanillalever::forwarding {
 namespace {
 
 namespace wire = protocol::stream;
-
-std::string Pack(capnp::MessageBuilder& message) {
-  kj::VectorOutputStream stream;
-  capnp::writePackedMessage(stream, message);
-  auto bytes = stream.getArray();
-  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
-}
-
-kj::ArrayPtr<const kj::byte> Bytes(std::string_view text) {
-  return kj::arrayPtr(reinterpret_cast<const kj::byte*>(text.data()),
-                      text.size());
-}
+using protocol::Bytes;
+using protocol::Pack;
 
 }  // namespace
 
--- a/packages/forwarding/src/table_codec.cc
+++ b/packages/forwarding/src/table_codec.cc
@@ -9,27 +9,19 @@
 
 #include "table.capnp.h"
 
+#include "vanillalever/protocol/packed_message.h"
+
 namespace vanillalever::forwarding {
 namespace {
 
 namespace wire = protocol::table;
-
-kj::ArrayPtr<const kj::byte> Bytes(std::string_view text) {
-  return kj::arrayPtr(reinterpret_cast<const kj::byte*>(text.data()),
-                      text.size());
-}
+using protocol::Bytes;
+using protocol::Pack;
 
 std::string ToString(capnp::Data::Reader data) {
   return {reinterpret_cast<const char*>(data.begin()), data.size()};
 }
 
-std::string Pack(capnp::MessageBuilder& message) {
-  kj::VectorOutputStream stream;
-  capnp::writePackedMessage(stream, message);
-  auto bytes = stream.getArray();
-  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
-}
-
 void WriteRows(const std::vector<TableRow>& rows,
                capnp::List<wire::Row>::Builder out) {
   for (unsigned i = 0; i < out.size(); ++i) {
