Keep transactions within the entries that the store takes

Turns that ended together during a burst could not be recorded: their responses did not end, although all events had arrived. Cause: a conditional write is two of a transaction's 100 entries, and RecordWriter put up to 90 writes into one; the store refuses such a transaction (status 400), which is repeated as it is. StreamOrigins had mended the same limit for itself only. Change: SharedTable::kMaxWrites is the limit for both; the stand-in store refuses larger transactions, too.

--- a/packages/forwarding/include/vanillalever/forwarding/shared_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/shared_table.h
@@ -1,6 +1,7 @@
 #ifndef VANILLALEVER_FORWARDING_SHARED_TABLE_H_
 #define VANILLALEVER_FORWARDING_SHARED_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -107,8 +108,13 @@
 // callbacks run on the caller's event loop, never inside the call.
 class SharedTable {
  public:
+  // Largest number of writes in one transaction: the store takes 100 entries,
+  // and a conditional write is two.
+  static constexpr std::size_t kMaxWrites = 50;
+
   virtual ~SharedTable() = default;
-  // Applies all writes or none. The rows must be of one partition.
+  // Applies all writes or none. The rows must be of one partition, at most
+  // kMaxWrites of them.
   virtual void Transact(std::vector<TableWrite> writes,
                         std::function<void(TransactionResult)> done) = 0;
   // The rows of a range, in order of their keys.
--- a/packages/forwarding/src/record_writer.cc
+++ b/packages/forwarding/src/record_writer.cc
@@ -16,9 +16,8 @@
 
 // The store writes partitions independently of each other.
 constexpr std::size_t kPartitions = 16;
-// Limits of one transaction; the store's are 100 entries and 1 MB, and values
-// grow by a third in its encoding.
-constexpr std::size_t kMaxRows = 90;
+// Limit of one transaction; the store's is 1 MB, and values grow by a third in
+// its encoding.
 constexpr std::size_t kMaxBytes = 640 << 10;
 // Separates a record's id from the number of a further row.
 constexpr char kRowSeparator = '#';
@@ -95,7 +94,8 @@
     }
     rows += next.rows.size();
     bytes += next.bytes;
-    if (!partition.writing.empty() && (rows > kMaxRows || bytes > kMaxBytes))
+    if (!partition.writing.empty() &&
+        (rows > SharedTable::kMaxWrites || bytes > kMaxBytes))
       break;
     partition.writing.push_back(std::move(next));
     partition.waiting.pop_front();
--- a/packages/forwarding/src/stream_origins.cc
+++ b/packages/forwarding/src/stream_origins.cc
@@ -31,9 +31,6 @@
 constexpr milliseconds kWriteInterval{7};
 // The same after the store refused one.
 constexpr milliseconds kOverloadDelay{1000};
-// Rows of one transaction; the store's limit is 100 entries, of which a
-// conditional write needs two.
-constexpr std::size_t kMaxRows = 48;
 // How long fewer expired rows than a transaction takes wait to be deleted.
 constexpr seconds kMaxDeleteDelay{60};
 
@@ -217,7 +214,7 @@
   std::vector<std::string> request_ids;
   std::vector<TableWrite> writes;
   // The newest streams last longest.
-  while (!unwritten_.empty() && writes.size() < kMaxRows) {
+  while (!unwritten_.empty() && writes.size() < SharedTable::kMaxWrites) {
     std::string request_id = std::move(unwritten_.back());
     unwritten_.pop_back();
     auto found = recent_.find(request_id);
@@ -376,14 +373,14 @@
   std::vector<TableWrite> deletes;
   // Records are in the order of their expiry.
   for (const OwnRecord& record : own_records_) {
-    if (record.expires_at > now || deletes.size() == kMaxRows)
+    if (record.expires_at > now || deletes.size() == SharedTable::kMaxWrites)
       break;
     deletes.push_back(
         {StreamRow(record.request_id), record.version, std::nullopt});
   }
   bool overdue = !deletes.empty() &&
                  own_records_.front().expires_at + kMaxDeleteDelay <= now;
-  if (!overdue && deletes.size() < kMaxRows)
+  if (!overdue && deletes.size() < SharedTable::kMaxWrites)
     return;
   own_records_.erase(
       own_records_.begin(),
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -117,6 +117,8 @@
         return response(status, {"Content-Type": "application/json"}, json.dumps(body).encode())
 
     def transact(self, body):
+        if sum(len(body[entries]) for entries in ("precondition", "puts", "deletes")) > 100:
+            return response(400)
         current = []
         failed = False
         for row in body["precondition"]:
