--- a/packages/forwarding/tests/record_writer_test.cc
+++ b/packages/forwarding/tests/record_writer_test.cc
@@ -22,7 +22,7 @@
   void Transact(std::vector<TableWrite> writes,
                 std::function<void(TransactionResult)> done) override {
     largest = std::max(largest, writes.size());
-    open_.push_back({writes.size(), std::move(done)});
+    open_.emplace_back(writes.size(), std::move(done));
   }
   void ReadRange(TableRange, std::function<void(ReadResult)>) override {}
   void AwaitChanges(std::string,
