Write the check of resumed streams and the refusal of a replaced version once

Cause: three tests had the same loop, two functions the same refusal. Change: assert_go_on() and RefuseReplacedVersion(); assertions and behaviour are unchanged, one test now also checks that its streams are of one version.

--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -62,6 +62,7 @@
   void RecordOrigin();
   // Whether a server is registered at which the request may run.
   bool VersionServes() const;
+  void RefuseReplacedVersion();
   bool may_be_resumed() const;
   // Looks up the turn that the request continues, on a stateful route.
   void FindPreviousTurn();
--- a/packages/forwarding/src/forwarded_request_resume.cc
+++ b/packages/forwarding/src/forwarded_request_resume.cc
@@ -34,8 +34,7 @@
     case OriginLookup::kKnown:
       stream_version_ = version;
       if (!VersionServes())
-        return Refuse("no server of the version that began the stream serves",
-                      kNotResumableRetryAfter);
+        return RefuseReplacedVersion();
       return FindPreviousTurn();
     case OriginLookup::kUnknown:
       return Refuse("the version that began the stream is not known",
@@ -48,6 +47,11 @@
   }
 }
 
+void ForwardedRequest::RefuseReplacedVersion() {
+  Refuse("no server of the version that began the stream serves",
+         kNotResumableRetryAfter);
+}
+
 void ForwardedRequest::RecordOrigin() {
   if (!may_be_resumed() || stream_version_)
     return;
--- a/packages/forwarding/src/forwarded_request_wait.cc
+++ b/packages/forwarding/src/forwarded_request_wait.cc
@@ -19,8 +19,7 @@
 
 void ForwardedRequest::WaitForServer() {
   if (!VersionServes())
-    return Refuse("no server of the version that began the stream serves",
-                  kNotResumableRetryAfter);
+    return RefuseReplacedVersion();
   auto now = base::TimePoint::clock::now();
   if (now >= wait_limit() && possible_runs_ == 0 && !relaying_) {
     return Refuse(
--- a/tests/gateway/version_test.py
+++ b/tests/gateway/version_test.py
@@ -57,6 +57,14 @@
     def assert_whole(self, text):
         self.assertEqual(re.findall(r"id: (\d+)", text), [str(number) for number in range(1, 13)])
 
+    def assert_go_on(self, gateway, begun):
+        """Takes the streams up again and checks that each ends whole, at the version that began it."""
+        for first, text, _ in begun:
+            status, text = self.resume(gateway, first, text)
+            self.assertEqual(status, 200)
+            self.assert_whole(text)
+            self.assertEqual(len(self.versions(text)), 1)
+
     def kill(self, *gateways):
         for gateway in gateways:
             gateway.process.kill()
@@ -94,11 +102,7 @@
         taker, killed = self.start_two()
         begun = [self.begin(killed) for _ in range(8)]
         self.kill(killed)
-        for first, text, _ in begun:
-            status, text = self.resume(taker, first, text)
-            self.assertEqual(status, 200)
-            self.assert_whole(text)
-            self.assertEqual(len(self.versions(text)), 1)
+        self.assert_go_on(taker, begun)
 
     def test_streams_go_on_at_their_versions_after_all_gateways_were_killed(self):
         self.add_version("old")
@@ -107,11 +111,7 @@
         begun = [self.begin(gateways[number % 2]) for number in range(8)]
         self.kill(*gateways)
         gateway = self.start(name="edge-3")
-        for first, text, _ in begun:
-            status, text = self.resume(gateway, first, text)
-            self.assertEqual(status, 200)
-            self.assert_whole(text)
-            self.assertEqual(len(self.versions(text)), 1)
+        self.assert_go_on(gateway, begun)
 
     def test_stream_of_a_replaced_version_is_refused_after_all_gateways_were_killed(self):
         old = self.add_version("old")
@@ -131,10 +131,7 @@
         begun = [self.begin(gateways[number % 2]) for number in range(4)]
         self.kill(*gateways)
         gateway = self.start(name="edge-3")
-        for first, text, _ in begun:
-            status, text = self.resume(gateway, first, text)
-            self.assertEqual(status, 200)
-            self.assert_whole(text)
+        self.assert_go_on(gateway, begun)
 
     def test_stream_goes_on_at_once_while_the_store_is_unavailable(self):
         for server in self.add_version("old", 3):
