--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,116 +1,68 @@
-"""BUDGET: a request that crashes the servers that run it is sent to servers again and again."""
-import asyncio
-import concurrent.futures
+"""BUDGET: during an outage of the store, a gateway grants tokens of a budget that is already spent."""
 import pathlib
 import sys
-import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
-from harness import BROKEN, HELD, TROUBLE, World, run_case, send, standin  # noqa: E402
+from harness import BROKEN, HELD, TROUBLE, CouldNotRun, World, run_case, send, standin, turn_headers  # noqa: E402
 
-SERVERS = 6
-BACK_S = 3.0          # a crashed server is back after some seconds
-CONTACT_S = 3.0       # contactMs
-RETRIES = 3           # the rule: not in more than three retries
-CALLS = 16            # how often the request comes
-GAP_S = 1.0
-PATH = "/read/lot-4711"
-BODY = b'{"lot": 4711}'
-
-
-class Server(standin.Backend):
-    """Crashes when it begins to run the bad request, and is back after some seconds under a new id."""
-
-    world = None
-    crashes = []      # times
-    reached = []      # (time, request id, server)
-    lost = []         # requests of others that were at work on a server that crashed
-    lives = 0
-
-    def __init__(self, identity, service):
-        super().__init__(identity, service)
-        self.open = set()
-        self.work_s = 0.08
-
-    async def handle(self, request, reader, writer):
-        identity = request.headers.get("request-id", "")
-        bad = request.path == PATH and request.headers.get("expect-instance") == self.identity
-        if bad:
-            Server.reached.append((time.monotonic(), identity, self.identity))
-            if TROUBLE:
-                Server.crashes.append(time.monotonic())
-                Server.lost += [other for other in self.open]
-                await self.stop()
-                asyncio.get_running_loop().create_task(self.come_back())
-                return False
-        self.open.add(identity)
-        try:
-            return await super().handle(request, reader, writer)
-        finally:
-            self.open.discard(identity)
-
-    async def come_back(self):
-        """The entry lapses after three missed pings or is replaced by that of the new lifetime."""
-        world = Server.world
-        await asyncio.sleep(BACK_S)
-        Server.lives += 1
-        server = Server(f"t-{Server.lives + SERVERS}", self.service)
-        await server.start()
-        world.platform.servers[server.identity] = server
-        world.store.put("servers", self.identity, None)
-        world.store.put("servers", server.identity, server.entry())
+MOST = 40        # tokens of one turn: 8 events of 5 tokens
+BUDGET = 480     # Token-Budget of a program: 12 turns
+PROGRAMS = [f"q{i:x}c3" for i in range(12)]
+OUTAGE_S = 4.5
+EVENT_TOKENS = 5
 
 
 def main():
-    world = Server.world = World(FOLDER)
+    world = World(FOLDER)
     record = world.record
-    for i in range(SERVERS):
-        world.platform.add(Server, f"t-{i}", "tools")
-    world.configure([
-        {"prefix": "/read/", "kind": "idempotent", "service": "tools", "timeoutMs": 2000, "maxAttempts": 2},
-        {"prefix": "/pay/", "kind": "non_idempotent", "service": "tools", "maxAttempts": 1}])
+    for i in range(3):
+        world.platform.add(standin.Engine, f"m-{i}", "models", events=8, gap_s=0.005)
+    world.configure([{"prefix": "/chat/", "kind": "streaming", "service": "models", "sticky": True, "resumable": True}])
     gateways = [world.gateway(f"edge-{i}") for i in range(1, 4)]
     world.wait_ready()
-    time.sleep(4)
-
-    stop = threading.Event()
-    others = []
+    time.sleep(4)  # the gateways have heard of each other
+    handed = dict.fromkeys(PROGRAMS, 0)
 
-    def pay(number):
-        """Another consumer's requests, which may run once at most."""
-        while not stop.wait(0.05):
-            answer = send(gateways[number % 3].front, "POST", f"/pay/{number}", b"{}")
-            others.append(answer)
+    def turn(program, gateway):
+        answer = send(gateway.front, "POST", "/chat/1", b"x" * 200, turn_headers(program, BUDGET, MOST))
+        tokens = answer.events() * EVENT_TOKENS
+        handed[program] += tokens
+        record(f"turn program={program} request={answer.request_id} gateway={gateway.name} status={answer.status} "
+               f"whole={answer.whole} tokens={tokens} handed={handed[program]}")
+        return answer
 
-    with concurrent.futures.ThreadPoolExecutor(6) as pool:
-        for i in range(6):
-            pool.submit(pay, i)
-        began = time.monotonic()
-        for number in range(CALLS):
-            gateway = gateways[number % 3]
-            answer = send(gateway.front, "POST", PATH, BODY, {"Affinity-Key": "lot-4711"}, deadline_ms=2000)
-            record(f"request={answer.request_id} path={PATH} gateway={gateway.name} status={answer.status} "
-                   f"whole={answer.whole}")
-            time.sleep(max(0, began + (number + 1) * GAP_S - time.monotonic()))
-        stop.set()
-    for at, identity, server in Server.reached:
-        record(f"at {at - record.started:.3f} request={identity} reached server={server}"
-               f"{' which crashed' if TROUBLE else ''}")
-    failed = [answer for answer in others if answer.status != 200]
-    for answer in failed[:40]:
-        record(f"other request={answer.request_id} status={answer.status} "
-               f"was_at_work_in_a_crash={answer.request_id in Server.lost}")
-    late = []
-    if len(Server.crashes) >= 3:
-        bound = Server.crashes[2] + CONTACT_S
-        late = sorted({identity for at, identity, _ in Server.reached if at > bound})
-    record(f"result crashes={len(Server.crashes)} retries_that_reached_servers_later={len(late)} bound={RETRIES} "
-           f"requests_of_others={len(others)} failed={len(failed)} lost_at_work={len(Server.lost)}")
-    print(f"BUDGET: the request reached servers in {len(late)} retries later than contactMs after its third crash "
-          f"(bound {RETRIES}); {len(Server.crashes)} crashes, {len(Server.lost)} requests of others lost at work")
-    return BROKEN if len(late) > RETRIES else HELD
+    for _ in range(BUDGET // MOST):
+        for program in PROGRAMS:
+            if turn(program, gateways[0]).status != 200:
+                raise CouldNotRun("a turn within the budget failed")
+    record("every program has been handed its whole budget")
+    time.sleep(1)
+    began = time.monotonic()
+    if TROUBLE:
+        world.platform.run(setattr, world.store, "mode", "busy")
+        record("store: busy (503) for all")
+    time.sleep(1)
+    # The next turn of each program, and turns of its sub-agents, arrive through other zones.
+    for number in range(4):
+        for program in PROGRAMS:
+            turn(program, gateways[1 + number % 2])
+    time.sleep(max(0, began + OUTAGE_S - time.monotonic()))
+    world.platform.run(setattr, world.store, "mode", "ok")
+    record("store: well")
+    for gateway in gateways:
+        for line in gateway.log_lines("budget_advanced"):
+            record(f"log {gateway.name}: {line}")
+    broken = 0
+    for program in PROGRAMS:
+        over = handed[program] > BUDGET + MOST
+        broken += over
+        record(f"result program={program} handed={handed[program]} budget={BUDGET} bound={BUDGET + MOST} "
+               f"{'BROKEN' if over else 'held'}")
+    print(f"BUDGET: {broken} of {len(PROGRAMS)} programs were handed more than Token-Budget + one turn "
+          f"({BUDGET + MOST}); most: {max(handed.values())}")
+    return BROKEN if broken else HELD
 
 
 run_case(main)
