--- a/review/harness.py
+++ b/review/harness.py
@@ -158,7 +158,7 @@
         self.gateways = []
         atexit.register(self.end)
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: sys.exit(NOT_RUN))
+            signal.signal(number, self.abandon)
 
     @property
     def store(self):
@@ -206,10 +206,14 @@
                 runs.setdefault(run[0], []).append(identity)
         return runs
 
+    def abandon(self, *_):
+        self.end()
+        os._exit(NOT_RUN)
+
     def end(self):
-        for gateway in self.gateways:
+        gateways, self.gateways = self.gateways, []
+        for gateway in gateways:
             gateway.end()
-        self.gateways = []
 
 
 _ids = itertools.count(1)
