--- a/packages/forwarding/include/vanillalever/forwarding/budget_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_service.h
@@ -8,11 +8,10 @@
 #include <set>
 #include <string>
 
-#include <boost/asio/io_context.hpp>
-
 #include "vanillalever/base/name_table.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/budget_peers.h"
+#include "vanillalever/forwarding/loop_timer.h"
 #include "vanillalever/forwarding/reservation_ledger.h"
 #include "vanillalever/forwarding/shared_table.h"
 
@@ -39,7 +38,7 @@
  public:
   using Callback = std::function<void(BudgetOutcome)>;
 
-  BudgetService(boost::asio::io_context& context,
+  BudgetService(LoopTimer& timer,
                 SharedTable& table,
                 BudgetPeers& peers,
                 std::uint64_t seed,
@@ -172,7 +171,7 @@
                 std::function<void()> action);
   void RecordStoreCall(base::TimePoint started, bool done);
 
-  boost::asio::io_context& context_;
+  LoopTimer& timer_;
   SharedTable& table_;
   BudgetPeers& peers_;
   ReservationLedger ledger_;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -107,6 +107,7 @@
   Placer placer_;
   ServerConnectionPool pool_;
   PeerLink peers_;
+  AsioLoopTimer loop_timer_;
   BudgetService budgets_;
   ConversationService conversations_;
   StreamOrigins origins_;
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -1,12 +1,9 @@
 #include "vanillalever/forwarding/budget_service.h"
 
 #include <charconv>
-#include <memory>
 #include <utility>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "vanillalever/base/hash.h"
 #include "vanillalever/base/logging.h"
 
@@ -63,12 +60,12 @@
 
 }  // namespace
 
-BudgetService::BudgetService(boost::asio::io_context& context,
+BudgetService::BudgetService(LoopTimer& timer,
                              SharedTable& table,
                              BudgetPeers& peers,
                              std::uint64_t seed,
                              BudgetSettings settings)
-    : context_(context),
+    : timer_(timer),
       table_(table),
       peers_(peers),
       ledger_(settings),
@@ -76,11 +73,11 @@
       next_request_id_(random_.Next()) {}
 
 bool BudgetService::store_suspect() const {
-  return base::TimePoint::clock::now() < suspect_until_;
+  return timer_.now() < suspect_until_;
 }
 
 void BudgetService::RecordStoreCall(base::TimePoint started, bool done) {
-  auto now = base::TimePoint::clock::now();
+  auto now = timer_.now();
   bool suspect = !done || now - started > kStoreTimeout;
   if (suspect != store_suspect()) {
     base::LogEvent(
@@ -130,7 +127,7 @@
 bool BudgetService::CompleteWaiters(const std::string& program) {
   while (!pending_[program].waiters.empty()) {
     Waiter& next = pending_[program].waiters.front();
-    auto now = base::TimePoint::clock::now();
+    auto now = timer_.now();
     BudgetVerdict verdict =
         ledger_.Begin(program, next.budget, next.max_tokens, now);
     if (verdict == BudgetVerdict::kNeedsReservation)
@@ -168,8 +165,7 @@
 
 bool BudgetService::NeedsCoordinator(const Waiter& waiter,
                                      const BudgetReservation& next) const {
-  return !waiter.for_peer &&
-         base::TimePoint::clock::now() < grants_possible_until_ &&
+  return !waiter.for_peer && timer_.now() < grants_possible_until_ &&
          next.reserved > ledger_.OrdinaryShare(waiter.budget);
 }
 
@@ -181,7 +177,7 @@
 }
 
 bool BudgetService::StartReclaim(const std::string& program) {
-  auto now = base::TimePoint::clock::now();
+  auto now = timer_.now();
   Reclaim& reclaim = reclaims_[program];
   auto replies_due = reclaim.started + kPeerTimeout;
   if (now >= replies_due) {
@@ -203,8 +199,7 @@
 void BudgetService::OnReclaimRequest(
     const ReclaimRequest& request,
     std::function<void(const TokenTransfer&)> reply) {
-  ledger_.UpdateReserved(request.program, request.reserved,
-                         base::TimePoint::clock::now());
+  ledger_.UpdateReserved(request.program, request.reserved, timer_.now());
   if (pending_.contains(request.program))
     return;
   TokenTransfer transfer;
@@ -221,11 +216,9 @@
                              std::function<void()> action) {
   std::uint64_t use = random_.Next();
   pending_[program].timer = use;
-  auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
-  timer->async_wait([this, program, use, timer, action = std::move(action)](
-                        boost::system::error_code error) {
+  timer_.RunAfter(delay, [this, program, use, action = std::move(action)] {
     auto found = pending_.find(program);
-    if (!error && found != pending_.end() && found->second.timer == use &&
+    if (found != pending_.end() && found->second.timer == use &&
         !found->second.waiters.empty())
       action();
   });
@@ -316,7 +309,7 @@
   write.name = RowNameFor(program);
   write.expected_version = next.expected_version;
   write.value = EncodeRow(next.reserved, writer);
-  auto started = base::TimePoint::clock::now();
+  auto started = timer_.now();
   table_.Write(std::move(write), [this, program, next, writer,
                                   started](const WriteResult& result) {
     RecordStoreCall(started, result.outcome == StoreOutcome::kDone ||
@@ -383,8 +376,7 @@
 void BudgetService::OnTokenRequest(
     const TokenRequest& request,
     std::function<void(const TokenTransfer&)> reply) {
-  ledger_.UpdateReserved(request.program, request.reserved,
-                         base::TimePoint::clock::now());
+  ledger_.UpdateReserved(request.program, request.reserved, timer_.now());
   auto on_outcome = [this, request,
                      reply = std::move(reply)](BudgetOutcome outcome) {
     TokenTransfer transfer;
@@ -405,8 +397,7 @@
 }
 
 void BudgetService::OnTokenTransfer(const TokenTransfer& transfer) {
-  ledger_.UpdateReserved(transfer.program, transfer.reserved,
-                         base::TimePoint::clock::now());
+  ledger_.UpdateReserved(transfer.program, transfer.reserved, timer_.now());
   auto reclaim = reclaims_.find(transfer.program);
   if (reclaim != reclaims_.end() && reclaim->second.id == transfer.request)
     return OnReclaimed(reclaim->second, transfer);
@@ -451,7 +442,7 @@
 }
 
 void BudgetService::OnProvisionalGrantsLost(base::Duration duration) {
-  auto until = base::TimePoint::clock::now() + duration;
+  auto until = timer_.now() + duration;
   if (until <= grants_lost_until_)
     return;
   grants_lost_until_ = until;
@@ -459,7 +450,7 @@
 }
 
 void BudgetService::CommitAndRelease() {
-  auto now = base::TimePoint::clock::now();
+  auto now = timer_.now();
   if (now >= grants_lost_until_)
     ledger_.SetProvisionalGrantsLost(false);
   if (!peers_.reaches_store())
@@ -480,7 +471,7 @@
 }
 
 void BudgetService::Sweep(base::Duration retention) {
-  auto now = base::TimePoint::clock::now();
+  auto now = timer_.now();
   std::erase_if(reclaims_, [now](const auto& item) {
     return now - item.second.started > kReclaimReplyWindow;
   });
--- a/packages/forwarding/tests/budget_service_test.cc
+++ b/packages/forwarding/tests/budget_service_test.cc
@@ -56,7 +56,8 @@
   boost::asio::io_context io;
   SilentTable table;
   TestPeers peers;
-  BudgetService service{io, table, peers, 1};
+  AsioLoopTimer timer{io};
+  BudgetService service{timer, table, peers, 1};
 
   // Outcome of a turn; nothing while it waits.
   std::optional<BudgetOutcome> Begin(std::int64_t budget, std::int64_t tokens) {
