Grant tokens out of shares that the row, a gateway or all gateways vouch for

Cause: a gateway took a program that it did not know for one without tokens granted, and a coordinator's grants ended with it. Tokens of a write without a response were credited to no gateway. Change: the row keeps the share of each gateway run (BudgetRow), so that the next row tells what became of a lost or late write. A run grants out of its share only; the first reservation of a program fills shares of two more gateways, which transfer them by datagram. Without the store a program is claimed only if every gateway in use is live and says that it knows nothing of it; all of them remember the claim. A run lists the programs with rows at its start and after the loss of another one. 402 is answered only after the other gateways were asked and the row was read; else 503. A turn waits for the store up to the limit for servers (35 % of its time). The coordinator, its request message and the margin after losses are gone. Tests that gave grants a coordinator now check claims, with the same limits.

--- a/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
@@ -4,65 +4,89 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
+
+#include "vanillalever/base/clock.h"
+#include "vanillalever/forwarding/budget_row.h"
 
 namespace vanillalever::forwarding {
 
-// Request for tokens of a program, from a gateway that cannot reserve them in
-// the store.
-struct TokenRequest {
-  // Chosen by the sender; the reply carries it.
-  std::uint64_t id = 0;
-  std::string program;
-  std::int64_t budget = 0;
-  // Tokens requested.
-  std::int64_t tokens = 0;
-  // Total tokens reserved, as far as the sender knows.
-  std::int64_t reserved = 0;
-  // Part of `reserved` that was granted provisionally and not yet committed,
-  // by the last message the sender received.
-  std::int64_t provisional = 0;
+// How the previous gateway process at this address ended.
+enum class PreviousExit {
+  kUnknown,  // the store has not responded yet
+  kClean,    // there was none, or it stopped gracefully
+  kFailure,  // it was killed or lost power
+};
+
+// What a gateway knows of a program's budget; goes with every message.
+struct BudgetKnowledge {
+  // Version zero if the sender has not seen the row.
+  BudgetRow row;
+  // Claims that the sender does not know to be in the row.
+  std::vector<BudgetShare> claims;
+
+  bool known() const { return row.version > 0 || !claims.empty(); }
 };
 
-// Request to release the tokens of a program that the receiver has reserved and
+// Request for tokens of a program that the receiver's share covers and that it
 // does not use.
 struct ReclaimRequest {
   // Chosen by the sender; the replies carry it.
   std::uint64_t id = 0;
+  // Run of the sender; set by the receiver.
+  RunId sender = 0;
   std::string program;
-  // Total tokens reserved, as far as the sender knows.
-  std::int64_t reserved = 0;
+  // Most tokens that one receiver is to transfer.
+  std::int64_t tokens = 0;
+  // Without the store: tokens that the sender will grant unless a receiver
+  // knows the program; zero if it claims none.
+  std::int64_t claim = 0;
+  BudgetKnowledge knowledge;
 };
 
-// Reply to a TokenRequest or a ReclaimRequest.
+// Reply to a ReclaimRequest, or tokens that a stopping gateway hands over.
 struct TokenTransfer {
-  // Id of the request.
+  // Id of the request; zero for tokens that are handed over.
   std::uint64_t request = 0;
-  // Gateway that transfers the tokens; set by the receiver.
-  std::uint64_t sender = 0;
+  // Run that transfers the tokens; set by the receiver.
+  RunId sender = 0;
   std::string program;
-  // Tokens transferred; zero if the budget is too small for the request.
   std::int64_t tokens = 0;
-  // Total tokens reserved, as far as the sender knows.
-  std::int64_t reserved = 0;
-  // Part of `reserved` that is granted provisionally and not yet committed.
-  std::int64_t provisional = 0;
+  // The receiver of a claim knew nothing of the program, and remembers the
+  // claim.
+  bool claim_accepted = false;
+  BudgetKnowledge knowledge;
 };
 
-// Gateway that grants a program's tokens while the store is unavailable.
-enum class BudgetCoordinator {
-  kPeer,   // another gateway; the request has been sent to it
-  kLocal,  // this gateway
-  kNone,   // none: too few peers are reachable, this gateway may be partitioned
+// The row of a program was written.
+struct RowNotice {
+  std::string program;
+  BudgetRow row;
 };
 
 // Sends budget messages to the other gateways. Messages may be lost.
 class BudgetPeers {
  public:
   virtual ~BudgetPeers() = default;
-  // Sends the request to the program's coordinator unless that is this gateway.
-  virtual BudgetCoordinator RequestTokens(const TokenRequest& request) = 0;
-  // Sends the request to all other gateways. Returns whether there are any.
-  virtual bool ReclaimUnused(const ReclaimRequest& request) = 0;
+  // Run of this gateway.
+  virtual RunId run() const = 0;
+  virtual PreviousExit previous_exit() const = 0;
+  // Sends the request to all other live gateways. Returns their number.
+  virtual std::size_t Reclaim(const ReclaimRequest& request) = 0;
+  // Sends the notice to those of `runs` that are live.
+  virtual void Announce(const RowNotice& notice,
+                        const std::vector<RunId>& runs) = 0;
+  // Hands tokens over to another live gateway. Returns false if there is none.
+  virtual bool HandOver(const TokenTransfer& transfer) = 0;
+  // Live runs, best first by rendezvous hashing of the program, this gateway
+  // included.
+  virtual std::vector<RunId> Ranked(const std::string& program) const = 0;
+  // Whether the run was heard from lately and is silent now: it may hold tokens
+  // and come back.
+  virtual bool silent(RunId run) const = 0;
+  // Whether the live gateways together know all programs in use, where this
+  // gateway knows those that had rows at `listed_at`.
+  virtual bool complete(base::TimePoint listed_at) const = 0;
   // Whether the store responds to this gateway.
   virtual bool reaches_store() const = 0;
   // Whether neither this gateway nor any other live one reaches the store, as
@@ -75,14 +99,11 @@
  public:
   virtual ~BudgetHandler() = default;
   // `reply` is called at most once.
-  virtual void OnTokenRequest(
-      const TokenRequest& request,
-      std::function<void(const TokenTransfer&)> reply) = 0;
-  virtual void OnTokenTransfer(const TokenTransfer& transfer) = 0;
-  // `reply` is called at most once.
   virtual void OnReclaimRequest(
       const ReclaimRequest& request,
       std::function<void(const TokenTransfer&)> reply) = 0;
+  virtual void OnTokenTransfer(const TokenTransfer& transfer) = 0;
+  virtual void OnRowNotice(const RowNotice& notice) = 0;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -94,8 +94,6 @@
   bool PutServer(BackendServer server);
   void CheckDrained();
   void CheckIsolation();
-  // Notifies the budget service when provisional grants may have been lost.
-  void CheckProvisionalGrants();
 
   GatewaySettings settings_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -118,8 +116,6 @@
   bool draining_ = false;
   base::TimePoint drain_started_{};
   base::TimePoint last_cleanup_{};
-  std::uint64_t peers_lost_ = 0;
-  bool peer_start_known_ = false;
   bool store_connected_ = false;
   // Neither the store nor most other gateways are reachable, so that callers
   // should use another gateway.
--- a/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "vanillalever/base/clock.h"
@@ -21,6 +22,9 @@
   // A silent peer counts as partitioned rather than removed for this long:
   // longer than any restart takes.
   base::seconds retention{15};
+  // Longest pause between two turns of a program: a gateway that was last heard
+  // from before this knows no program that is still in use.
+  base::seconds longest_pause{90};
 };
 
 // Other gateways of the deployment, by address, and the times of their last
@@ -64,6 +68,14 @@
   double ReachableShare(base::TimePoint now) const;
   // Number of live gateways.
   std::size_t live() const;
+  // Whether the live gateways know all programs in use, where those that had
+  // rows at `listed_at` are known: no gateway has become silent since, within
+  // the longest pause. A run that replaces another one lists what that knew.
+  bool Complete(base::TimePoint listed_at, base::TimePoint now) const;
+  // Whether the run was heard from within the retention time and is not live.
+  bool Silent(PeerId run, base::TimePoint now) const;
+  // Runs and addresses of the live gateways.
+  std::vector<std::pair<PeerId, std::string>> live_runs() const;
 
  private:
   struct Peer {
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -48,13 +48,6 @@
   base::milliseconds first_list_interval{500};
 };
 
-// How the previous gateway process at this address ended.
-enum class PreviousExit {
-  kUnknown,  // the store has not responded yet
-  kClean,    // there was none, or it stopped gracefully
-  kFailure,  // it was killed or lost power
-};
-
 // Exchanges load, prompts and budget messages with the other gateways, by
 // datagrams. Gateways find each other by rows of the shared table. A lost load
 // message only delays the update. Event loop's thread only.
@@ -72,8 +65,19 @@
   void SetBudgetHandler(BudgetHandler& handler) { budgets_ = &handler; }
   void SetStrikeHandler(StrikeHandler& handler) { strikes_ = &handler; }
 
-  BudgetCoordinator RequestTokens(const TokenRequest& request) override;
-  bool ReclaimUnused(const ReclaimRequest& request) override;
+  RunId run() const override { return id_; }
+  PreviousExit previous_exit() const override { return previous_exit_; }
+  std::size_t Reclaim(const ReclaimRequest& request) override;
+  void Announce(const RowNotice& notice,
+                const std::vector<RunId>& runs) override;
+  bool HandOver(const TokenTransfer& transfer) override;
+  std::vector<RunId> Ranked(const std::string& program) const override;
+  bool silent(RunId run) const override {
+    return directory_.Silent(run, base::TimePoint::clock::now());
+  }
+  bool complete(base::TimePoint listed_at) const override {
+    return directory_.Complete(listed_at, base::TimePoint::clock::now());
+  }
   bool reaches_store() const override { return reaches_store_; }
   bool store_lost() const override {
     return !reaches_store_ && directory_.store_addresses().empty();
@@ -107,7 +111,6 @@
   // Removes this gateway's registration.
   void Unregister();
 
-  PreviousExit previous_exit() const { return previous_exit_; }
   // Number of other live gateways.
   std::size_t live() const { return directory_.live(); }
   // Updates how the gateways share the rates that servers state.
@@ -116,8 +119,6 @@
   bool in_minority() const {
     return directory_.InMinority(base::TimePoint::clock::now());
   }
-  // Number of runs of other gateways that have ended or become silent so far.
-  std::uint64_t peers_lost() const { return peers_lost_; }
 
  private:
   void Register();
@@ -172,7 +173,6 @@
   const PeerId id_;
   std::uint64_t sequence_ = 0;
   bool reaches_store_ = true;
-  std::uint64_t peers_lost_ = 0;
   // Servers whose load has changed since the last message.
   std::set<std::string> changed_servers_;
   // This gateway's load at the server.
--- a/packages/forwarding/include/vanillalever/forwarding/reservation_ledger.h
+++ b/packages/forwarding/include/vanillalever/forwarding/reservation_ledger.h
@@ -5,9 +5,12 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "vanillalever/base/clock.h"
+#include "vanillalever/forwarding/budget_peers.h"
+#include "vanillalever/forwarding/budget_row.h"
 
 namespace vanillalever::forwarding {
 
@@ -18,62 +21,58 @@
   // A reservation takes at most 1/prereserve_divisor of the remaining budget
   // for later turns: what a killed gateway had reserved counts as spent.
   std::int64_t prereserve_divisor = 4;
-  // While the store is unavailable, at most 1/provisional_divisor of the budget
-  // is granted provisionally beyond one turn: such grants are lost if all
-  // gateways that know of them are killed before the store is available again.
-  std::int64_t provisional_divisor = 6;
-  // Tokens that a program has not used for this long are released while its
+  // Other gateways whose shares are filled when the program begins, so that it
+  // is served while the store is unavailable.
+  std::size_t standby_runs = 2;
+  // Most turns that such a share covers.
+  std::int64_t standby_turns = 2;
+  // Such a share takes at most 1/standby_divisor of what is left.
+  std::int64_t standby_divisor = 4;
+  // Without the store a gateway may claim one turn and 1/claim_divisor of the
+  // budget of a program that no gateway knows.
+  std::int64_t claim_divisor = 6;
+  // Tokens that a program has not used for this long are returned while its
   // budget is low: its next turn may arrive at another gateway.
   base::milliseconds release_after{500};
-  // A stopping gateway releases the tokens of programs that were active within
+  // A stopping gateway returns the tokens of programs that were active within
   // this time: the turns of a program are rarely further apart.
   base::seconds release_window_when_stopping{10};
   // The budget is low while it covers fewer than this many turns.
   std::int64_t low_budget_turns = 3;
 };
 
-// Row of the shared table that records a program's reservations.
-struct BudgetRow {
-  // Tokens reserved by all gateways since the program began.
-  std::int64_t reserved = 0;
-  // Version of the row; zero if it does not exist.
-  std::uint64_t version = 0;
-  // Id of the reservation that wrote the row.
-  std::string writer;
-};
-
-// A reservation to be written on condition that the row still has
-// `expected_version`.
+// A row to be written on condition that it still has `expected_version`.
 struct BudgetReservation {
   std::uint64_t expected_version = 0;
-  // New total of the row.
-  std::int64_t reserved = 0;
-  // Part of the total that this gateway may grant once the row is durable.
-  std::int64_t new_tokens = 0;
-  // Part of the total that was granted provisionally before.
-  std::int64_t committed = 0;
+  BudgetRow row;
+  // Other runs whose shares it changes.
+  std::vector<RunId> changed;
 };
 
 // Whether a turn may begin.
 enum class BudgetVerdict {
-  kGranted,           // covered by what this gateway has reserved
-  kNeedsReservation,  // needs a reservation or a provisional grant
+  kGranted,           // covered by this gateway's share
+  kNeedsReservation,  // needs tokens from the store or another gateway
   kSpent,             // the remaining budget does not cover the turn
 };
 
-// Token reservations of the programs that this gateway serves. Tokens are
-// granted from reservations that are durable in the shared table; what a
-// gateway had reserved when it failed counts as spent. While the store is
-// unavailable a small number of tokens is granted provisionally and committed
-// when the store is available again. Does no I/O. Not thread-safe.
+// Shares of the budgets of programs, as docs/PLATFORM.md sets out under "Who
+// may grant tokens": a run grants tokens out of its share only, and a share
+// comes from the row in the store, from another gateway that gives up the same
+// tokens, or from a claim that all gateways have accepted. The share of a run
+// that has ended counts as spent. Answers turns at any gateway in outages of
+// the store and losses of gateways. Does no I/O. Not thread-safe.
 class ReservationLedger {
  public:
-  explicit ReservationLedger(BudgetSettings settings = {});
+  explicit ReservationLedger(RunId run, BudgetSettings settings = {});
 
-  // Set while provisional grants may have been lost with the processes that
-  // made them: the maximum that could have been granted counts as spent for
-  // programs that begin a turn.
-  void SetProvisionalGrantsLost(bool lost) { grants_lost_ = lost; }
+  // Set while all runs that knew of a claim may have ended: a new row counts
+  // the largest claim as spent.
+  void SetClaimsLost(bool lost) { claims_lost_ = lost; }
+
+  // The program has a row.
+  void AddKnown(const std::string& program);
+  void ForgetKnown() { known_.clear(); }
 
   // The process stops: tokens that are not in use become releasable.
   void SetStopping() { stopping_ = true; }
@@ -89,66 +88,76 @@
            std::int64_t max_tokens,
            std::int64_t used);
 
-  // The reservation that a turn of `max_tokens` needs, which also commits
-  // provisional grants; nothing if the remaining budget of the last known row
-  // does not cover it.
+  // The row that a turn of `max_tokens` needs, with the claims that are not yet
+  // in it and shares for `standby`; nothing if the remaining budget of the last
+  // known row does not cover the turn.
   std::optional<BudgetReservation> NextReservation(
       const std::string& program,
-      std::int64_t max_tokens) const;
-  // The reservation that commits provisional grants; nothing if there are none.
-  std::optional<BudgetReservation> ProvisionalCommit(
-      const std::string& program) const;
-  // Takes the program's unused tokens and returns the reservation that releases
-  // them; nothing if they are not releasable. The tokens are lost unless the
-  // reservation is written.
+      std::int64_t max_tokens,
+      const std::vector<RunId>& standby) const;
+  // The row with the claims that are not yet in it.
+  std::optional<BudgetReservation> ClaimWrite(const std::string& program) const;
+  // Takes the program's unused tokens and makes the row that returns them;
+  // nothing if they are not releasable. They are available again once a later
+  // row shows that it was not written.
   std::optional<BudgetReservation> TakeRelease(const std::string& program,
                                                base::TimePoint now);
-  // The reservation is durable as `version`.
-  void ConfirmReservation(const std::string& program,
-                          const BudgetReservation& reservation,
-                          std::uint64_t version);
-  // Applies the row as read from the store.
-  void UpdateRow(const std::string& program, const BudgetRow& row);
-
-  // Grants provisionally what a turn of `max_tokens` lacks, where another
-  // gateway has already granted `granted_elsewhere` tokens provisionally.
-  // Returns false if the limit or the remaining budget forbids it.
-  bool GrantProvisionally(const std::string& program,
-                          std::int64_t max_tokens,
-                          std::int64_t granted_elsewhere);
-  // Part of a budget that any gateway may reserve while other gateways may hold
-  // provisional grants; these come out of the rest.
-  std::int64_t OrdinaryShare(std::int64_t budget) const {
-    return budget - budget / settings_.provisional_divisor;
-  }
-  // Takes all tokens that are reserved here and not in use, for another
-  // gateway.
-  std::int64_t TakeUnused(const std::string& program);
-  // Whether the tokens reserved here cover a turn of `max_tokens`.
+  // The reservation was refused and will never be written.
+  void OnRefused(const std::string& program);
+  // Applies a row of the store. Older rows than the known one are ignored.
+  void ApplyRow(const std::string& program, const BudgetRow& row);
+  // The row does not exist any more; the known reservations remain.
+  void OnRowRemoved(const std::string& program);
+
+  // What to tell other gateways of the program.
+  BudgetKnowledge Knowledge(const std::string& program) const;
+  bool Knows(const std::string& program) const;
+  // Applies what another gateway knows.
+  void Merge(const std::string& program,
+             const BudgetKnowledge& knowledge,
+             base::TimePoint now);
+
+  // Tokens to claim for a turn of `max_tokens`.
+  std::int64_t ClaimSize(const std::string& program) const;
+  // Another run claims tokens of the program.
+  void AddClaim(const std::string& program, RunId run, std::int64_t tokens);
+  // All gateways have accepted this run's claim.
+  void GrantClaim(const std::string& program, std::int64_t tokens);
+  // This run's claim was not accepted by all: no token of it was granted, but
+  // those that accepted it count it.
+  void VoidClaim(const std::string& program);
+  // Programs with claims that are not yet in their rows.
+  std::vector<std::string> UnwrittenClaims() const;
+  // Whether this run is to write its own claim, or that it is void.
+  bool HasOwnClaim(const std::string& program) const;
+  // Other runs with unwritten claims.
+  std::vector<RunId> Claimants(const std::string& program) const;
+
+  // Takes up to `most` tokens of this run's share that are not in use, for
+  // another gateway.
+  std::int64_t TakeUnused(const std::string& program, std::int64_t most);
+  // Whether this run's share covers a turn of `max_tokens`.
   bool Covers(const std::string& program, std::int64_t max_tokens) const;
-  // Another gateway has transferred `tokens` of its reservations.
-  void AddTokens(const std::string& program, std::int64_t tokens);
-  // Another gateway knows of a total of `reserved` tokens.
-  void UpdateReserved(const std::string& program,
-                      std::int64_t reserved,
-                      base::TimePoint now);
+  // Run `from` has transferred tokens of its share.
+  void AddTokens(const std::string& program, RunId from, std::int64_t tokens);
 
-  // Total tokens reserved as last known, provisional grants of this gateway
-  // included; zero if unknown.
+  // Total tokens reserved as last known, unwritten claims included; zero if
+  // unknown.
   std::int64_t reserved(const std::string& program) const;
-  // Tokens granted provisionally by this gateway and not yet committed.
-  std::int64_t uncommitted(const std::string& program) const;
-  // Programs with provisional grants that are not yet committed.
-  std::vector<std::string> UncommittedPrograms() const;
+  // Tokens of this run's share that are not granted.
+  std::int64_t available(const std::string& program) const;
   // Programs with releasable tokens.
   std::vector<std::string> Releasable(base::TimePoint now) const;
+  // Programs with tokens here of which no turn arrived here.
+  std::vector<std::string> UnusedStandby() const;
 
-  // A program removed from the ledger, and its row as last seen.
+  // A program removed from the ledger.
   struct RemovedProgram {
     std::string program;
+    // Version of its row if this run wrote it last; otherwise zero.
     std::uint64_t row_version = 0;
   };
-  // Removes programs without open turns and uncommitted tokens that were last
+  // Removes programs without open turns and unwritten claims that were last
   // used before `before`.
   std::vector<RemovedProgram> RemoveIdle(base::TimePoint before);
   std::size_t size() const { return programs_.size(); }
@@ -156,29 +165,50 @@
  private:
   struct ProgramRecord {
     std::int64_t budget = 0;
-    // Tokens reserved by this gateway and not granted to a turn.
+    // Tokens of this run's share that are not granted to a turn.
     std::int64_t available = 0;
-    // Tokens granted provisionally and not yet committed.
-    std::int64_t uncommitted = 0;
+    // Tokens of the release in progress.
+    std::int64_t releasing = 0;
     BudgetRow row;
-    // Maximum tokens of the latest turn.
+    // Claims that are not known to be in the row; this run's among them.
+    std::map<RunId, std::int64_t> claims;
+    // This run made a claim that is void.
+    bool claim_void = false;
+    // Another gateway counts the void claim until a row tells otherwise.
+    bool claim_counted = false;
+    // Tokens that other runs transferred since their shares were last filled.
+    std::map<RunId, std::int64_t> borrowed;
+    // Maximum tokens of the latest turn here; zero if there was none.
     std::int64_t max_tokens = 0;
     int open_turns = 0;
     base::TimePoint last_used{};
 
-    std::int64_t remaining() const {
-      return budget - row.reserved - uncommitted;
-    }
+    std::int64_t unwritten() const;
   };
 
-  // The program must be known.
-  const ProgramRecord& Find(const std::string& program) const;
+  const ProgramRecord* Find(const std::string& program) const;
+  std::int64_t Remaining(const ProgramRecord& record) const;
+  // Tokens of claims that may have ended with all runs that knew of them.
+  std::int64_t LostClaims(const ProgramRecord& record) const;
+  // The next row before any tokens are added: with all claims.
+  BudgetReservation StartReservation(const ProgramRecord& record) const;
+  void AddStandby(const ProgramRecord& record,
+                  const std::vector<RunId>& standby,
+                  std::int64_t left,
+                  BudgetReservation* reservation) const;
+  // Applies what the row's share of this run says.
+  void ApplyShare(const BudgetRow& row,
+                  const BudgetShare& share,
+                  ProgramRecord* record);
   bool CanRelease(const ProgramRecord& record, base::TimePoint now) const;
 
+  RunId run_;
   BudgetSettings settings_;
-  bool grants_lost_ = false;
+  bool claims_lost_ = false;
   bool stopping_ = false;
   std::map<std::string, ProgramRecord> programs_;
+  // Hashes of the programs that had rows when they were listed.
+  std::unordered_set<std::uint64_t> known_;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -108,8 +108,9 @@
       service_->engine && profile_.token_budget && !profile_.program.empty();
   if (!limited)
     return Place();
-  context_.budgets.Begin(profile_.program, *profile_.token_budget,
-                         profile_.max_output_tokens,
+  TokenDemand demand{*profile_.token_budget, profile_.max_output_tokens,
+                     wait_limit()};
+  context_.budgets.Begin(profile_.program, demand,
                          [self = shared_from_this()](BudgetOutcome outcome) {
                            self->OnBudgetResult(outcome);
                          });
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -20,9 +20,6 @@
 constexpr milliseconds kCleanupInterval{1000};
 // Delay after a failed accept, for example for lack of file descriptors.
 constexpr milliseconds kAcceptRetryDelay{50};
-// Longest gap between two turns of a program, above the documented maximum of
-// 60 s.
-constexpr base::seconds kMaxTurnGap{90};
 // Far longer than the gap between a program's turns, so that a row is not
 // deleted while another gateway still uses it.
 constexpr base::seconds kBudgetRetention{600};
@@ -182,7 +179,6 @@
                  {{"listed", std::to_string(servers.size())},
                   {"known", std::to_string(registry_.size())}});
   servers_known_ = true;
-  budgets_.OnStoreAnswered();
   std::set<std::string> listed;
   for (BackendServer& server : servers) {
     listed.insert(server.id);
@@ -227,8 +223,7 @@
   peers_.ShareRates();
   origins_.SetLiveGateways(peers_.live() + 1);
   CheckIsolation();
-  CheckProvisionalGrants();
-  budgets_.CommitAndRelease();
+  budgets_.Tick();
   if (draining_)
     CheckDrained();
   tick_timer_.expires_after(kTickInterval);
@@ -246,20 +241,6 @@
                  {{"now", isolated ? "true" : "false"}});
 }
 
-void Gateway::CheckProvisionalGrants() {
-  std::uint64_t peers_lost = peers_.peers_lost();
-  if (std::exchange(peers_lost_, peers_lost) != peers_lost &&
-      budgets_.store_suspect())
-    budgets_.OnProvisionalGrantsLost(kMaxTurnGap);
-  if (peer_start_known_)
-    return;
-  peer_start_known_ = peers_.previous_exit() != PreviousExit::kUnknown;
-  if (!peer_start_known_)
-    budgets_.OnProvisionalGrantsLost(2 * kTickInterval);
-  else if (peers_.previous_exit() == PreviousExit::kFailure)
-    budgets_.OnProvisionalGrantsLost(kMaxTurnGap);
-}
-
 void Gateway::Drain(std::function<void()> done) {
   if (draining_)
     return;
--- a/packages/forwarding/src/peer_directory.cc
+++ b/packages/forwarding/src/peer_directory.cc
@@ -1,5 +1,6 @@
 #include "vanillalever/forwarding/peer_directory.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace vanillalever::forwarding {
@@ -107,6 +108,33 @@
   return static_cast<double>(live() + 1) / static_cast<double>(Recent(now));
 }
 
+bool PeerDirectory::Complete(base::TimePoint listed_at,
+                             base::TimePoint now) const {
+  return std::all_of(peers_.begin(), peers_.end(), [&](const auto& item) {
+    const Peer& peer = item.second;
+    return peer.live || peer.id == 0 ||
+           listed_at > peer.last_message_at + settings_.liveness_timeout ||
+           now - peer.last_message_at > settings_.longest_pause;
+  });
+}
+
+bool PeerDirectory::Silent(PeerId run, base::TimePoint now) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
+    const Peer& peer = item.second;
+    return peer.id == run && !peer.live &&
+           now - peer.last_message_at <= settings_.retention;
+  });
+}
+
+std::vector<std::pair<PeerId, std::string>> PeerDirectory::live_runs() const {
+  std::vector<std::pair<PeerId, std::string>> runs;
+  for (const auto& [address, peer] : peers_) {
+    if (peer.live)
+      runs.emplace_back(peer.id, address);
+  }
+  return runs;
+}
+
 std::size_t PeerDirectory::live() const {
   std::size_t count = 0;
   for (const auto& [address, peer] : peers_)
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -441,7 +441,6 @@
     base::LogEvent(base::LogLevel::kInfo, "peer_lost",
                    {{"peer", base::HexString(lost)},
                     {"live", std::to_string(directory_.live())}});
-    ++peers_lost_;
     registry_.RemovePeer(lost);
   }
   if (now >= next_list_)
--- a/packages/forwarding/src/peer_link_budget.cc
+++ b/packages/forwarding/src/peer_link_budget.cc
@@ -1,5 +1,6 @@
 // Messages about token budgets.
 
+#include <algorithm>
 #include <cstdint>
 
 #include <capnp/message.h>
@@ -13,33 +14,60 @@
 namespace wire = protocol::peer;
 using protocol::Pack;
 
-BudgetCoordinator PeerLink::RequestTokens(const TokenRequest& request) {
-  if (in_minority())
-    return BudgetCoordinator::kNone;
-  // Rendezvous hashing: the live gateway with the highest weight coordinates
-  // the program's budget.
-  std::string coordinator = settings_.address;
-  std::uint64_t best = base::Hash64(request.program, base::Hash64(coordinator));
-  for (const std::string& address : directory_.live_addresses()) {
-    std::uint64_t weight = base::Hash64(request.program, base::Hash64(address));
-    if (weight > best) {
-      best = weight;
-      coordinator = address;
-    }
-  }
-  if (coordinator == settings_.address)
-    return BudgetCoordinator::kLocal;
+namespace {
+
+void WriteKnowledge(const std::string& program,
+                    const BudgetKnowledge& knowledge,
+                    wire::BudgetKnowledge::Builder to) {
+  to.setProgram(program);
+  to.setVersion(knowledge.row.version);
+  if (knowledge.row.version > 0)
+    to.setRow(EncodeBudgetRow(knowledge.row));
+  if (!knowledge.claims.empty())
+    to.setClaims(EncodeBudgetRow({.shares = knowledge.claims}));
+}
+
+BudgetKnowledge ReadKnowledge(const wire::BudgetKnowledge::Reader& from) {
+  BudgetKnowledge knowledge;
+  if (from.getVersion() > 0)
+    knowledge.row = ParseBudgetRow(from.getRow().cStr(), from.getVersion());
+  knowledge.claims = ParseBudgetRow(from.getClaims().cStr(), 0).shares;
+  return knowledge;
+}
+
+std::uint32_t Reserved(const BudgetKnowledge& knowledge) {
+  return static_cast<std::uint32_t>(knowledge.row.reserved);
+}
+
+}  // namespace
+
+std::vector<RunId> PeerLink::Ranked(const std::string& program) const {
+  auto weight = [&program](const std::string& address) {
+    return base::Hash64(program, base::Hash64(address));
+  };
+  std::vector<std::pair<std::uint64_t, RunId>> ranked{
+      {weight(settings_.address), id_}};
+  for (const auto& [run, address] : directory_.live_runs())
+    ranked.emplace_back(weight(address), run);
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::vector<RunId> runs;
+  for (const auto& [rank, run] : ranked)
+    runs.push_back(run);
+  return runs;
+}
+
+std::size_t PeerLink::Reclaim(const ReclaimRequest& request) {
   capnp::MallocMessageBuilder builder;
-  auto message = StartMessage(builder);
-  auto body = message.initBudgetAsk();
-  body.setAsk(request.id);
+  auto body = StartMessage(builder).initBudgetCallIn();
+  body.setCall(request.id);
   body.setProgram(request.program);
-  body.setBudget(static_cast<std::uint32_t>(request.budget));
+  body.setReserved(Reserved(request.knowledge));
   body.setTokens(static_cast<std::uint32_t>(request.tokens));
-  body.setReserved(static_cast<std::uint32_t>(request.reserved));
-  body.setAdvanced(static_cast<std::uint32_t>(request.provisional));
-  SendTo(coordinator, Pack(builder));
-  return BudgetCoordinator::kPeer;
+  body.setClaim(static_cast<std::uint32_t>(request.claim));
+  WriteKnowledge(request.program, request.knowledge, body.initKnowledge());
+  std::vector<std::string> addresses = directory_.live_addresses();
+  SendToEach(addresses, Pack(builder));
+  return addresses.size();
 }
 
 std::string PeerLink::PackTransfer(const TokenTransfer& transfer) {
@@ -49,44 +77,57 @@
   body.setAsk(transfer.request);
   body.setProgram(transfer.program);
   body.setTokens(static_cast<std::uint32_t>(transfer.tokens));
-  body.setReserved(static_cast<std::uint32_t>(transfer.reserved));
-  body.setAdvanced(static_cast<std::uint32_t>(transfer.provisional));
+  body.setReserved(Reserved(transfer.knowledge));
+  body.setClaimAccepted(transfer.claim_accepted);
+  WriteKnowledge(transfer.program, transfer.knowledge, body.initKnowledge());
   return Pack(builder);
 }
 
-bool PeerLink::ReclaimUnused(const ReclaimRequest& request) {
+void PeerLink::Announce(const RowNotice& notice,
+                        const std::vector<RunId>& runs) {
   capnp::MallocMessageBuilder builder;
-  auto body = StartMessage(builder).initBudgetCallIn();
-  body.setCall(request.id);
-  body.setProgram(request.program);
-  body.setReserved(static_cast<std::uint32_t>(request.reserved));
-  std::vector<std::string> addresses = directory_.live_addresses();
-  SendToEach(addresses, Pack(builder));
-  return !addresses.empty();
+  WriteKnowledge(notice.program, {notice.row, {}},
+                 StartMessage(builder).initBudgetRow());
+  std::string datagram = Pack(builder);
+  for (const auto& [run, address] : directory_.live_runs()) {
+    if (std::find(runs.begin(), runs.end(), run) != runs.end())
+      SendTo(address, datagram);
+  }
 }
 
-void PeerLink::OnBudgetMessage(const wire::Message::Reader& message) {
-  auto reply = [this, address = AddressText(sender_endpoint_)](
-                   const TokenTransfer& transfer) {
-    SendTo(address, PackTransfer(transfer));
-  };
-  if (message.hasBudgetAsk()) {
-    auto body = message.getBudgetAsk();
-    TokenRequest request{body.getAsk(),      body.getProgram(),
-                         body.getBudget(),   body.getTokens(),
-                         body.getReserved(), body.getAdvanced()};
-    budgets_->OnTokenRequest(request, reply);
+bool PeerLink::HandOver(const TokenTransfer& transfer) {
+  std::vector<RunId> ranked = Ranked(transfer.program);
+  std::erase(ranked, id_);
+  if (ranked.empty())
+    return false;
+  for (const auto& [run, address] : directory_.live_runs()) {
+    if (run == ranked.front())
+      SendTo(address, PackTransfer(transfer));
   }
+  return true;
+}
+
+void PeerLink::OnBudgetMessage(const wire::Message::Reader& message) {
   if (message.hasBudgetGive()) {
     auto body = message.getBudgetGive();
     budgets_->OnTokenTransfer({body.getAsk(), message.getSender(),
                                body.getProgram(), body.getTokens(),
-                               body.getReserved(), body.getAdvanced()});
+                               body.getClaimAccepted(),
+                               ReadKnowledge(body.getKnowledge())});
   }
   if (message.hasBudgetCallIn()) {
     auto body = message.getBudgetCallIn();
     budgets_->OnReclaimRequest(
-        {body.getCall(), body.getProgram(), body.getReserved()}, reply);
+        {body.getCall(), message.getSender(), body.getProgram(),
+         body.getTokens(), body.getClaim(), ReadKnowledge(body.getKnowledge())},
+        [this, address = AddressText(sender_endpoint_)](
+            const TokenTransfer& transfer) {
+          SendTo(address, PackTransfer(transfer));
+        });
+  }
+  if (message.hasBudgetRow()) {
+    auto body = message.getBudgetRow();
+    budgets_->OnRowNotice({body.getProgram(), ReadKnowledge(body).row});
   }
 }
 
--- a/packages/forwarding/tests/budget_service_test.cc
+++ b/packages/forwarding/tests/budget_service_test.cc
@@ -18,100 +18,196 @@
 
 constexpr const char* kProgram = "p";
 
-// A store without responses, which counts the transactions.
-class SilentTable final : public SharedTable {
+// A store that responds to reads only, and counts the transactions.
+class ReadOnlyTable final : public SharedTable {
  public:
   int transactions = 0;
+  bool answers_reads = true;
 
   void Transact(std::vector<TableWrite>,
                 std::function<void(TransactionResult)>) override {
     ++transactions;
   }
-  void ReadRange(TableRange, std::function<void(ReadResult)>) override {}
+  void ReadRange(TableRange, std::function<void(ReadResult)> done) override {
+    if (!answers_reads)
+      return;
+    ReadResult result;
+    result.outcome = StoreOutcome::kDone;
+    done(std::move(result));
+  }
   void AwaitChanges(std::string,
                     std::uint64_t,
                     base::milliseconds,
                     std::function<void(ChangesResult)>) override {}
 };
 
+constexpr RunId kRun = 5;
+
 // The other gateways, as the test sets them.
 class TestPeers final : public BudgetPeers {
  public:
-  BudgetCoordinator coordinator = BudgetCoordinator::kLocal;
-  bool reaches = false;
+  std::size_t others = 0;
+  bool reaches = true;
   bool lost = true;
-  std::vector<TokenRequest> requests;
-
-  BudgetCoordinator RequestTokens(const TokenRequest& request) override {
-    if (coordinator == BudgetCoordinator::kPeer)
-      requests.push_back(request);
-    return coordinator;
+  bool all_heard = true;
+  std::vector<ReclaimRequest> requests;
+
+  RunId run() const override { return kRun; }
+  PreviousExit previous_exit() const override { return PreviousExit::kClean; }
+  std::size_t Reclaim(const ReclaimRequest& request) override {
+    requests.push_back(request);
+    return others;
   }
-  bool ReclaimUnused(const ReclaimRequest&) override { return false; }
+  void Announce(const RowNotice&, const std::vector<RunId>&) override {}
+  bool HandOver(const TokenTransfer&) override { return false; }
+  std::vector<RunId> Ranked(const std::string&) const override {
+    return {kRun};
+  }
+  bool silent(RunId) const override { return false; }
+  bool complete(base::TimePoint) const override { return all_heard; }
   bool reaches_store() const override { return reaches; }
   bool store_lost() const override { return lost; }
 };
 
 struct Fixture {
   boost::asio::io_context io;
-  SilentTable table;
+  ReadOnlyTable table;
   TestPeers peers;
   AsioLoopTimer timer{io};
   BudgetService service{timer, table, peers, 1};
 
   // Outcome of a turn; nothing while it waits.
   std::optional<BudgetOutcome> Begin(std::int64_t budget, std::int64_t tokens) {
-    std::optional<BudgetOutcome> result;
-    service.Begin(kProgram, budget, tokens,
-                  [&result](BudgetOutcome outcome) { result = outcome; });
+    result.reset();
+    service.Begin(kProgram, {budget, tokens, {}},
+                  [this](BudgetOutcome outcome) { result = outcome; });
     return result;
   }
+
+  std::optional<BudgetOutcome> result;
 };
 
 // Guards against tokens that are granted twice in one outage: by a process, and
 // by the one that is started after it was killed.
-TEST_CASE("no provisional grant before the store has responded once") {
+TEST_CASE("no claim before the store has responded once") {
   Fixture fixture;
   CHECK(fixture.Begin(600, 40) == BudgetOutcome::kUnavailable);
-  fixture.service.OnStoreAnswered();
+  fixture.service.Tick();
   CHECK(fixture.Begin(600, 40) == BudgetOutcome::kGranted);
 }
 
+// Guards against review/4: a program that the gateway does not know, taken for
+// one without any tokens granted.
+TEST_CASE("no claim unless all gateways were heard from") {
+  Fixture fixture;
+  fixture.service.Tick();
+  fixture.peers.all_heard = false;
+  CHECK(fixture.Begin(600, 40) == BudgetOutcome::kUnavailable);
+}
+
 // Guards against grants beside the reservations of gateways that the store
 // serves.
-TEST_CASE("a coordinator reserves while any gateway reaches the store") {
+TEST_CASE("a gateway reserves while any gateway reaches the store") {
   Fixture fixture;
-  fixture.service.OnStoreAnswered();
+  fixture.service.Tick();
   fixture.peers.lost = false;
-  std::optional<BudgetOutcome> outcome;
-  fixture.service.Begin(kProgram, 600, 40,
-                        [&outcome](BudgetOutcome result) { outcome = result; });
+  fixture.table.answers_reads = false;
+  fixture.Begin(600, 40);
   fixture.io.run_for(milliseconds(350));
   CHECK(fixture.table.transactions == 1);
-  CHECK_FALSE(outcome);
+  CHECK_FALSE(fixture.result);
   // The store became unavailable to all meanwhile.
   fixture.peers.lost = true;
   fixture.io.run_for(milliseconds(200));
-  CHECK(outcome == BudgetOutcome::kGranted);
+  CHECK(fixture.result == BudgetOutcome::kGranted);
 }
 
-// Guards against a late reply that drops another gateway's grants.
-TEST_CASE("a late reply to an older request does not lower known grants") {
+// Guards against tokens of a program that one gateway knows and another one
+// does not.
+TEST_CASE("a claim is granted once every gateway has accepted it") {
   Fixture fixture;
-  fixture.service.OnStoreAnswered();
-  fixture.peers.coordinator = BudgetCoordinator::kPeer;
-  std::optional<BudgetOutcome> outcome;
-  fixture.service.Begin(kProgram, 600, 40,
-                        [&outcome](BudgetOutcome result) { outcome = result; });
+  fixture.service.Tick();
+  fixture.peers.others = 2;
+  fixture.Begin(600, 40);
   REQUIRE(fixture.peers.requests.size() == 1);
-  // One turn and a sixth of the budget: the limit is reached.
-  fixture.service.OnTokenTransfer(
-      {fixture.peers.requests.front().id, 7, kProgram, 40, 140, 140});
-  CHECK(outcome == BudgetOutcome::kGranted);
-  fixture.service.OnTokenTransfer({12345, 8, kProgram, 5, 140, 0});
-  // That coordinator is gone; this gateway is the next one.
-  fixture.peers.coordinator = BudgetCoordinator::kLocal;
-  CHECK(fixture.Begin(600, 40) == BudgetOutcome::kUnavailable);
+  const ReclaimRequest request = fixture.peers.requests.front();
+  CHECK(request.claim == 140);
+  TokenTransfer reply;
+  reply.request = request.id;
+  reply.program = kProgram;
+  reply.sender = 7;
+  reply.claim_accepted = true;
+  fixture.service.OnTokenTransfer(reply);
+  // The same datagram again is no second gateway.
+  fixture.service.OnTokenTransfer(reply);
+  CHECK_FALSE(fixture.result);
+  reply.sender = 8;
+  SECTION("accepted") {
+    fixture.service.OnTokenTransfer(reply);
+    CHECK(fixture.result == BudgetOutcome::kGranted);
+  }
+  SECTION("known there") {
+    reply.claim_accepted = false;
+    reply.knowledge.row.version = 4;
+    reply.knowledge.row.Add(8, 600, false);
+    fixture.service.OnTokenTransfer(reply);
+    fixture.io.run_for(milliseconds(100));
+    CHECK(fixture.result == BudgetOutcome::kUnavailable);
+  }
+}
+
+// Guards against two gateways that claim tokens of one program at a time.
+TEST_CASE("of two claims at the same time at most one is accepted") {
+  Fixture fixture;
+  fixture.service.Tick();
+  fixture.peers.others = 1;
+  fixture.Begin(600, 40);
+  ReclaimRequest other;
+  other.id = 77;
+  other.program = kProgram;
+  other.claim = 140;
+  std::optional<bool> accepted;
+  auto reply = [&accepted](const TokenTransfer& transfer) {
+    accepted = transfer.claim_accepted;
+  };
+  TokenTransfer late;
+  late.request = fixture.peers.requests.front().id;
+  late.program = kProgram;
+  late.claim_accepted = true;
+  SECTION("the other run is higher") {
+    other.sender = late.sender = kRun + 1;
+    fixture.service.OnReclaimRequest(other, reply);
+    CHECK(accepted == false);
+    fixture.service.OnTokenTransfer(late);
+    CHECK(fixture.result == BudgetOutcome::kGranted);
+  }
+  SECTION("the other run is lower") {
+    other.sender = late.sender = kRun - 1;
+    fixture.service.OnReclaimRequest(other, reply);
+    CHECK(accepted == true);
+    fixture.service.OnTokenTransfer(late);
+    CHECK(fixture.result != BudgetOutcome::kGranted);
+  }
+}
+
+// Guards against tokens that a duplicated or delayed datagram brings twice.
+TEST_CASE("a transfer counts once, and late ones count") {
+  Fixture fixture;
+  fixture.service.Tick();
+  fixture.peers.others = 1;
+  fixture.peers.all_heard = false;
+  fixture.Begin(600, 40);
+  fixture.io.run_for(milliseconds(100));
+  CHECK(fixture.result == BudgetOutcome::kUnavailable);
+  TokenTransfer late;
+  late.request = fixture.peers.requests.front().id;
+  late.sender = 7;
+  late.program = kProgram;
+  late.tokens = 60;
+  fixture.service.OnTokenTransfer(late);
+  fixture.service.OnTokenTransfer(late);
+  CHECK(fixture.Begin(600, 40) == BudgetOutcome::kGranted);
+  CHECK(fixture.Begin(600, 40) != BudgetOutcome::kGranted);
 }
 
 }  // namespace
--- a/packages/forwarding/tests/model/budget_world.cc
+++ b/packages/forwarding/tests/model/budget_world.cc
@@ -5,8 +5,9 @@
 
 constexpr milliseconds kTickInterval{100};
 constexpr milliseconds kAnnounceInterval{300};
-constexpr seconds kMaxTurnGap{90};
 constexpr seconds kStopTime{1};
+// Part of a turn's time limit that it waits for the store.
+constexpr milliseconds kTurnWait{1400};
 
 }  // namespace
 
@@ -23,37 +24,65 @@
 
   BudgetHandler* handler = nullptr;
   bool reaches = true;
+  PreviousExit exit = PreviousExit::kUnknown;
   PeerDirectory& directory() { return directory_; }
 
-  BudgetCoordinator RequestTokens(const TokenRequest& request) override {
-    if (directory_.InMinority(timer_.now()))
-      return BudgetCoordinator::kNone;
-    std::string coordinator = AddressOf(address_);
-    std::uint64_t best =
-        base::Hash64(request.program, base::Hash64(coordinator));
-    for (const std::string& address : directory_.live_addresses()) {
-      std::uint64_t weight =
-          base::Hash64(request.program, base::Hash64(address));
-      if (weight > best) {
-        best = weight;
-        coordinator = address;
-      }
-    }
-    if (coordinator == AddressOf(address_))
-      return BudgetCoordinator::kLocal;
-    SendTo(coordinator, [request](Peers& to, const Peers& from) {
-      to.handler->OnTokenRequest(request, to.ReplyTo(from.address_));
-    });
-    return BudgetCoordinator::kPeer;
-  }
+  RunId run() const override { return run_->id; }
+  PreviousExit previous_exit() const override { return exit; }
 
-  bool ReclaimUnused(const ReclaimRequest& request) override {
+  std::size_t Reclaim(const ReclaimRequest& request) override {
     std::vector<std::string> addresses = directory_.live_addresses();
     for (const std::string& address : addresses)
       SendTo(address, [request](Peers& to, const Peers& from) {
-        to.handler->OnReclaimRequest(request, to.ReplyTo(from.address_));
+        ReclaimRequest received = request;
+        received.sender = from.run_->id;
+        to.handler->OnReclaimRequest(received, to.ReplyTo(from.address_));
       });
-    return !addresses.empty();
+    return addresses.size();
+  }
+
+  void Announce(const RowNotice& notice,
+                const std::vector<RunId>& runs) override {
+    for (const auto& [run, address] : directory_.live_runs()) {
+      if (std::find(runs.begin(), runs.end(), run) != runs.end())
+        SendTo(address, [notice](Peers& to, const Peers&) {
+          to.handler->OnRowNotice(notice);
+        });
+    }
+  }
+
+  bool HandOver(const TokenTransfer& transfer) override {
+    std::vector<RunId> ranked = Ranked(transfer.program);
+    std::erase(ranked, run_->id);
+    if (ranked.empty())
+      return false;
+    for (const auto& [run, address] : directory_.live_runs()) {
+      if (run == ranked.front())
+        ReplyTo(IndexOf(address))(transfer);
+    }
+    return true;
+  }
+
+  std::vector<RunId> Ranked(const std::string& program) const override {
+    auto weight = [&program](const std::string& address) {
+      return base::Hash64(program, base::Hash64(address));
+    };
+    std::vector<std::pair<std::uint64_t, RunId>> ranked{
+        {weight(AddressOf(address_)), run_->id}};
+    for (const auto& [run, address] : directory_.live_runs())
+      ranked.emplace_back(weight(address), run);
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<RunId> runs;
+    for (const auto& [rank, run] : ranked)
+      runs.push_back(run);
+    return runs;
+  }
+
+  bool silent(RunId run) const override {
+    return directory_.Silent(run, timer_.now());
+  }
+  bool complete(TimePoint listed_at) const override {
+    return directory_.Complete(listed_at, timer_.now());
   }
 
   bool reaches_store() const override { return reaches; }
@@ -134,6 +163,7 @@
     // The gateway's first call to the store; repeated until it responds.
     Register();
     peers.Announce();
+    Tick();
     timer.Every(kTickInterval, [this] { Tick(); });
     timer.Every(kAnnounceInterval, [this] { peers.Announce(); });
   }
@@ -150,29 +180,18 @@
     table.Read({"gateways", "", "probe"}, [this](const ReadResult& result) {
       if (result.outcome != StoreOutcome::kDone)
         return timer.RunAfter(milliseconds(500), [this] { Register(); });
-      registered_ = true;
-      service.OnStoreAnswered();
+      peers.exit =
+          previous_killed_ ? PreviousExit::kFailure : PreviousExit::kClean;
     });
   }
 
   void Tick() {
     table.Tick();
-    std::size_t lost = peers.directory().TakeLost(timer.now()).size();
-    if (lost > 0 && service.store_suspect())
-      service.OnProvisionalGrantsLost(kMaxTurnGap);
-    if (!start_known_) {
-      start_known_ = registered_;
-      if (!start_known_)
-        service.OnProvisionalGrantsLost(2 * kTickInterval);
-      else if (previous_killed_)
-        service.OnProvisionalGrantsLost(kMaxTurnGap);
-    }
-    service.CommitAndRelease();
+    peers.directory().TakeLost(timer.now());
+    service.Tick();
   }
 
   bool previous_killed_;
-  bool registered_ = false;
-  bool start_known_ = false;
 };
 
 void Peers::SendTo(const std::string& address,
@@ -255,7 +274,7 @@
   std::int64_t tokens = settings.max_tokens;
   gateway.timer.At(schedule.now(), [this, &gateway, name, tokens, served] {
     gateway.service.Begin(
-        name, settings.budget, tokens,
+        name, {settings.budget, tokens, schedule.now() + kTurnWait},
         [this, &gateway, name, tokens, served](BudgetOutcome outcome) {
           Program& found = programs[name];
           found.last = outcome;
--- a/packages/forwarding/tests/model/budget_world.h
+++ b/packages/forwarding/tests/model/budget_world.h
@@ -122,12 +122,15 @@
     }
     return result;
   }
-  ReadResult Read(const std::string& key) const {
+  ReadResult Read(const TableRange& range) const {
     ReadResult result;
     result.outcome = StoreOutcome::kDone;
     result.version = version_;
-    if (auto found = rows_.find(key); found != rows_.end())
-      result.rows.push_back(found->second);
+    for (const auto& [key, row] : rows_) {
+      if (row.name.partition == range.partition && key >= range.from &&
+          (range.to.empty() || key < range.to))
+        result.rows.push_back(row);
+    }
     return result;
   }
 
@@ -225,7 +228,7 @@
   }
   void ReadRange(TableRange range,
                  std::function<void(ReadResult)> done) override {
-    Call<ReadResult>([this, range] { return world_.rows_.Read(range.from); },
+    Call<ReadResult>([this, range] { return world_.rows_.Read(range); },
                      std::move(done), false);
   }
   void AwaitChanges(std::string,
@@ -237,8 +240,11 @@
     if (path_.TakeSilence(timer_.now()))
       on_change();
     if (path_.TakeProbe(timer_.now()))
-      Direct<ReadResult>([this] { return world_.rows_.Read("probe"); },
-                         [](const ReadResult&) {}, false);
+      Direct<ReadResult>(
+          [this] {
+            return world_.rows_.Read({"gateways", "", "probe", ""});
+          },
+          [](const ReadResult&) {}, false);
   }
 
  private:
--- a/packages/forwarding/tests/peer_link_test.cc
+++ b/packages/forwarding/tests/peer_link_test.cc
@@ -69,7 +69,7 @@
     Send(address, stream);
   }
 
-  // CPU share in the first token request that arrives; nothing if there is
+  // CPU share in the first reclaim request that arrives; nothing if there is
   // none.
   std::optional<int> CpuMillicoresOfNextRequest(boost::asio::io_context& io) {
     for (int i = 0; i < 200; ++i) {
@@ -80,7 +80,7 @@
             reinterpret_cast<const kj::byte*>(datagram_.data()), size));
         capnp::PackedMessageReader reader(stream);
         auto message = reader.getRoot<wire::Message>();
-        if (message.hasBudgetAsk())
+        if (message.hasBudgetCallIn())
           return message.getProcessor();
       }
     }
@@ -121,13 +121,13 @@
     io.poll();
 
   // A receiver that read a missing share as zero would choose another relay for
-  // load changes at each token request.
+  // load changes at each reclaim request.
   std::optional<int> cpu_millicores;
   for (int program = 0; program < 100 && !cpu_millicores; ++program) {
-    TokenRequest request;
+    ReclaimRequest request;
     request.id = 1;
     request.program = "p" + std::to_string(program);
-    if (link.RequestTokens(request) == BudgetCoordinator::kPeer)
+    if (link.Reclaim(request) > 0)
       cpu_millicores = peer.CpuMillicoresOfNextRequest(io);
   }
   REQUIRE(cpu_millicores);
--- a/packages/protocol/schema/peer.capnp
+++ b/packages/protocol/schema/peer.capnp
@@ -14,8 +14,9 @@
   sequence @1 :UInt64;
   # The sender's load at the servers.
   load @2 :Load;
-  # Token budgets: requests for tokens, and tokens transferred.
+  # No longer sent.
   budgetAsk @3 :BudgetAsk;
+  # Tokens of a budget, transferred to the receiver.
   budgetGive @4 :BudgetGive;
   # CPU share of the sender's machine, in thousandths of a core.
   processor @5 :UInt16;
@@ -32,6 +33,8 @@
   reachesStore @10 :Bool;
   # Requests that were at work in crashes of servers.
   strikes @11 :List(Strike);
+  # Row of a budget, just written.
+  budgetRow @12 :BudgetKnowledge;
 }
 
 # A request that was at work when a server crashed, or that has completed since.
@@ -101,36 +104,54 @@
   leavingRun @11 :UInt64;
 }
 
+# Request for tokens in releases before shares; no longer sent.
 struct BudgetAsk {
-  # Id of the request, chosen by the sender.
   ask @0 :UInt64;
   program @1 :Text;
   budget @2 :UInt32;
-  # Tokens requested.
   tokens @3 :UInt32;
-  # Total tokens reserved, as far as the sender knows.
   reserved @4 :UInt32;
-  # Part of `reserved` that was granted provisionally and not yet committed, by
-  # the last message the sender received.
   advanced @5 :UInt32;
 }
 
+# What the sender knows of a program's budget.
+struct BudgetKnowledge {
+  program @0 :Text;
+  # Version of the row; 0 if the sender has not seen it.
+  version @1 :UInt64;
+  # Value of the row.
+  row @2 :Text;
+  # Claims that the sender does not know to be in the row, as a row.
+  claims @3 :Text;
+}
+
+# Request for tokens that the receiver does not use.
 struct BudgetCallIn {
   # Id of the request, chosen by the sender.
   call @0 :UInt64;
   program @1 :Text;
-  # Total tokens reserved, as far as the sender knows.
+  # Total tokens reserved, as far as the sender knows; for earlier releases.
   reserved @2 :UInt32;
+  # Most tokens that the receiver is to transfer.
+  tokens @3 :UInt32;
+  # Tokens that the sender will grant unless a gateway knows the program; 0 if
+  # it claims none.
+  claim @4 :UInt32;
+  knowledge @5 :BudgetKnowledge;
 }
 
 struct BudgetGive {
-  # Id of the token request or reclaim request that this replies to.
+  # Id of the request that this replies to; 0 for tokens handed over by a
+  # gateway that stops.
   ask @0 :UInt64;
   program @1 :Text;
   # Tokens transferred to the receiver.
   tokens @2 :UInt32;
-  # Total tokens reserved, as far as the sender knows.
+  # Total tokens reserved, as far as the sender knows; for earlier releases.
   reserved @3 :UInt32;
-  # Part of `reserved` that is granted provisionally and not yet committed.
+  # No longer set.
   advanced @4 :UInt32;
+  # The sender knew nothing of the program, and remembers the receiver's claim.
+  claimAccepted @5 :Bool;
+  knowledge @6 :BudgetKnowledge;
 }
