--- a/tests/gateway/version_test.py
+++ b/tests/gateway/version_test.py
@@ -13,7 +13,7 @@
 from gateway_test import Caller, GatewayCase, turn, wait_until
 
 
-class VersionTest(GatewayCase):
+class VersionCase(GatewayCase):
     def setUp(self):
         super().setUp()
         self.retire(*self.models)
@@ -76,6 +76,8 @@
         time.sleep(1.0)
         return gateways
 
+
+class VersionTest(VersionCase):
     def test_stream_of_a_crashed_server_does_not_go_on_at_another_version(self):
         old, new = self.add_version("old", 1) + self.add_version("new", 1)
         gateway = self.start()
