--- a/tests/gateway/server_fault_test.py
+++ b/tests/gateway/server_fault_test.py
@@ -3,6 +3,7 @@
 Usage: server_fault_test.py GATEWAY_BINARY [unittest option...]
 """
 import http.client
+import random
 import re
 import sys
 import time
@@ -104,6 +105,45 @@
             short.close()
 
 
+class HeadTest(GatewayCase):
+    """Guards against a response that ends within its head and reaches the caller as a whole, empty or short one."""
+
+    SEED = 1
+
+    def check(self, method, path, most_runs):
+        gateway = self.start()
+        sizes = random.Random(self.SEED)
+        for number in range(40):
+            behaviour = f"head-cut:{sizes.randrange(1, 300)}:{'reset' if number % 2 else 'close'}"
+            with self.subTest(behaviour=behaviour):
+                target = f"{path}{number}"
+                for server in self.tools + self.models:
+                    server.plan[target] = behaviour
+                caller = Caller(gateway)
+                self.addCleanup(caller.close)
+                caller.connection.request(method, target, b"x", caller.headers({
+                    "Deadline-Ms": "1000", **{name.replace("_", "-"): value
+                                              for name, value in turn(f"p{number}", budget=100000).items()}}))
+                try:
+                    response = caller.connection.getresponse()
+                    response.read()
+                    self.assertIn(response.status, (502, 503, 504))
+                    refused = response.status == 503
+                except (http.client.IncompleteRead, OSError):
+                    refused = False
+                self.assertLessEqual(len(self.runs(target)), 0 if refused else most_runs)
+
+    def test_request_that_may_not_be_repeated(self):
+        self.check("POST", "/pay/", 1)
+
+    def test_stream(self):
+        self.check("POST", "/once/", 1)
+
+    def test_request_that_may_be_repeated(self):
+        # The route allows three servers to run it.
+        self.check("GET", "/read/", 3)
+
+
 class StreamTest(GatewayCase):
     EVENTS = [str(number) for number in range(1, 7)]
 
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -263,6 +263,8 @@
             return False
         if behaviour == "hang":
             return await self.wait_for_caller(request, reader)
+        if behaviour.startswith("head-cut"):
+            return await self.cut_head(request, writer, behaviour)
         if behaviour == "drop":
             return False
         if behaviour.startswith("slow"):
@@ -314,6 +316,16 @@
         return True
 
 
+    async def cut_head(self, request, writer, behaviour):
+        """Ends the connection within the head: "head-cut:BYTES:close" or "head-cut:BYTES:reset"."""
+        _, size, end = behaviour.split(":")
+        head = response(200, {**self.headers(request), "Content-Type": "text/event-stream"}, b"body")
+        writer.write(head[:min(int(size), head.index(b"\r\n\r\n") + 3)])
+        await writer.drain()
+        if end == "reset":
+            self.reset(writer)
+        return False
+
     @staticmethod
     def reset(writer):
         """Ends the connection with a reset instead of an end of data."""
