--- a/packages/forwarding/src/peer_link_budget.cc
+++ b/packages/forwarding/src/peer_link_budget.cc
@@ -51,6 +51,7 @@
     ranked.emplace_back(weight(address), run);
   std::sort(ranked.rbegin(), ranked.rend());
   std::vector<RunId> runs;
+  runs.reserve(ranked.size());
   for (const auto& [rank, run] : ranked)
     runs.push_back(run);
   return runs;
--- a/packages/forwarding/tests/model/budget_model_test.cc
+++ b/packages/forwarding/tests/model/budget_model_test.cc
@@ -227,9 +227,9 @@
 };
 
 // First seed; VL_BUDGET_FIRST repeats single schedules.
-int First() {
+std::uint64_t First() {
   const char* text = std::getenv("VL_BUDGET_FIRST");
-  return text == nullptr ? 0 : std::atoi(text);
+  return text == nullptr ? 0 : std::strtoull(text, nullptr, 10);
 }
 
 int Schedules() {
@@ -260,7 +260,7 @@
   int broken = 0;
   std::map<std::string, int> by_trouble;
   for (int number = 0; number < Schedules(); ++number) {
-    auto seed = static_cast<std::uint64_t>(First() + number);
+    auto seed = First() + static_cast<std::uint64_t>(number);
     ScheduleSettings settings = SettingsOf(seed);
     Played played = Player(seed, settings).Play();
     INFO(Describe(seed, settings) << ": " << played.most_handed);
@@ -280,7 +280,7 @@
 // good, where no gateway ended and no datagram was lost.
 TEST_CASE("a budget is used up after an outage that no gateway ended in") {
   for (int number = 0; number < Schedules() / 4; ++number) {
-    auto seed = static_cast<std::uint64_t>(First() + number);
+    auto seed = First() + static_cast<std::uint64_t>(number);
     ScheduleSettings settings;
     settings.trouble = seed % 2 == 0 ? Trouble::kNone : Trouble::kFreeze;
     settings.mode = static_cast<StoreMode>(1 + seed / 2 % 4);
@@ -295,7 +295,7 @@
   int turns = 0;
   int served = 0;
   for (int number = 0; number < Schedules() / 2; ++number) {
-    auto seed = static_cast<std::uint64_t>(First() + number);
+    auto seed = First() + static_cast<std::uint64_t>(number);
     ScheduleSettings settings = SettingsOf(seed);
     settings.begins_in_outage = false;
     settings.lossy = false;
--- a/packages/forwarding/tests/model/budget_world.cc
+++ b/packages/forwarding/tests/model/budget_world.cc
@@ -73,6 +73,7 @@
       ranked.emplace_back(weight(address), run);
     std::sort(ranked.rbegin(), ranked.rend());
     std::vector<RunId> runs;
+    runs.reserve(ranked.size());
     for (const auto& [rank, run] : ranked)
       runs.push_back(run);
     return runs;
