Refuse a turn at once at a gateway that may be cut off

gateway_test (IsolationTest) failed in a run of all tests: a turn without tokens waited 1.1 s for the store at a gateway whose peers were all silent, where 0.3 s are allowed. Change: a gateway in the minority refuses them after asking those that it still reaches, as before.

--- a/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
@@ -87,6 +87,9 @@
   // Whether the live gateways together know all programs in use, where this
   // gateway knows those that had rows at `listed_at`.
   virtual bool complete(base::TimePoint listed_at) const = 0;
+  // Whether this gateway may be cut off from most others, so that callers are
+  // served better elsewhere.
+  virtual bool in_minority() const = 0;
   // Whether the store responds to this gateway.
   virtual bool reaches_store() const = 0;
   // Whether neither this gateway nor any other live one reaches the store, as
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -116,7 +116,7 @@
   // Updates how the gateways share the rates that servers state.
   void ShareRates();
   // Whether this gateway may be partitioned; see PeerDirectory::InMinority().
-  bool in_minority() const {
+  bool in_minority() const override {
     return directory_.InMinority(base::TimePoint::clock::now());
   }
 
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -195,6 +195,8 @@
   const Waiter& first = pending_[program].waiters.front();
   if (ledger_.Covers(program, first.demand.max_tokens))
     return ProcessWaiters(program);
+  if (peers_.in_minority())
+    return FailWaiters(program, "too few other gateways are reachable");
   if (timer_.now() >= first.demand.wait_until)
     return FailWaiters(program,
                        ledger_.Knows(program)
--- a/packages/forwarding/tests/budget_service_test.cc
+++ b/packages/forwarding/tests/budget_service_test.cc
@@ -65,6 +65,7 @@
   }
   bool silent(RunId) const override { return false; }
   bool complete(base::TimePoint) const override { return all_heard; }
+  bool in_minority() const override { return false; }
   bool reaches_store() const override { return reaches; }
   bool store_lost() const override { return lost; }
 };
--- a/packages/forwarding/tests/model/budget_world.cc
+++ b/packages/forwarding/tests/model/budget_world.cc
@@ -86,6 +86,9 @@
     return directory_.Complete(listed_at, timer_.now());
   }
 
+  bool in_minority() const override {
+    return directory_.InMinority(timer_.now());
+  }
   bool reaches_store() const override { return reaches; }
   bool store_lost() const override {
     return !reaches && directory_.store_addresses().empty();
