Log why a connection ended before its response

A request that ended without an answer left either no line (the end of the process interrupts it, a connection beyond the limit is closed) or outcome=caller_left without a reason, the same for a caller that left, one that half-closed and one that the gateway itself disconnected. Now caller_left states the reason, the end of the process logs what it interrupts, and a connection that is closed at the limit has a line and a counter. No change of what callers get.

--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -42,8 +42,8 @@
 class ActiveRequest {
  public:
   virtual ~ActiveRequest() = default;
-  // The caller has disconnected; the response cannot be delivered.
-  virtual void OnCallerDisconnected() = 0;
+  // The connection has ended; the response cannot be delivered.
+  virtual void OnCallerDisconnected(std::string_view reason) = 0;
 };
 
 class CallerSession;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -31,7 +31,7 @@
 
   void Start();
 
-  void OnCallerDisconnected() override;
+  void OnCallerDisconnected(std::string_view reason) override;
 
   void OnResponseHead(int status,
                       const HttpFields& fields,
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -34,6 +34,7 @@
   base::Counter& refused;
   base::Counter& unknown_outcomes;
   base::Counter& caller_disconnects;
+  base::Counter& rejected_connections;
   base::Counter& sends;
   base::Counter& open_sends;
   base::Counter& send_failures;
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -271,7 +271,7 @@
   FlushWrites();
 }
 
-void CallerSession::Close(std::string_view) {
+void CallerSession::Close(std::string_view reason) {
   if (closed_)
     return;
   closed_ = true;
@@ -280,7 +280,7 @@
   timer_.cancel();
   socket_.close(ignored);
   if (auto request = std::exchange(request_, nullptr); request && in_request_)
-    request->OnCallerDisconnected();
+    request->OnCallerDisconnected(reason);
   delegate_.OnSessionEnded(this);
 }
 
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -439,14 +439,14 @@
   Fail(502, reason);
 }
 
-void ForwardedRequest::OnCallerDisconnected() {
+void ForwardedRequest::OnCallerDisconnected(std::string_view reason) {
   if (done_)
     return;
   auto self = shared_from_this();
   context_.metrics.caller_disconnects.Add();
   RecordInterruption(Interruption::kAbandoned);
   EndSend(false);
-  Finish("caller_left", "");
+  Finish("caller_left", reason);
 }
 
 void ForwardedRequest::Finish(std::string_view outcome,
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -112,6 +112,11 @@
       auto session = std::make_shared<CallerSession>(std::move(socket), *this);
       sessions_.emplace(session.get(), session);
       session->Start();
+    } else {
+      metrics_.rejected_connections.Add();
+      base::LogEvent(base::LogLevel::kWarning, "connection_rejected",
+                     {{"reason", "the limit of connections is reached"},
+                      {"sessions", std::to_string(sessions_.size())}});
     }
     Accept();
   });
@@ -276,6 +281,12 @@
   base::LogEvent(
       base::LogLevel::kInfo, "drain_ended",
       {{"busy", std::to_string(busy)}, {"forced", forced ? "true" : "false"}});
+  // Logs what the end of the process interrupts.
+  std::vector<std::shared_ptr<CallerSession>> interrupted;
+  for (const auto& [raw, session] : sessions_)
+    interrupted.push_back(session);
+  for (const auto& session : interrupted)
+    session->Close("the process ends");
   std::exchange(on_drained_, nullptr)();
 }
 
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -52,6 +52,9 @@
       caller_disconnects(
           registry.counter("vl_gateway_callers_left_total",
                            "Callers that left before the answer.")),
+      rejected_connections(
+          registry.counter("vl_gateway_rejected_connections_total",
+                           "Connections beyond the limit of connections.")),
       sends(registry.counter("vl_gateway_sends_total",
                              "Requests sent to servers.")),
       open_sends(
