--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -60,7 +60,7 @@
     """A gateway process."""
 
     def __init__(self, platform, grace_s=8, name="edge-1", peer_port=0, store_port=0,
-                 memory_mb=512):
+                 memory_mb=512, max_fds=8200):
         self.front, self.ready_port = free_port(), free_port()
         self.peer_port = peer_port = peer_port or free_peer_port()
         self.directory = tempfile.TemporaryDirectory()
@@ -75,6 +75,7 @@
 portRange: [{peer_port}, {peer_port}]
 limits:
   memoryMb: {memory_mb}
+  maxFds: {max_fds}
 bounds:
   graceS: {grace_s}
 provider:
