Answer callers that end their input and wait

Cause: the session took the end of the input for the end of the connection, because both look the same on a socket until something is written. A request of a caller that has left must be cancelled, so the end of the input cannot just be ignored. Now the first byte of the status line is written at once: a caller that has closed resets the connection, which cancels its request; any other reads it as the start of its response, whatever the status. Also: no response is lost to unread input any more (a body of 12 MB over the limit got a reset instead of 413): what arrives after the last response is read and discarded for up to 2 s.

--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -1,6 +1,7 @@
 #ifndef VANILLALEVER_FORWARDING_CALLER_SESSION_H_
 #define VANILLALEVER_FORWARDING_CALLER_SESSION_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -65,6 +66,11 @@
 
 // Caller's HTTP/1.1 connection, which processes one request at a time and keeps
 // reading meanwhile to detect a disconnect at once. Event loop thread only.
+//
+// The end of a caller's input does not tell whether the caller has closed the
+// connection or still waits for its response. The start of the status line is
+// written then, one byte at a time: a caller that has closed resets the
+// connection, which cancels its request.
 class CallerSession final : public ResponseSink,
                             public std::enable_shared_from_this<CallerSession> {
  public:
@@ -92,6 +98,16 @@
 
   void Read();
   void OnRead(boost::system::error_code error, std::size_t size);
+  // The caller sends nothing more, and may have closed the connection.
+  void OnInputEnded();
+  // Closes the connection once everything is written and read.
+  void BeginClose();
+  // Calls Close() when the caller resets the connection.
+  void WatchForReset();
+  // Makes a caller reset the connection if it has closed it.
+  void ProbeCaller();
+  void ArmProbe(base::Duration delay, void (CallerSession::*action)());
+  void CloseSilent();
   void ParseBuffered();
   void OnParseError(boost::system::error_code error);
   void StartRequest();
@@ -116,6 +132,11 @@
   bool writing_ = false;
   bool closing_ = false;
   bool closed_ = false;
+  bool input_ended_ = false;
+  // Bytes of the next status line that are written already.
+  std::size_t status_line_written_ = 0;
+  // The head of the current response is written.
+  bool head_written_ = false;
   std::string unsent_;
   std::string sending_;
   // Incremented whenever the timer is set, to ignore stale expiries.
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
@@ -26,6 +27,17 @@
 // Added to the idle timeout, so that a request sent just before the timeout
 // does not race with the close.
 constexpr base::milliseconds kIdleSlack{1000};
+// Start of all responses. No byte of it tells the status.
+constexpr std::string_view kStatusLineStart = "HTTP/1.1 ";
+// Interval between two probes of a caller that sends nothing more.
+constexpr base::milliseconds kProbeInterval{400};
+// A caller that sends nothing more during a stream has left if no event is due
+// within this time: nothing can be written before.
+constexpr base::milliseconds kMaxStreamSilence{400};
+// Time in which input is discarded after the last response. Closing a socket
+// with unread input would reset the connection, and the caller could lose the
+// response.
+constexpr base::milliseconds kLingerTime{2000};
 
 void AppendChunk(std::string_view data, std::string* text) {
   char size[20];
@@ -59,7 +71,7 @@
         self->timer_generation_ != generation || self->in_request_)
       return;
     bool started = self->parser_ && self->parser_->got_some();
-    if (started)
+    if (started && !self->closing_)
       self->SendErrorResponse(static_cast<int>(http::status::request_timeout));
     else
       self->Close("idle");
@@ -67,7 +79,8 @@
 }
 
 void CallerSession::Read() {
-  if (reading_ || closed_ || buffer_.size() > kMaxReadAheadBytes)
+  if (reading_ || closed_ || input_ended_ ||
+      buffer_.size() > kMaxReadAheadBytes)
     return;
   reading_ = true;
   socket_.async_read_some(buffer_.prepare(kReadSizeBytes),
@@ -80,14 +93,68 @@
   reading_ = false;
   if (closed_)
     return;
+  if (error == boost::asio::error::eof)
+    return OnInputEnded();
   if (error)
     return Close(error.message());
   buffer_.commit(size);
-  if (!in_request_ && !closing_)
+  if (closing_)
+    buffer_.consume(buffer_.size());
+  else if (!in_request_)
     ParseBuffered();
   Read();
 }
 
+void CallerSession::OnInputEnded() {
+  input_ended_ = true;
+  if (!in_request_)
+    return BeginClose();
+  WatchForReset();
+  ProbeCaller();
+}
+
+void CallerSession::BeginClose() {
+  closing_ = true;
+  FlushWrites();
+}
+
+void CallerSession::WatchForReset() {
+  socket_.async_wait(boost::asio::ip::tcp::socket::wait_error,
+                     [weak = weak_from_this()](boost::system::error_code) {
+                       auto self = weak.lock();
+                       if (self && !self->closed_)
+                         self->Close("the caller has left");
+                     });
+}
+
+void CallerSession::ProbeCaller() {
+  if (!in_request_ || closed_)
+    return;
+  if (head_written_)
+    return ArmProbe(kMaxStreamSilence, &CallerSession::CloseSilent);
+  if (status_line_written_ == kStatusLineStart.size())
+    return;
+  Write(kStatusLineStart.substr(status_line_written_++, 1));
+  ArmProbe(kProbeInterval, &CallerSession::ProbeCaller);
+}
+
+void CallerSession::ArmProbe(base::Duration delay,
+                             void (CallerSession::*action)()) {
+  std::uint64_t generation = ++timer_generation_;
+  timer_.expires_after(delay);
+  timer_.async_wait([weak = weak_from_this(), generation,
+                     action](boost::system::error_code error) {
+    auto self = weak.lock();
+    if (!error && self && !self->closed_ &&
+        self->timer_generation_ == generation)
+      (*self.*action)();
+  });
+}
+
+void CallerSession::CloseSilent() {
+  Close("the caller sends nothing more and no event shows that it reads");
+}
+
 void CallerSession::ParseBuffered() {
   while (!in_request_ && !closing_ && !closed_ && buffer_.size() > 0) {
     const IngressLimits& limits = delegate_.ingress_limits();
@@ -150,16 +217,19 @@
     return Close("the request cannot be processed");
   }
   // OnRequest() may already have completed the response.
-  if (in_request_)
-    request_ = std::move(started);
+  if (!in_request_)
+    return;
+  request_ = std::move(started);
+  if (input_ended_)
+    ProbeCaller();
 }
 
 void CallerSession::AppendHead(int status,
                                const HttpFields& fields,
                                std::string* text) {
-  if (delegate_.closing())
+  if (delegate_.closing() || (input_ended_ && buffer_.size() == 0))
     keep_alive_ = false;
-  text->append("HTTP/1.1 ");
+  text->append(kStatusLineStart.substr(std::exchange(status_line_written_, 0)));
   text->append(std::to_string(status));
   text->append(" ");
   text->append(View(http::obsolete_reason(static_cast<http::status>(status))));
@@ -192,12 +262,15 @@
   std::string text;
   AppendHead(status, fields, &text);
   text.append("Transfer-Encoding: chunked\r\n\r\n");
+  head_written_ = true;
   Write(text);
 }
 
 void CallerSession::SendChunk(std::string_view data) {
   if (closed_ || data.empty())
     return;
+  if (input_ended_)
+    ++timer_generation_;
   std::string text;
   AppendChunk(data, &text);
   Write(text);
@@ -217,20 +290,20 @@
 
 void CallerSession::EndResponse() {
   in_request_ = false;
+  head_written_ = false;
   // Destroyed after the stack has unwound: the request may be calling.
   boost::asio::post(socket_.get_executor(), [request = std::move(request_)] {});
   request_.reset();
   if (closed_)
     return;
-  if (!keep_alive_) {
-    closing_ = true;
-    FlushWrites();
-    return;
-  }
+  if (!keep_alive_)
+    return BeginClose();
   ArmTimer(delegate_.ingress_limits().idle_timeout + kIdleSlack);
   boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
     if (!self->closed_ && !self->in_request_)
       self->ParseBuffered();
+    if (self->input_ended_ && !self->in_request_)
+      self->BeginClose();
     self->Read();
   });
 }
@@ -246,11 +319,15 @@
   if (writing_ || closed_)
     return;
   if (unsent_.empty()) {
-    if (closing_) {
-      boost::system::error_code ignored;
-      socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-      ArmTimer(base::milliseconds(500));
-    }
+    if (!closing_)
+      return;
+    if (input_ended_)
+      return Close("the response is sent");
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    buffer_.consume(buffer_.size());
+    ArmTimer(kLingerTime);
+    Read();
     return;
   }
   writing_ = true;
