Answer what the end of a stop interrupts, and what waits at its listener

Requests that were still in progress 0.7 s before the end of the grace, and connections that waited to be accepted when the listener closed, ended without a byte: the process just ended, and the log had no line about them. Own run, grace 8 s, work 5.5 s: requests sent 2.0, 2.5 and 2.7 s after SIGTERM were closed at 7.4 s, all three had run. The process knows its end, so it now ends these requests with a response: 503 if no server has begun them, else 504. It exits once the responses are sent, 0.2 s before the limit at the latest. The listener is emptied before it is closed; a connection whose accept had completed but was not yet handled was dropped too.

--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -45,6 +45,8 @@
   virtual ~ActiveRequest() = default;
   // The connection has ended; the response cannot be delivered.
   virtual void OnCallerDisconnected(std::string_view reason) = 0;
+  // The process is about to end: ends the response as it can.
+  virtual void OnProcessEnding() = 0;
 };
 
 class CallerSession;
@@ -79,10 +81,11 @@
   void Start();
   // Closes the connection immediately.
   void Close(std::string_view reason);
-  // No request is being read or processed and no response written.
-  bool idle() const {
-    return !in_request_ && !parser_ && buffer_.size() == 0 && !writing_;
-  }
+  // Closes the connection unless a request is being read or processed or a
+  // response written.
+  void CloseIfIdle(std::string_view reason);
+  // Ends the request in progress, if any, with a response.
+  void EndRequest();
 
   void SendResponse(int status,
                     const HttpFields& fields,
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -32,6 +32,7 @@
   void Start();
 
   void OnCallerDisconnected(std::string_view reason) override;
+  void OnProcessEnding() override;
 
   void OnResponseHead(int status,
                       const HttpFields& fields,
@@ -108,6 +109,8 @@
   // event was.
   bool ends_before_first_event() const;
   void OnTimeout();
+  // Ends the request without a server's response.
+  void EndUnanswered(std::string_view reason);
 
   // Records what the server's response says about its request rate.
   void RecordStatedLimit(int status, const ResponseMetadata& metadata);
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -27,8 +27,12 @@
   // Minimum time that a stopping process keeps accepting connections, so that
   // callers and the load balancer can notice that it is shutting down.
   base::milliseconds linger{3500};
-  // Time before the forced termination at which draining is abandoned.
+  // Time before the forced termination at which requests still in progress are
+  // ended with a response.
   base::milliseconds stop_margin{700};
+  // Time before the forced termination at which the process ends, whatever is
+  // still unsent.
+  base::milliseconds exit_margin{200};
   // Maximum number of caller connections; further ones are closed at once.
   std::size_t max_sessions = 4000;
   // Limit of a response that is relayed only when complete.
@@ -93,6 +97,10 @@
   // Registers the server. Returns whether anything but its counts has changed.
   bool PutServer(BackendServer server);
   void CheckDrained();
+  void StartSession(boost::asio::ip::tcp::socket socket);
+  // Accepts the connections that callers have already established, and no more.
+  void StopAccepting();
+  std::vector<std::shared_ptr<CallerSession>> Sessions() const;
   void CheckIsolation();
 
   GatewaySettings settings_;
@@ -115,6 +123,8 @@
   bool servers_known_ = false;
   bool draining_ = false;
   base::TimePoint drain_started_{};
+  // The requests that were still in progress have been ended.
+  bool requests_ended_ = false;
   base::TimePoint last_cleanup_{};
   bool store_connected_ = false;
   // Neither the store nor most other gateways are reachable, so that callers
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -348,6 +348,20 @@
   FlushWrites();
 }
 
+void CallerSession::CloseIfIdle(std::string_view reason) {
+  boost::system::error_code ignored;
+  bool idle = !in_request_ && !parser_ && buffer_.size() == 0 && !writing_ &&
+              socket_.available(ignored) == 0;
+  if (idle)
+    Close(reason);
+}
+
+void CallerSession::EndRequest() {
+  auto self = shared_from_this();
+  if (auto request = request_)
+    request->OnProcessEnding();
+}
+
 void CallerSession::Close(std::string_view reason) {
   if (closed_)
     return;
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -388,16 +388,24 @@
 void ForwardedRequest::OnTimeout() {
   if (done_)
     return;
-  auto self = shared_from_this();
   if (send_open_ && response_mode_ == ResponseMode::kNone)
     RecordOutcome(true);
+  EndUnanswered("the time limit passed");
+}
+
+void ForwardedRequest::OnProcessEnding() {
+  if (!done_)
+    EndUnanswered("the gateway is stopping");
+}
+
+void ForwardedRequest::EndUnanswered(std::string_view reason) {
+  auto self = shared_from_this();
   RecordInterruption(Interruption::kAbandoned);
   bool sent = connection_ != nullptr || possible_runs_ > 0 || relaying_;
   if (!sent)
-    return Refuse(
-        "the time limit passed before a server could take the request",
-        kRetryAfter);
-  Fail(504, "the time limit passed");
+    return Refuse(std::string(reason) + " before a server took the request",
+                  kRetryAfter);
+  Fail(504, reason);
 }
 
 void ForwardedRequest::Refuse(std::string_view reason,
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -24,6 +24,11 @@
 // deleted while another gateway still uses it.
 constexpr base::seconds kBudgetRetention{600};
 
+void LogAcceptError(const boost::system::error_code& error) {
+  base::LogEvent(base::LogLevel::kWarning, "accept_failed",
+                 {{"reason", error.message()}});
+}
+
 }  // namespace
 
 Gateway::Gateway(boost::asio::io_context& io,
@@ -96,11 +101,13 @@
 void Gateway::Accept() {
   acceptor_.async_accept([this](boost::system::error_code error,
                                 tcp::socket socket) {
+    // Also after the acceptor was closed: the connection was accepted before.
+    if (!error)
+      StartSession(std::move(socket));
     if (error == boost::asio::error::operation_aborted || !acceptor_.is_open())
       return;
     if (error) {
-      base::LogEvent(base::LogLevel::kWarning, "accept_failed",
-                     {{"reason", error.message()}});
+      LogAcceptError(error);
       accept_timer_.expires_after(kAcceptRetryDelay);
       accept_timer_.async_wait([this](boost::system::error_code cancelled) {
         if (!cancelled)
@@ -108,20 +115,23 @@
       });
       return;
     }
-    if (sessions_.size() < settings_.max_sessions) {
-      auto session = std::make_shared<CallerSession>(std::move(socket), *this);
-      sessions_.emplace(session.get(), session);
-      session->Start();
-    } else {
-      metrics_.rejected_connections.Add();
-      base::LogEvent(base::LogLevel::kWarning, "connection_rejected",
-                     {{"reason", "the limit of connections is reached"},
-                      {"sessions", std::to_string(sessions_.size())}});
-    }
     Accept();
   });
 }
 
+void Gateway::StartSession(tcp::socket socket) {
+  if (sessions_.size() >= settings_.max_sessions) {
+    metrics_.rejected_connections.Add();
+    base::LogEvent(base::LogLevel::kWarning, "connection_rejected",
+                   {{"reason", "the limit of connections is reached"},
+                    {"sessions", std::to_string(sessions_.size())}});
+    return;
+  }
+  auto session = std::make_shared<CallerSession>(std::move(socket), *this);
+  sessions_.emplace(session.get(), session);
+  session->Start();
+}
+
 bool Gateway::ApplyConfig(std::shared_ptr<const RouteConfig> config) {
   std::uint64_t current_version =
       context_.config ? context_.config->version : 0;
@@ -265,31 +275,51 @@
     return;
   // The load balancer has removed this process by now, and a later request
   // could be interrupted by the end of the grace period.
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
-  std::vector<std::shared_ptr<CallerSession>> idle;
-  for (const auto& [raw, session] : sessions_) {
-    if (session->idle())
-      idle.push_back(session);
+  if (acceptor_.is_open())
+    return StopAccepting();
+  for (const auto& session : Sessions())
+    session->CloseIfIdle("draining");
+  if (elapsed >= context_.stop_time && !std::exchange(requests_ended_, true)) {
+    for (const auto& session : Sessions())
+      session->EndRequest();
   }
-  for (const auto& session : idle)
-    session->Close("draining");
   std::size_t busy = sessions_.size();
-  bool forced = elapsed >= settings_.grace - settings_.stop_margin;
+  bool forced = elapsed >= settings_.grace - settings_.exit_margin;
   if ((busy > 0 && !forced) || !on_drained_)
     return;
   base::LogEvent(
       base::LogLevel::kInfo, "drain_ended",
       {{"busy", std::to_string(busy)}, {"forced", forced ? "true" : "false"}});
   // Logs what the end of the process interrupts.
-  std::vector<std::shared_ptr<CallerSession>> interrupted;
-  for (const auto& [raw, session] : sessions_)
-    interrupted.push_back(session);
-  for (const auto& session : interrupted)
+  for (const auto& session : Sessions())
     session->Close("the process ends");
   std::exchange(on_drained_, nullptr)();
 }
 
+void Gateway::StopAccepting() {
+  // Connections that wait to be accepted would be reset, though callers may
+  // have sent their requests.
+  boost::system::error_code error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket = acceptor_.accept(error);
+    if (!error)
+      StartSession(std::move(socket));
+  }
+  if (error != boost::asio::error::would_block)
+    LogAcceptError(error);
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+std::vector<std::shared_ptr<CallerSession>> Gateway::Sessions() const {
+  std::vector<std::shared_ptr<CallerSession>> sessions;
+  sessions.reserve(sessions_.size());
+  for (const auto& [raw, session] : sessions_)
+    sessions.push_back(session);
+  return sessions;
+}
+
 std::shared_ptr<ActiveRequest> Gateway::OnRequest(
     CallerRequest request,
     std::shared_ptr<ResponseSink> sink) {
--- a/tests/gateway/lost_request_test.py
+++ b/tests/gateway/lost_request_test.py
@@ -100,6 +100,18 @@
         self.assertEqual(self.runs("/pay/queued"), [])
 
 
+    def test_connections_that_wait_to_be_accepted_when_the_listener_closes_are_answered(self):
+        """Guards against a stop that resets connections whose requests have arrived; a pause makes them wait."""
+        gateway = self.start()
+        gateway.process.send_signal(signal.SIGTERM)
+        time.sleep(3.0)
+        gateway.process.send_signal(signal.SIGSTOP)
+        callers = [RawCaller(gateway).send("/read/waits", limit_ms=3000) for _ in range(10)]
+        time.sleep(0.7)
+        gateway.process.send_signal(signal.SIGCONT)
+        self.assertEqual([caller.statuses() for caller in callers], [[200]] * 10)
+
+
 class HalfCloseTest(LostRequestCase):
     def test_caller_that_ends_its_input_gets_its_response(self):
         """Guards against a gateway that takes the end of a caller's input for the end of the connection."""
