Reject requests of connections beyond the limit with a response

A gateway with 4,000 connections closed each further one at once, without a byte, whatever was sent on it. Now their requests get 503 with Retry-After, which is true, as nothing was sent on; beyond 100 of them connections wait at the listener until others end. The limit follows from the descriptors that the settings state. A request whose processing throws an exception gets 502 instead of a closed connection.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -147,6 +147,13 @@
           node.memory_bytes / kMemoryDivisor;
       settings.max_response_bytes = node.memory_bytes / kResponseDivisor;
     }
+    // Descriptors for files, the store, and rejected connections.
+    constexpr std::size_t kReservedDescriptors = 200;
+    // A request in progress has a connection of its caller and one to a server.
+    constexpr std::size_t kDescriptorsPerSession = 2;
+    if (node.max_descriptors > kReservedDescriptors)
+      settings.max_sessions = (node.max_descriptors - kReservedDescriptors) /
+                              kDescriptorsPerSession;
     // The store may count a row's value in its encoding, which adds a third.
     settings.conversations.max_row_bytes = node.max_row_bytes / 4 * 3 - 1024;
     return settings;
--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -51,6 +51,12 @@
 
 class CallerSession;
 
+// What a session does with its requests.
+enum class SessionMode {
+  kServe,
+  kReject,  // the gateway has as many connections as it can serve
+};
+
 // Interface of sessions to the gateway. Outlives them.
 class SessionDelegate {
  public:
@@ -58,7 +64,8 @@
   // Starts a request. The session keeps the result until the response ends.
   virtual std::shared_ptr<ActiveRequest> OnRequest(
       CallerRequest request,
-      std::shared_ptr<ResponseSink> sink) = 0;
+      std::shared_ptr<ResponseSink> sink,
+      SessionMode mode) = 0;
   virtual void OnSessionEnded(CallerSession* session) = 0;
   // Current limits.
   virtual const IngressLimits& ingress_limits() const = 0;
@@ -76,7 +83,9 @@
 class CallerSession final : public ResponseSink,
                             public std::enable_shared_from_this<CallerSession> {
  public:
-  CallerSession(boost::asio::ip::tcp::socket socket, SessionDelegate& delegate);
+  CallerSession(boost::asio::ip::tcp::socket socket,
+                SessionDelegate& delegate,
+                SessionMode mode);
 
   void Start();
   // Closes the connection immediately.
@@ -125,6 +134,7 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   SessionDelegate& delegate_;
+  const SessionMode mode_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::shared_ptr<ActiveRequest> request_;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -30,6 +30,8 @@
   ~ForwardedRequest() override;
 
   void Start();
+  // Refuses the request instead.
+  void Reject(std::string_view reason);
 
   void OnCallerDisconnected(std::string_view reason) override;
   void OnProcessEnding() override;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -33,8 +33,11 @@
   // Time before the forced termination at which the process ends, whatever is
   // still unsent.
   base::milliseconds exit_margin{200};
-  // Maximum number of caller connections; further ones are closed at once.
+  // Maximum number of caller connections that are served.
   std::size_t max_sessions = 4000;
+  // Further connections whose requests are rejected; beyond these, none are
+  // accepted until others end.
+  std::size_t max_rejected_sessions = 100;
   // Limit of a response that is relayed only when complete.
   std::size_t max_response_bytes = 16 << 20;
   PlacementSettings placement;
@@ -83,9 +86,9 @@
   GatewayMetrics& metrics() { return metrics_; }
   StorePeers& store_peers() { return peers_; }
 
-  std::shared_ptr<ActiveRequest> OnRequest(
-      CallerRequest request,
-      std::shared_ptr<ResponseSink> sink) override;
+  std::shared_ptr<ActiveRequest> OnRequest(CallerRequest request,
+                                           std::shared_ptr<ResponseSink> sink,
+                                           SessionMode mode) override;
   void OnSessionEnded(CallerSession* session) override;
   const IngressLimits& ingress_limits() const override;
   bool closing() const override { return draining_ || isolated_; }
@@ -93,6 +96,9 @@
 
  private:
   void Accept();
+  std::size_t connection_limit() const {
+    return settings_.max_sessions + settings_.max_rejected_sessions;
+  }
   void Tick();
   // Registers the server. Returns whether anything but its counts has changed.
   bool PutServer(BackendServer server);
@@ -120,6 +126,8 @@
   CrashMonitor crashes_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
+  // No connection is accepted until a session ends.
+  bool accept_paused_ = false;
   bool servers_known_ = false;
   bool draining_ = false;
   base::TimePoint drain_started_{};
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -50,10 +50,12 @@
 }  // namespace
 
 CallerSession::CallerSession(boost::asio::ip::tcp::socket socket,
-                             SessionDelegate& delegate)
+                             SessionDelegate& delegate,
+                             SessionMode mode)
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
-      delegate_(delegate) {}
+      delegate_(delegate),
+      mode_(mode) {}
 
 void CallerSession::Start() {
   ConfigureSocket(socket_);
@@ -205,16 +207,19 @@
   timer_.cancel();
   CallerRequest request = parser_->release();
   parser_.reset();
-  keep_alive_ = request.keep_alive();
+  keep_alive_ = request.keep_alive() && mode_ == SessionMode::kServe;
   head_request_ = request.method() == http::verb::head;
   std::shared_ptr<ActiveRequest> started;
   try {
-    started = delegate_.OnRequest(std::move(request), shared_from_this());
+    started =
+        delegate_.OnRequest(std::move(request), shared_from_this(), mode_);
   } catch (const std::exception& exception) {
     // Of this request: the process goes on.
     base::LogEvent(base::LogLevel::kError, "request_failed",
                    {{"step", "start"}, {"reason", exception.what()}});
-    return Close("the request cannot be processed");
+    if (!in_request_ || head_written_)
+      return Close("the request cannot be processed");
+    return SendErrorResponse(static_cast<int>(http::status::bad_gateway));
   }
   // OnRequest() may already have completed the response.
   if (!in_request_)
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -79,6 +79,12 @@
   FindOrigin();
 }
 
+void ForwardedRequest::Reject(std::string_view reason) {
+  context_.metrics.requests.Add();
+  profile_ = context_.codec.DecodeRequest(request_);
+  Refuse(reason, kRetryAfter);
+}
+
 bool ForwardedRequest::ResolveRoute() {
   config_ = context_.config;
   if (!config_) {
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -99,6 +99,10 @@
 }
 
 void Gateway::Accept() {
+  if (sessions_.size() >= connection_limit()) {
+    accept_paused_ = true;
+    return;
+  }
   acceptor_.async_accept([this](boost::system::error_code error,
                                 tcp::socket socket) {
     // Also after the acceptor was closed: the connection was accepted before.
@@ -120,14 +124,16 @@
 }
 
 void Gateway::StartSession(tcp::socket socket) {
+  SessionMode mode = SessionMode::kServe;
   if (sessions_.size() >= settings_.max_sessions) {
+    mode = SessionMode::kReject;
     metrics_.rejected_connections.Add();
     base::LogEvent(base::LogLevel::kWarning, "connection_rejected",
                    {{"reason", "the limit of connections is reached"},
                     {"sessions", std::to_string(sessions_.size())}});
-    return;
   }
-  auto session = std::make_shared<CallerSession>(std::move(socket), *this);
+  auto session =
+      std::make_shared<CallerSession>(std::move(socket), *this, mode);
   sessions_.emplace(session.get(), session);
   session->Start();
 }
@@ -322,15 +328,21 @@
 
 std::shared_ptr<ActiveRequest> Gateway::OnRequest(
     CallerRequest request,
-    std::shared_ptr<ResponseSink> sink) {
+    std::shared_ptr<ResponseSink> sink,
+    SessionMode mode) {
   auto forwarded = std::make_shared<ForwardedRequest>(
       context_, std::move(request), std::move(sink));
-  forwarded->Start();
+  if (mode == SessionMode::kServe)
+    forwarded->Start();
+  else
+    forwarded->Reject("the limit of connections is reached");
   return forwarded;
 }
 
 void Gateway::OnSessionEnded(CallerSession* session) {
   sessions_.erase(session);
+  if (std::exchange(accept_paused_, false) && acceptor_.is_open())
+    Accept();
 }
 
 const IngressLimits& Gateway::ingress_limits() const {
