Refuse early in a stop what usually outlasts it

A request whose time limit lies beyond the end is now refused at once (503, not run) if that does not fit in any more, so that it runs elsewhere; others are passed on as before.

stop_test, the new case (work 5 s, limit 6 s, sent 2.4 to 2.7 s after the signal): cut without a byte before, refused now. Unit test of the load: works of up to 5.5 s: none of 1,000 is accepted and cut; of up to 0.3 s: none is refused.

--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -14,6 +14,7 @@
 #include "vanillalever/forwarding/peer_link.h"
 #include "vanillalever/forwarding/placement.h"
 #include "vanillalever/forwarding/queue_policy.h"
+#include "vanillalever/forwarding/recent_durations.h"
 #include "vanillalever/forwarding/retry_policy.h"
 #include "vanillalever/forwarding/route_config.h"
 #include "vanillalever/forwarding/server_connection_pool.h"
@@ -43,6 +44,7 @@
   RetryPolicy retries;
   QueuePolicy queue;
   StopPolicy stops;
+  RecentDurations durations;
   // Limit of a response that is relayed only when complete.
   std::size_t max_response_bytes = 16 << 20;
   // Time from the stop signal to the end of the process, whatever is open then.
--- a/packages/forwarding/include/vanillalever/forwarding/stop_policy.h
+++ b/packages/forwarding/include/vanillalever/forwarding/stop_policy.h
@@ -12,16 +12,20 @@
 class StopPolicy {
  public:
   // Time after the stop signal in which the load balancer may still choose this
-  // gateway: requests are passed on whatever their time limit, as nearly all of
-  // them end long before it.
+  // gateway: requests are passed on if they end in time unless they take longer
+  // than others did lately.
   static constexpr base::milliseconds kOpenTime{2800};
 
   // `elapsed`: time since the stop signal. `time_limit`: when the request ends
   // at the latest, from now on. `end`: when the process ends, after the signal.
+  // `expected`: how long requests of its route took lately; zero if unknown.
   bool Accepts(base::Duration elapsed,
                base::Duration time_limit,
-               base::Duration end) const {
-    return elapsed < kOpenTime || elapsed + time_limit <= end;
+               base::Duration end,
+               base::Duration expected = base::Duration(0)) const {
+    if (elapsed + time_limit <= end)
+      return true;
+    return elapsed < kOpenTime && elapsed + expected <= end;
   }
 };
 
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -66,8 +66,9 @@
     limit = std::min<base::Duration>(limit, *profile_.caller_timeout);
   deadline_ = arrived_at_ + limit;
   if (context_.stopping_since &&
-      !context_.stops.Accepts(arrived_at_ - *context_.stopping_since, limit,
-                              context_.stop_time))
+      !context_.stops.Accepts(
+          arrived_at_ - *context_.stopping_since, limit, context_.stop_time,
+          context_.durations.longest(route_->name, arrived_at_)))
     return Refuse("the gateway is stopping", kStoppingRetryAfter);
   timer_.expires_at(deadline_);
   timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
@@ -340,10 +341,12 @@
 }
 
 void ForwardedRequest::RecordResponse() {
+  auto now = base::TimePoint::clock::now();
   context_.metrics.responses.Add();
+  context_.durations.Record(route_->name, now - arrived_at_, now);
   context_.metrics.latency
       .request_seconds[static_cast<std::size_t>(route_->kind)]
-      ->Observe(Seconds(base::TimePoint::clock::now() - arrived_at_));
+      ->Observe(Seconds(now - arrived_at_));
 }
 
 void ForwardedRequest::StartRelay() {
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -68,6 +68,7 @@
                RetryPolicy(),
                QueuePolicy(),
                StopPolicy(),
+               RecentDurations(),
                settings_.max_response_bytes,
                settings_.grace - settings_.stop_margin} {}
 
--- a/packages/forwarding/tests/decision_test.cc
+++ b/packages/forwarding/tests/decision_test.cc
@@ -2,9 +2,11 @@
 
 #include <string>
 
+#include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/event_framer.h"
 #include "vanillalever/forwarding/peer_directory.h"
 #include "vanillalever/forwarding/prompt_index.h"
+#include "vanillalever/forwarding/recent_durations.h"
 #include "vanillalever/forwarding/retry_policy.h"
 #include "vanillalever/forwarding/route_config.h"
 #include "vanillalever/forwarding/server_registry.h"
@@ -227,5 +229,50 @@
       stops.Accepts(base::milliseconds(7300), base::milliseconds(1), kEnd));
 }
 
+TEST_CASE("the longest duration of a route is known for a while") {
+  RecentDurations durations;
+  const std::string route = "pay";
+  CHECK(durations.longest(route, kStart) == base::Duration(0));
+  durations.Record(route, base::seconds(3), kStart);
+  durations.Record(route, base::seconds(1), kStart);
+  CHECK(durations.longest(route, kStart) == base::seconds(3));
+  CHECK(durations.longest("read", kStart) == base::Duration(0));
+  auto next = kStart + RecentDurations::kWindow;
+  durations.Record(route, base::seconds(2), next);
+  CHECK(durations.longest(route, next) == base::seconds(3));
+  auto later = next + RecentDurations::kWindow;
+  CHECK(durations.longest(route, later) == base::seconds(2));
+  CHECK(durations.longest(route, later + 2 * RecentDurations::kWindow) ==
+        base::Duration(0));
+}
+
+// Guards against requests that a stop accepts and cuts, and against refusals of
+// requests that end in time: works of up to 5.5 s or 0.3 s, time limit 6 s.
+TEST_CASE("a stop passes on what usually ends before it") {
+  constexpr base::Duration kEnd = base::milliseconds(7300);
+  constexpr base::Duration kLimit = base::seconds(6);
+  StopPolicy stops;
+  for (int longest_ms : {300, 5500}) {
+    RecentDurations durations;
+    base::Random random(7);
+    auto work = [&random, longest_ms] {
+      return base::milliseconds(random.Below(longest_ms));
+    };
+    durations.Record("pay", base::milliseconds(longest_ms), kStart);
+    int cut = 0;
+    int refused = 0;
+    for (int i = 0; i < 1000; ++i) {
+      base::Duration elapsed = base::milliseconds(random.Below(2800));
+      bool accepted = stops.Accepts(elapsed, kLimit, kEnd,
+                                    durations.longest("pay", kStart));
+      cut += accepted && elapsed + work() > kEnd ? 1 : 0;
+      refused += accepted ? 0 : 1;
+    }
+    INFO("works of up to " << longest_ms << " ms");
+    CHECK(cut == 0);
+    CHECK((refused == 0) == (longest_ms == 300));
+  }
+}
+
 }  // namespace
 }  // namespace vanillalever::forwarding
--- a/tests/gateway/stop_test.py
+++ b/tests/gateway/stop_test.py
@@ -61,6 +61,23 @@
         results = self.stop_under_load([EXCUSED_S + 0.05 * i for i in range(6)], "/pay/short", 2000)
         self.assertEqual({status for _, status, _ in results}, {200})
 
+    def test_request_that_takes_as_long_as_others_did_is_not_passed_on_to_be_cut(self):
+        """Guards against requests that are accepted early in a stop although their kind never ends before it."""
+        gateway = self.start()
+        self.plan("/pay/known", "slow5")
+        callers = [Caller(gateway) for _ in range(5)]
+        with concurrent.futures.ThreadPoolExecutor(len(callers)) as pool:
+            first = pool.submit(self.send_at, callers[0], 0, 0, "/pay/known", 6000)
+            self.assertEqual(first.result()[1], 200)
+            gateway.process.send_signal(signal.SIGTERM)
+            started = time.monotonic()
+            jobs = [pool.submit(self.send_at, caller, started, at_s, "/pay/known", 6000)
+                    for caller, at_s in zip(callers[1:], (1.0, 2.4, 2.5, 2.7))]
+            results = [job.result() for job in jobs]
+        self.assertEqual([status for _, status in results], [200, 503, 503, 503])
+        ran = {run[0] for run in self.runs("/pay/known")}
+        self.assertTrue(ran.isdisjoint(identity for identity, status in results if status == 503))
+
     def test_requests_are_served_early_in_a_stop(self):
         results = self.stop_under_load([0.2 * i for i in range(12)], "/pay/short", 6000)
         self.assertEqual({status for _, status, _ in results}, {200})
