Limit connections by the descriptors that the process may have

A gateway whose process may open fewer descriptors than 8,200 accepted connections until it had none left. The limit of connections now follows from the smaller of the settings' and the process's limit. lost_request_test, 150 callers and 100 descriptors: failed on, each gets 200 or 503 now.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -1,10 +1,13 @@
 // Gateway process: forwards callers' requests to backend servers on the users'
 // platform.
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <csignal>
 #include <exception>
 #include <iostream>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -130,6 +133,30 @@
     }
   }
 
+  // Open file descriptors that the process may have.
+  static std::size_t Descriptors(const adapter::NodeSettings& node) {
+    std::size_t descriptors = std::numeric_limits<std::size_t>::max();
+    if (rlimit limit{}; getrlimit(RLIMIT_NOFILE, &limit) == 0)
+      descriptors = limit.rlim_cur;
+    if (node.max_descriptors > 0)
+      descriptors = std::min(descriptors, node.max_descriptors);
+    return descriptors;
+  }
+
+  // Connections beyond the descriptors could not even be rejected.
+  static void SetSessionLimits(std::size_t descriptors,
+                               forwarding::GatewaySettings& settings) {
+    // For files, the store, other gateways and rejected connections.
+    constexpr std::size_t kReserved = 200;
+    // A request in progress has a connection of its caller and one to a server.
+    constexpr std::size_t kPerSession = 2;
+    std::size_t reserved = std::min(kReserved, descriptors / 6 * 5);
+    std::size_t sessions = (descriptors - reserved) / kPerSession;
+    settings.max_sessions = std::clamp<std::size_t>(sessions, 1, 4000);
+    settings.max_rejected_sessions = std::clamp<std::size_t>(
+        settings.max_sessions / 2, 1, settings.max_rejected_sessions);
+  }
+
   static forwarding::GatewaySettings MakeGatewaySettings(
       const adapter::NodeSettings& node) {
     forwarding::GatewaySettings settings;
@@ -147,13 +174,7 @@
           node.memory_bytes / kMemoryDivisor;
       settings.max_response_bytes = node.memory_bytes / kResponseDivisor;
     }
-    // Descriptors for files, the store, and rejected connections.
-    constexpr std::size_t kReservedDescriptors = 200;
-    // A request in progress has a connection of its caller and one to a server.
-    constexpr std::size_t kDescriptorsPerSession = 2;
-    if (node.max_descriptors > kReservedDescriptors)
-      settings.max_sessions = (node.max_descriptors - kReservedDescriptors) /
-                              kDescriptorsPerSession;
+    SetSessionLimits(Descriptors(node), settings);
     // The store may count a row's value in its encoding, which adds a third.
     settings.conversations.max_row_bytes = node.max_row_bytes / 4 * 3 - 1024;
     return settings;
--- a/tests/gateway/lost_request_test.py
+++ b/tests/gateway/lost_request_test.py
@@ -2,7 +2,9 @@
 
 Usage: lost_request_test.py GATEWAY_BINARY [unittest option...]
 """
+import concurrent.futures
 import re
+import resource
 import signal
 import socket
 import sys
@@ -46,6 +48,17 @@
             self.received += b"<reset>"
         return self.received
 
+    def first_status(self, limit_ms):
+        """Sends a request and leaves with the response; 0 if none has begun at the time limit."""
+        self.socket.settimeout(limit_ms / 1000)
+        try:
+            head = self.send("/pay/held", limit_ms=limit_ms).socket.recv(4096)
+            return int(head.split(b" ")[1]) if head else 0
+        except OSError:
+            return 0
+        finally:
+            self.close()
+
     def statuses(self):
         """The statuses of all complete responses up to the end of the connection."""
         text, statuses = self.read_all(), []
@@ -198,6 +211,22 @@
         time.sleep(0.3)
         self.assertEqual(RawCaller(gateway).send("/pay/after").end_input().statuses(), [200])
 
+    def test_connections_beyond_the_descriptors_of_the_process_are_refused_with_a_response(self):
+        """The same where the process may open fewer descriptors than its settings state."""
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        try:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (100, limits[1]))
+            gateway = gateway_test.Gateway(self.platform)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        self.addCleanup(gateway.stop)
+        self.assertTrue(wait_until(gateway.is_ready))
+        self.plan("/pay/held", "slow1")
+        callers = [RawCaller(gateway) for _ in range(150)]
+        with concurrent.futures.ThreadPoolExecutor(len(callers)) as pool:
+            statuses = list(pool.map(lambda caller: caller.first_status(limit_ms=3000), callers))
+        self.assertLessEqual(set(statuses), {200, 503}, statuses)
+
     def test_response_to_a_body_that_is_still_being_sent_is_not_lost(self):
         """Guards against a reset that overtakes the response: the body beyond the limit is read and discarded."""
         gateway = self.start()
