Answer pipelined requests that have been read before a stop closes their connection

In a stop the response to the first of several pipelined requests said Connection: close, and the others, which the gateway had read, ended without a byte. The connection is now closed after the last request that has been read. lost_request_test: 200 alone before, 200 three times now.

--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -232,7 +232,9 @@
 void CallerSession::AppendHead(int status,
                                const HttpFields& fields,
                                std::string* text) {
-  if (delegate_.closing() || (input_ended_ && buffer_.size() == 0))
+  // Requests that have been read already are answered before the connection is
+  // closed.
+  if ((delegate_.closing() || input_ended_) && buffer_.size() == 0)
     keep_alive_ = false;
   text->append(kStatusLineStart.substr(std::exchange(status_line_written_, 0)));
   text->append(std::to_string(status));
--- a/tests/gateway/lost_request_test.py
+++ b/tests/gateway/lost_request_test.py
@@ -125,6 +125,17 @@
         self.assertEqual([caller.statuses() for caller in callers], [[200]] * 10)
 
 
+    def test_pipelined_requests_that_have_arrived_are_answered_in_a_stop(self):
+        """Guards against a response that closes the connection although the next request has been read."""
+        gateway = self.start()
+        self.plan("/pay/0", "slow0.5")
+        caller = RawCaller(gateway)
+        for number in range(3):
+            caller.send(f"/pay/{number}")
+        gateway.process.send_signal(signal.SIGTERM)
+        self.assertEqual(caller.statuses(), [200, 200, 200])
+
+
 class HalfCloseTest(LostRequestCase):
     def test_caller_that_ends_its_input_gets_its_response(self):
         """Guards against a gateway that takes the end of a caller's input for the end of the connection."""
