Relay large sound responses with back-pressure

A response with a declared length above the limit is relayed with that length, so that a cut shows; the server is not read while 256 KB are unsent; the time limit ends a caller that does not read. A whole response is written whatever its size, pipelined requests wait for the caller to read, and the idle time-out counts from the last progress. A repeat at another server stays possible for the first 256 KB.

--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -25,7 +25,8 @@
     boost::beast::http::request<boost::beast::http::string_body>;
 
 // Sends the response to one request: either SendResponse(), or StartStream(),
-// SendChunk()... and FinishStream(). Abort() may be called at any time.
+// SendChunk()... and FinishStream(), or StartBody(), SendBody()... and
+// FinishBody(). Abort() may be called at any time.
 class ResponseSink {
  public:
   virtual ~ResponseSink() = default;
@@ -35,6 +36,17 @@
   virtual void StartStream(int status, const HttpFields& fields) = 0;
   virtual void SendChunk(std::string_view data) = 0;
   virtual void FinishStream() = 0;
+  // Starts a response of `length` bytes, which the caller may read until
+  // `deadline`.
+  virtual void StartBody(int status,
+                         const HttpFields& fields,
+                         std::uint64_t length,
+                         base::TimePoint deadline) = 0;
+  // Returns whether more may be sent at once. If not, the request's
+  // OnOutputDrained() tells when.
+  virtual bool SendBody(std::string_view data) = 0;
+  // All of the declared length has been sent.
+  virtual void FinishBody() = 0;
   // Closes the connection, so that the caller sees an incomplete response.
   virtual void Abort() = 0;
 };
@@ -45,6 +57,9 @@
   virtual ~ActiveRequest() = default;
   // The connection has ended; the response cannot be delivered.
   virtual void OnCallerDisconnected(std::string_view reason) = 0;
+  // The caller has read enough for more to be sent, after SendBody() returned
+  // false.
+  virtual void OnOutputDrained() = 0;
 };
 
 class CallerSession;
@@ -90,6 +105,12 @@
   void StartStream(int status, const HttpFields& fields) override;
   void SendChunk(std::string_view data) override;
   void FinishStream() override;
+  void StartBody(int status,
+                 const HttpFields& fields,
+                 std::uint64_t length,
+                 base::TimePoint deadline) override;
+  bool SendBody(std::string_view data) override;
+  void FinishBody() override;
   void Abort() override;
 
  private:
@@ -114,7 +135,16 @@
   void EndResponse();
   void Write(std::string_view data);
   void FlushWrites();
-  void OnWritten(boost::system::error_code error);
+  void WriteSome();
+  void OnWritten(boost::system::error_code error, std::size_t size);
+  // Output that the kernel has not accepted yet.
+  std::size_t unsent_bytes() const;
+  // Whether the caller has to read before more is produced for it.
+  bool BackPressured();
+  void NotifyIfDrained();
+  // Takes up the next pipelined request, or closes the connection after the
+  // last one.
+  void StartNextRequest();
   void ArmTimer(base::Duration limit);
   void AppendHead(int status, const HttpFields& fields, std::string* text);
   void SendErrorResponse(int status);
@@ -139,6 +169,14 @@
   bool head_written_ = false;
   std::string unsent_;
   std::string sending_;
+  // Bytes of `sending_` that are written.
+  std::size_t written_ = 0;
+  // Something was written since the timer was set.
+  bool write_progress_ = false;
+  // More may be produced when the caller has read a part of the output.
+  bool awaiting_drain_ = false;
+  // The kernel gives up unread output later than for other connections.
+  bool user_timeout_extended_ = false;
   // Incremented whenever the timer is set, to ignore stale expiries.
   std::uint64_t timer_generation_ = 0;
 };
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -32,6 +32,7 @@
   void Start();
 
   void OnCallerDisconnected(std::string_view reason) override;
+  void OnOutputDrained() override;
 
   void OnResponseHead(int status,
                       const HttpFields& fields,
@@ -58,7 +59,15 @@
   static constexpr base::milliseconds kCrashCheckDelay{10};
 
   // How the current response is processed.
-  enum class ResponseMode { kNone, kRefusal, kBuffered, kStreamed };
+  enum class ResponseMode { kNone, kRefusal, kBuffered, kRelayed, kStreamed };
+
+  // The declared length of a response that is relayed while it arrives, because
+  // it is larger than what is buffered.
+  std::optional<std::uint64_t> LengthToRelay(const HttpFields& fields) const;
+  // A part of a body that consists of no events.
+  void OnPlainBody(std::string_view data);
+  void RelayBody(std::string_view data);
+  void FinishBody();
 
   bool ResolveRoute();
   // Looks up the version that began the stream, if the caller takes one up.
@@ -209,8 +218,10 @@
   int status_ = 0;
   HttpFields response_fields_;
   std::string body_;
+  // See LengthToRelay().
+  std::optional<std::uint64_t> relayed_length_;
   EventFramer framer_;
-  // The head of a streamed response has been sent to the caller.
+  // The head of a response that is still arriving has been sent to the caller.
   bool relaying_ = false;
   bool done_ = false;
 };
--- a/packages/forwarding/include/vanillalever/forwarding/server_connection.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_connection.h
@@ -53,6 +53,12 @@
             std::string request_id,
             bool head_only,
             ResponseHandler* handler);
+  // Reads no more of the response until ResumeReading(), so that the server has
+  // to wait.
+  void PauseReading() { paused_ = true; }
+  void ResumeReading();
+  // Whether the server has to wait for the caller.
+  bool paused() const { return paused_; }
   // Closes the connection; the handler is not called afterwards.
   void Close();
 
@@ -104,6 +110,7 @@
   bool sent_ = false;
   bool written_ = false;
   bool reading_ = false;
+  bool paused_ = false;
   bool head_received_ = false;
   // The response being read is informational or belongs to another request.
   bool skipping_response_ = false;
--- a/packages/forwarding/include/vanillalever/forwarding/socket_options.h
+++ b/packages/forwarding/include/vanillalever/forwarding/socket_options.h
@@ -3,12 +3,19 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "vanillalever/base/clock.h"
+
 namespace vanillalever::forwarding {
 
 // Disables Nagle's algorithm, and makes the connection fail within a few
 // seconds when the peer's machine no longer responds.
 void ConfigureSocket(boost::asio::ip::tcp::socket& socket);
 
+// Time after which the kernel gives up output that the peer does not
+// acknowledge or has no room for.
+void SetUserTimeout(boost::asio::ip::tcp::socket& socket,
+                    base::Duration timeout);
+
 }  // namespace vanillalever::forwarding
 
 #endif  // VANILLALEVER_FORWARDING_SOCKET_OPTIONS_H_
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -5,7 +5,6 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -21,9 +20,11 @@
 // Pipelined input read while a request is in progress; more stays in the
 // kernel's buffer.
 constexpr std::size_t kMaxReadAheadBytes = 64 << 10;
-// A caller that does not read is disconnected when its unsent output exceeds
-// this.
+// A caller that does not read its events is disconnected when its unsent output
+// exceeds this.
 constexpr std::size_t kMaxUnsentBytes = 4 << 20;
+// Larger buffers are released when they are written.
+constexpr std::size_t kMaxKeptBufferBytes = 64 << 10;
 // Added to the idle timeout, so that a request sent just before the timeout
 // does not race with the close.
 constexpr base::milliseconds kIdleSlack{1000};
@@ -64,12 +65,17 @@
 void CallerSession::ArmTimer(base::Duration limit) {
   std::uint64_t generation = ++timer_generation_;
   timer_.expires_after(limit);
-  timer_.async_wait([weak = weak_from_this(),
-                     generation](boost::system::error_code error) {
+  timer_.async_wait([weak = weak_from_this(), generation,
+                     limit](boost::system::error_code error) {
     auto self = weak.lock();
     if (error || !self || self->closed_ ||
         self->timer_generation_ != generation || self->in_request_)
       return;
+    if (self->writing_) {
+      if (std::exchange(self->write_progress_, false))
+        return self->ArmTimer(limit);
+      return self->Close("the caller does not read its response");
+    }
     bool started = self->parser_ && self->parser_->got_some();
     if (started && !self->closing_)
       self->SendErrorResponse(static_cast<int>(http::status::request_timeout));
@@ -108,13 +114,14 @@
 void CallerSession::OnInputEnded() {
   input_ended_ = true;
   if (!in_request_)
-    return BeginClose();
+    return StartNextRequest();
   WatchForReset();
   ProbeCaller();
 }
 
 void CallerSession::BeginClose() {
   closing_ = true;
+  ArmTimer(delegate_.ingress_limits().idle_timeout + kIdleSlack);
   FlushWrites();
 }
 
@@ -152,11 +159,15 @@
 }
 
 void CallerSession::CloseSilent() {
+  // Output that is being written shows by itself whether the caller has left.
+  if (writing_)
+    return ArmProbe(kMaxStreamSilence, &CallerSession::CloseSilent);
   Close("the caller sends nothing more and no event shows that it reads");
 }
 
 void CallerSession::ParseBuffered() {
-  while (!in_request_ && !closing_ && !closed_ && buffer_.size() > 0) {
+  while (!in_request_ && !closing_ && !closed_ && buffer_.size() > 0 &&
+         !BackPressured()) {
     const IngressLimits& limits = delegate_.ingress_limits();
     if (!parser_) {
       parser_.emplace();
@@ -207,6 +218,8 @@
   parser_.reset();
   keep_alive_ = request.keep_alive();
   head_request_ = request.method() == http::verb::head;
+  if (std::exchange(user_timeout_extended_, false))
+    ConfigureSocket(socket_);
   std::shared_ptr<ActiveRequest> started;
   try {
     started = delegate_.OnRequest(std::move(request), shared_from_this());
@@ -244,15 +257,14 @@
                                  std::string_view body) {
   if (closed_)
     return;
-  std::string text;
-  AppendHead(status, fields, &text);
+  AppendHead(status, fields, &unsent_);
   bool has_body = status != 204 && status != 304;
   if (has_body)
-    text.append("Content-Length: " + std::to_string(body.size()) + "\r\n");
-  text.append("\r\n");
+    unsent_.append("Content-Length: " + std::to_string(body.size()) + "\r\n");
+  unsent_.append("\r\n");
   if (has_body && !head_request_)
-    text.append(body);
-  Write(text);
+    unsent_.append(body);
+  FlushWrites();
   EndResponse();
 }
 
@@ -301,9 +313,7 @@
   ArmTimer(delegate_.ingress_limits().idle_timeout + kIdleSlack);
   boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
     if (!self->closed_ && !self->in_request_)
-      self->ParseBuffered();
-    if (self->input_ended_ && !self->in_request_)
-      self->BeginClose();
+      self->StartNextRequest();
     self->Read();
   });
 }
@@ -331,21 +341,38 @@
     return;
   }
   writing_ = true;
+  written_ = 0;
   sending_.clear();
   sending_.swap(unsent_);
-  boost::asio::async_write(
-      socket_, boost::asio::buffer(sending_),
+  WriteSome();
+}
+
+void CallerSession::WriteSome() {
+  socket_.async_write_some(
+      boost::asio::buffer(sending_) + written_,
       [self = shared_from_this()](boost::system::error_code error,
-                                  std::size_t) { self->OnWritten(error); });
+                                  std::size_t size) {
+        self->OnWritten(error, size);
+      });
 }
 
-void CallerSession::OnWritten(boost::system::error_code error) {
-  writing_ = false;
+void CallerSession::OnWritten(boost::system::error_code error,
+                              std::size_t size) {
   if (closed_)
     return;
   if (error)
     return Close(error.message());
-  FlushWrites();
+  written_ += size;
+  write_progress_ = true;
+  if (written_ < sending_.size()) {
+    WriteSome();
+  } else {
+    writing_ = false;
+    if (sending_.capacity() > kMaxKeptBufferBytes)
+      sending_ = std::string();
+    FlushWrites();
+  }
+  NotifyIfDrained();
 }
 
 void CallerSession::Close(std::string_view reason) {
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -195,6 +195,7 @@
   response_mode_ = ResponseMode::kNone;
   framer_.DiscardPartial();
   body_.clear();
+  relayed_length_.reset();
   const std::string& id = slot_->server.id;
   bool head_only = request_.method() == http::verb::head;
   connection_ =
@@ -264,18 +265,15 @@
   if (!relaying_) {
     response_fields_ = fields;
     RemoveConnectionFields(response_fields_);
+    relayed_length_ = LengthToRelay(fields);
   }
 }
 
 void ForwardedRequest::OnResponseBody(std::string_view data) {
   if (response_mode_ == ResponseMode::kRefusal)
     return;
-  if (response_mode_ == ResponseMode::kBuffered) {
-    body_.append(data);
-    if (body_.size() > context_.max_response_bytes)
-      RejectResponse("the response is too large");
-    return;
-  }
+  if (response_mode_ != ResponseMode::kStreamed)
+    return OnPlainBody(data);
   if (prefill_tokens_ > 0) {
     slot_->load.OnFirstOutput(prefill_tokens_);
     context_.peers.OnLoadChanged(*slot_);
@@ -362,6 +360,8 @@
   RecordOutcome(status_ >= kFirstServerErrorStatus);
   RecordCompletion();
   EndSend(true);
+  if (response_mode_ == ResponseMode::kRelayed)
+    return FinishBody();
   if (response_mode_ == ResponseMode::kBuffered) {
     if (relaying_) {
       // The server that was to resume the stream returned an error.
@@ -392,6 +392,8 @@
   if (send_open_ && response_mode_ == ResponseMode::kNone)
     RecordOutcome(true);
   RecordInterruption(Interruption::kAbandoned);
+  if (connection_ && connection_->paused())
+    return Fail(504, "the caller did not read its response in time");
   bool sent = connection_ != nullptr || possible_runs_ > 0 || relaying_;
   if (!sent)
     return Refuse(
--- a/packages/forwarding/src/forwarded_request_failures.cc
+++ b/packages/forwarding/src/forwarded_request_failures.cc
@@ -82,6 +82,9 @@
   state.server_unavailable = slot_->removed || failure == SendFailure::kNotSent;
   state.same_server_attempts = same_server_attempts_;
   RetryDecision decision = context_.retries.Decide(failure, state);
+  // The caller has a part of the response, with which no other goes on.
+  if (response_mode_ == ResponseMode::kRelayed)
+    decision = RetryDecision::kGiveUp;
   base::LogEvent(base::LogLevel::kInfo, "send_failed",
                  {{"request", profile_.request_id},
                   {"fingerprint", fingerprint()},
--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -96,6 +96,7 @@
   skipping_response_ = false;
   skipped_responses_ = 0;
   interim_responses_ = 0;
+  paused_ = false;
   parser_.reset();
   boost::asio::async_write(socket_, boost::asio::buffer(text_),
                            [self = shared_from_this()](
@@ -154,7 +155,14 @@
     return;
   if (buffer_.size() > kMaxUnparsedBytes)
     return Fail("the response cannot be parsed");
-  Read();
+  if (!paused_)
+    Read();
+}
+
+void ServerConnection::ResumeReading() {
+  paused_ = false;
+  if (handler_ != nullptr)
+    Read();
 }
 
 void ServerConnection::OnEof() {
--- a/packages/forwarding/src/socket_options.cc
+++ b/packages/forwarding/src/socket_options.cc
@@ -4,6 +4,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <cstdint>
+
 namespace vanillalever::forwarding {
 namespace {
 
@@ -23,6 +26,12 @@
 
 }  // namespace
 
+void SetUserTimeout(tcp::socket& socket, base::Duration timeout) {
+  auto ms = std::chrono::duration_cast<base::milliseconds>(timeout).count();
+  SetOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<unsigned>(std::max<std::int64_t>(ms, 1)));
+}
+
 void ConfigureSocket(tcp::socket& socket) {
   int handle = socket.native_handle();
   SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
