Answer HEAD on every kind of route with the server's head alone

Callers of streaming routes got five bytes of chunk coding after the head of a HEAD, which a kept connection takes for the next response; a stateful route recorded an empty turn; all routes replaced the server's Content-Length by 0. The stream path was chosen without a look at the method, and the length came from the absent body.

--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -30,6 +30,7 @@
 class ResponseSink {
  public:
   virtual ~ResponseSink() = default;
+  // The response to a HEAD has no body; `fields` state the length, if any.
   virtual void SendResponse(int status,
                             const HttpFields& fields,
                             std::string_view body) = 0;
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -258,11 +258,11 @@
   if (closed_)
     return;
   AppendHead(status, fields, &unsent_);
-  bool has_body = status != 204 && status != 304;
+  bool has_body = status != 204 && status != 304 && !head_request_;
   if (has_body)
     unsent_.append("Content-Length: " + std::to_string(body.size()) + "\r\n");
   unsent_.append("\r\n");
-  if (has_body && !head_request_)
+  if (has_body)
     unsent_.append(body);
   FlushWrites();
   EndResponse();
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -255,7 +255,9 @@
     return;
   }
   bool success = status / 100 == 2;
-  bool stream = success && route_->kind == RequestKind::kStreaming;
+  bool head_only = request_.method() == http::verb::head;
+  bool stream =
+      success && route_->kind == RequestKind::kStreaming && !head_only;
   if (relaying_ && stream &&
       fields[http::field::content_type] !=
           response_fields_[http::field::content_type])
@@ -265,6 +267,9 @@
   if (!relaying_) {
     response_fields_ = fields;
     RemoveConnectionFields(response_fields_);
+    if (auto length = fields.find(http::field::content_length);
+        head_only && length != fields.end())
+      response_fields_.set(http::field::content_length, length->value());
     relayed_length_ = LengthToRelay(fields);
   }
 }
