--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -202,6 +202,7 @@
   response_mode_ = ResponseMode::kNone;
   framer_.DiscardPartial();
   body_.clear();
+  relayed_length_.reset();
   const std::string& id = slot_->server.id;
   bool head_only = request_.method() == http::verb::head;
   connection_ =
@@ -261,7 +262,9 @@
     return;
   }
   bool success = status / 100 == 2;
-  bool stream = success && route_->kind == RequestKind::kStreaming;
+  bool head_only = request_.method() == http::verb::head;
+  bool stream =
+      success && route_->kind == RequestKind::kStreaming && !head_only;
   if (relaying_ && stream &&
       fields[http::field::content_type] !=
           response_fields_[http::field::content_type])
@@ -271,18 +274,18 @@
   if (!relaying_) {
     response_fields_ = fields;
     RemoveConnectionFields(response_fields_);
+    if (auto length = fields.find(http::field::content_length);
+        head_only && length != fields.end())
+      response_fields_.set(http::field::content_length, length->value());
+    relayed_length_ = LengthToRelay(fields);
   }
 }
 
 void ForwardedRequest::OnResponseBody(std::string_view data) {
   if (response_mode_ == ResponseMode::kRefusal)
     return;
-  if (response_mode_ == ResponseMode::kBuffered) {
-    body_.append(data);
-    if (body_.size() > context_.max_response_bytes)
-      RejectResponse("the response is too large");
-    return;
-  }
+  if (response_mode_ != ResponseMode::kStreamed)
+    return OnPlainBody(data);
   if (prefill_tokens_ > 0) {
     slot_->load.OnFirstOutput(prefill_tokens_);
     context_.peers.OnLoadChanged(*slot_);
@@ -371,6 +374,8 @@
   RecordOutcome(status_ >= kFirstServerErrorStatus);
   RecordCompletion();
   EndSend(true);
+  if (response_mode_ == ResponseMode::kRelayed)
+    return FinishBody();
   if (response_mode_ == ResponseMode::kBuffered) {
     if (relaying_) {
       // The server that was to resume the stream returned an error.
@@ -410,6 +415,8 @@
 void ForwardedRequest::EndUnanswered(std::string_view reason) {
   auto self = shared_from_this();
   RecordInterruption(Interruption::kAbandoned);
+  if (connection_ && connection_->paused())
+    return Fail(504, "the caller did not read its response in time");
   bool sent = connection_ != nullptr || possible_runs_ > 0 || relaying_;
   if (!sent)
     return Refuse(std::string(reason) + " before a server took the request",
--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -1,7 +1,9 @@
 #include "vanillalever/forwarding/server_connection.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <exception>
+#include <limits>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -94,6 +96,7 @@
   skipping_response_ = false;
   skipped_responses_ = 0;
   interim_responses_ = 0;
+  paused_ = false;
   parser_.reset();
   boost::asio::async_write(socket_, boost::asio::buffer(text_),
                            [self = shared_from_this()](
@@ -152,7 +155,14 @@
     return;
   if (buffer_.size() > kMaxUnparsedBytes)
     return Fail("the response cannot be parsed");
-  Read();
+  if (!paused_)
+    Read();
+}
+
+void ServerConnection::ResumeReading() {
+  paused_ = false;
+  if (handler_ != nullptr)
+    Read();
 }
 
 void ServerConnection::OnEof() {
@@ -175,7 +185,8 @@
       parser_.emplace();
       parser_->eager(true);
       parser_->header_limit(kMaxHeaderBytes);
-      parser_->body_limit(boost::none);
+      // Without a limit Boost 1.74 rejects a head that arrives before its body.
+      parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
       parser_->skip(head_only_);
     }
     boost::system::error_code error;
