Answer requests in a grace shorter than the stop's fixed times

Found by the review: with a grace of 1, 2 or 3 s a stop ended with SIGKILL and no response, as the listener was kept for 3.5 s. That time is now bounded by the end of the stop. Also: a connection that was accepted beyond the limit is served if there is room when its request comes; an exception within the tick or an accept no longer ends their sequence, without which a stop would never end. The part of a request that ends without a server's response moves to the file of failures.

--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -80,12 +80,6 @@
   FindOrigin();
 }
 
-void ForwardedRequest::Reject(std::string_view reason) {
-  context_.metrics.requests.Add();
-  profile_ = context_.codec.DecodeRequest(request_);
-  Refuse(reason, kRetryAfter);
-}
-
 bool ForwardedRequest::ResolveRoute() {
   config_ = context_.config;
   if (!config_) {
@@ -399,31 +393,6 @@
   Finish("answered", "");
 }
 
-void ForwardedRequest::OnTimeout() {
-  if (done_)
-    return;
-  if (send_open_ && response_mode_ == ResponseMode::kNone)
-    RecordOutcome(true);
-  EndUnanswered("the time limit passed");
-}
-
-void ForwardedRequest::OnProcessEnding() {
-  if (!done_)
-    EndUnanswered("the gateway is stopping");
-}
-
-void ForwardedRequest::EndUnanswered(std::string_view reason) {
-  auto self = shared_from_this();
-  RecordInterruption(Interruption::kAbandoned);
-  if (connection_ && connection_->paused())
-    return Fail(504, "the caller did not read its response in time");
-  bool sent = connection_ != nullptr || possible_runs_ > 0 || relaying_;
-  if (!sent)
-    return Refuse(std::string(reason) + " before a server took the request",
-                  kRetryAfter);
-  Fail(504, reason);
-}
-
 void ForwardedRequest::Refuse(std::string_view reason,
                               base::Duration retry_after) {
   if (possible_runs_ > 0 || relaying_)
--- a/packages/forwarding/src/forwarded_request_failures.cc
+++ b/packages/forwarding/src/forwarded_request_failures.cc
@@ -1,5 +1,5 @@
-// The part of a request that concerns failed sends, and servers that end while
-// the request is at work there.
+// The part of a request that concerns failed sends, ends without a server's
+// response, and servers that end while the request is at work there.
 
 #include <utility>
 
@@ -19,6 +19,37 @@
 
 }  // namespace
 
+void ForwardedRequest::Reject(std::string_view reason) {
+  context_.metrics.requests.Add();
+  profile_ = context_.codec.DecodeRequest(request_);
+  Refuse(reason, kRetryAfter);
+}
+
+void ForwardedRequest::OnTimeout() {
+  if (done_)
+    return;
+  if (send_open_ && response_mode_ == ResponseMode::kNone)
+    RecordOutcome(true);
+  EndUnanswered("the time limit passed");
+}
+
+void ForwardedRequest::OnProcessEnding() {
+  if (!done_)
+    EndUnanswered("the gateway is stopping");
+}
+
+void ForwardedRequest::EndUnanswered(std::string_view reason) {
+  auto self = shared_from_this();
+  RecordInterruption(Interruption::kAbandoned);
+  if (connection_ && connection_->paused())
+    return Fail(504, "the caller did not read its response in time");
+  bool sent = connection_ != nullptr || possible_runs_ > 0 || relaying_;
+  if (!sent)
+    return Refuse(std::string(reason) + " before a server took the request",
+                  kRetryAfter);
+  Fail(504, reason);
+}
+
 void ForwardedRequest::OnConnectionFailed(const std::string& reason,
                                           bool sent) {
   auto self = shared_from_this();
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -1,5 +1,6 @@
 #include "vanillalever/forwarding/gateway.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 #include <vector>
@@ -70,7 +71,8 @@
                StopPolicy(),
                RecentDurations(),
                settings_.max_response_bytes,
-               settings_.grace - settings_.stop_margin} {}
+               std::max(settings_.grace - settings_.stop_margin,
+                        settings_.grace / 4)} {}
 
 Gateway::~Gateway() = default;
 
@@ -100,28 +102,28 @@
 }
 
 void Gateway::Accept() {
+  if (!acceptor_.is_open())
+    return;
   if (sessions_.size() >= connection_limit()) {
     accept_paused_ = true;
     return;
   }
-  acceptor_.async_accept([this](boost::system::error_code error,
-                                tcp::socket socket) {
-    // Also after the acceptor was closed: the connection was accepted before.
-    if (!error)
-      StartSession(std::move(socket));
-    if (error == boost::asio::error::operation_aborted || !acceptor_.is_open())
-      return;
-    if (error) {
-      LogAcceptError(error);
-      accept_timer_.expires_after(kAcceptRetryDelay);
-      accept_timer_.async_wait([this](boost::system::error_code cancelled) {
-        if (!cancelled)
-          Accept();
+  acceptor_.async_accept(
+      [this](boost::system::error_code error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+          return;
+        if (error) {
+          LogAcceptError(error);
+          accept_timer_.expires_after(kAcceptRetryDelay);
+          accept_timer_.async_wait([this](boost::system::error_code cancelled) {
+            if (!cancelled)
+              Accept();
+          });
+          return;
+        }
+        Accept();
+        StartSession(std::move(socket));
       });
-      return;
-    }
-    Accept();
-  });
 }
 
 void Gateway::StartSession(tcp::socket socket) {
@@ -224,6 +226,12 @@
 }
 
 void Gateway::Tick() {
+  // First: an exception must not end the sequence.
+  tick_timer_.expires_after(kTickInterval);
+  tick_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error)
+      Tick();
+  });
   auto now = base::TimePoint::clock::now();
   std::vector<std::string> expired = registry_.RemoveExpired(now);
   for (const std::string& id : expired) {
@@ -248,11 +256,6 @@
   budgets_.Tick();
   if (draining_)
     CheckDrained();
-  tick_timer_.expires_after(kTickInterval);
-  tick_timer_.async_wait([this](boost::system::error_code error) {
-    if (!error)
-      Tick();
-  });
 }
 
 void Gateway::CheckIsolation() {
@@ -278,7 +281,7 @@
 
 void Gateway::CheckDrained() {
   auto elapsed = base::TimePoint::clock::now() - drain_started_;
-  if (elapsed < settings_.linger)
+  if (elapsed < std::min<base::Duration>(settings_.linger, context_.stop_time))
     return;
   // The load balancer has removed this process by now, and a later request
   // could be interrupted by the end of the grace period.
@@ -333,7 +336,8 @@
     SessionMode mode) {
   auto forwarded = std::make_shared<ForwardedRequest>(
       context_, std::move(request), std::move(sink));
-  if (mode == SessionMode::kServe)
+  bool others_have_ended = sessions_.size() <= settings_.max_sessions;
+  if (mode == SessionMode::kServe || others_have_ended)
     forwarded->Start();
   else
     forwarded->Reject("the limit of connections is reached");
@@ -342,7 +346,7 @@
 
 void Gateway::OnSessionEnded(CallerSession* session) {
   sessions_.erase(session);
-  if (std::exchange(accept_paused_, false) && acceptor_.is_open())
+  if (std::exchange(accept_paused_, false))
     Accept();
 }
 
