Keep half-closed callers of streams and pipelined requests, and callers that read slowly

Found by the review and by own runs, after the end of a caller's input was no longer taken for its leaving: - A stream with pauses of 0.6 s, or a turn that is recorded while the store is busy, was cut, as no byte could be written between events. Leading zeros of the next chunk's size are valid at any time, so they serve as probes there; before a stream is broken off a non-zero digit follows, so that no lenient parser takes them for the last chunk. - A pipelined request behind one that the gateway answers itself was dropped. - A caller that read nothing for 2.5 s within a response was reset by the kernel (TCP_USER_TIMEOUT of 2 s, though it acknowledges); the timer decides now.

--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -93,9 +93,9 @@
 // reading meanwhile to detect a disconnect at once. Event loop thread only.
 //
 // The end of a caller's input does not tell whether the caller has closed the
-// connection or still waits for its response. The start of the status line is
-// written then, one byte at a time: a caller that has closed resets the
-// connection, which cancels its request.
+// connection or still waits for its response. The start of the status line, or
+// leading zeros of the next chunk's size, are written then, one byte at a time:
+// a caller that has closed resets the connection, which cancels its request.
 class CallerSession final : public ResponseSink,
                             public std::enable_shared_from_this<CallerSession> {
  public:
@@ -140,8 +140,10 @@
   void WatchForReset();
   // Makes a caller reset the connection if it has closed it.
   void ProbeCaller();
-  void ArmProbe(base::Duration delay, void (CallerSession::*action)());
-  void CloseSilent();
+  void ArmProbe();
+  // Discards input that arrives after the last request.
+  void Discard();
+  void ResetUserTimeout();
   void ParseBuffered();
   void OnParseError(boost::system::error_code error);
   void StartRequest();
@@ -177,10 +179,14 @@
   bool closing_ = false;
   bool closed_ = false;
   bool input_ended_ = false;
-  // Bytes of the next status line that are written already.
-  std::size_t status_line_written_ = 0;
-  // The head of the current response is written.
+  // Bytes of the next status line or chunk size that are written already.
+  std::size_t probes_ = 0;
+  // The head of the current response is written; its body comes in chunks.
   bool head_written_ = false;
+  bool chunked_ = false;
+  // The next pipelined request is about to be taken up.
+  bool next_request_posted_ = false;
+  std::size_t discarded_bytes_ = 0;
   std::string unsent_;
   std::string sending_;
   // Bytes of `sending_` that are written.
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -31,14 +31,17 @@
 // Start of all responses. No byte of it tells the status.
 constexpr std::string_view kStatusLineStart = "HTTP/1.1 ";
 // Interval between two probes of a caller that sends nothing more.
-constexpr base::milliseconds kProbeInterval{400};
-// A caller that sends nothing more during a stream has left if no event is due
-// within this time: nothing can be written before.
-constexpr base::milliseconds kMaxStreamSilence{400};
-// Time in which input is discarded after the last response. Closing a socket
-// with unread input would reset the connection, and the caller could lose the
-// response.
+constexpr base::milliseconds kProbeInterval{200};
+// Leading zeros of a chunk's size, which serve as probes within a stream.
+constexpr std::size_t kMaxChunkProbes = 8;
+// Time without input after which a connection is closed whose last response is
+// sent. Closing a socket with unread input would reset the connection, and the
+// caller could lose the response.
 constexpr base::milliseconds kLingerTime{2000};
+constexpr std::size_t kMaxDiscardedBytes = 64 << 20;
+// A caller beyond the limit of connections that sends no request is
+// disconnected after this time.
+constexpr base::milliseconds kRejectedIdleTimeout{1000};
 
 void AppendChunk(std::string_view data, std::string* text) {
   char size[20];
@@ -60,10 +63,20 @@
 
 void CallerSession::Start() {
   ConfigureSocket(socket_);
-  ArmTimer(delegate_.ingress_limits().idle_timeout + kIdleSlack);
+  ResetUserTimeout();
+  ArmTimer(mode_ == SessionMode::kServe
+               ? delegate_.ingress_limits().idle_timeout + kIdleSlack
+               : kRejectedIdleTimeout);
   Read();
 }
 
+// The kernel also ends connections whose peer acknowledges but does not read:
+// that is decided by the timer, so later here.
+void CallerSession::ResetUserTimeout() {
+  SetUserTimeout(socket_,
+                 2 * (delegate_.ingress_limits().idle_timeout + kIdleSlack));
+}
+
 void CallerSession::ArmTimer(base::Duration limit) {
   std::uint64_t generation = ++timer_generation_;
   timer_.expires_after(limit);
@@ -107,7 +120,7 @@
     return Close(error.message());
   buffer_.commit(size);
   if (closing_)
-    buffer_.consume(buffer_.size());
+    Discard();
   else if (!in_request_)
     ParseBuffered();
   Read();
@@ -115,10 +128,18 @@
 
 void CallerSession::OnInputEnded() {
   input_ended_ = true;
-  if (!in_request_)
-    return StartNextRequest();
   WatchForReset();
-  ProbeCaller();
+  if (in_request_)
+    ProbeCaller();
+  else
+    StartNextRequest();
+}
+
+void CallerSession::Discard() {
+  discarded_bytes_ += buffer_.size();
+  buffer_.consume(buffer_.size());
+  if (!writing_ && discarded_bytes_ < kMaxDiscardedBytes)
+    ArmTimer(kLingerTime);
 }
 
 void CallerSession::BeginClose() {
@@ -139,32 +160,28 @@
 void CallerSession::ProbeCaller() {
   if (!in_request_ || closed_)
     return;
-  if (head_written_)
-    return ArmProbe(kMaxStreamSilence, &CallerSession::CloseSilent);
-  if (status_line_written_ == kStatusLineStart.size())
+  // Output that is being written shows by itself whether the caller has left.
+  if (writing_)
+    return ArmProbe();
+  if (!head_written_ && probes_ < kStatusLineStart.size())
+    Write(kStatusLineStart.substr(probes_, 1));
+  else if (chunked_ && probes_ < kMaxChunkProbes)
+    Write("0");
+  else
     return;
-  Write(kStatusLineStart.substr(status_line_written_++, 1));
-  ArmProbe(kProbeInterval, &CallerSession::ProbeCaller);
+  ++probes_;
+  ArmProbe();
 }
 
-void CallerSession::ArmProbe(base::Duration delay,
-                             void (CallerSession::*action)()) {
+void CallerSession::ArmProbe() {
   std::uint64_t generation = ++timer_generation_;
-  timer_.expires_after(delay);
-  timer_.async_wait([weak = weak_from_this(), generation,
-                     action](boost::system::error_code error) {
-    auto self = weak.lock();
-    if (!error && self && !self->closed_ &&
-        self->timer_generation_ == generation)
-      (*self.*action)();
-  });
-}
-
-void CallerSession::CloseSilent() {
-  // Output that is being written shows by itself whether the caller has left.
-  if (writing_)
-    return ArmProbe(kMaxStreamSilence, &CallerSession::CloseSilent);
-  Close("the caller sends nothing more and no event shows that it reads");
+  timer_.expires_after(kProbeInterval);
+  timer_.async_wait(
+      [weak = weak_from_this(), generation](boost::system::error_code error) {
+        auto self = weak.lock();
+        if (!error && self && self->timer_generation_ == generation)
+          self->ProbeCaller();
+      });
 }
 
 void CallerSession::ParseBuffered() {
@@ -221,7 +238,7 @@
   keep_alive_ = request.keep_alive() && mode_ == SessionMode::kServe;
   head_request_ = request.method() == http::verb::head;
   if (std::exchange(user_timeout_extended_, false))
-    ConfigureSocket(socket_);
+    ResetUserTimeout();
   std::shared_ptr<ActiveRequest> started;
   try {
     started =
@@ -249,7 +266,7 @@
   // closed.
   if ((delegate_.closing() || input_ended_) && buffer_.size() == 0)
     keep_alive_ = false;
-  text->append(kStatusLineStart.substr(std::exchange(status_line_written_, 0)));
+  text->append(kStatusLineStart.substr(std::exchange(probes_, 0)));
   text->append(std::to_string(status));
   text->append(" ");
   text->append(View(http::obsolete_reason(static_cast<http::status>(status))));
@@ -282,17 +299,21 @@
   AppendHead(status, fields, &text);
   text.append("Transfer-Encoding: chunked\r\n\r\n");
   head_written_ = true;
+  chunked_ = true;
   Write(text);
+  if (input_ended_)
+    ArmProbe();
 }
 
 void CallerSession::SendChunk(std::string_view data) {
   if (closed_ || data.empty())
     return;
-  if (input_ended_)
-    ++timer_generation_;
   std::string text;
   AppendChunk(data, &text);
+  probes_ = 0;
   Write(text);
+  if (input_ended_)
+    ArmProbe();
 }
 
 void CallerSession::FinishStream() {
@@ -303,6 +324,9 @@
 }
 
 void CallerSession::Abort() {
+  // A lenient parser would take zeros for the last chunk, not this size.
+  if (chunked_ && probes_ > 0)
+    Write("1");
   request_.reset();
   Close("response aborted");
 }
@@ -310,6 +334,8 @@
 void CallerSession::EndResponse() {
   in_request_ = false;
   head_written_ = false;
+  chunked_ = false;
+  probes_ = 0;
   // Destroyed after the stack has unwound: the request may be calling.
   boost::asio::post(socket_.get_executor(), [request = std::move(request_)] {});
   request_.reset();
@@ -318,7 +344,9 @@
   if (!keep_alive_)
     return BeginClose();
   ArmTimer(delegate_.ingress_limits().idle_timeout + kIdleSlack);
+  next_request_posted_ = true;
   boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->next_request_posted_ = false;
     if (!self->closed_ && !self->in_request_)
       self->StartNextRequest();
     self->Read();
@@ -384,8 +412,8 @@
 
 void CallerSession::CloseIfIdle(std::string_view reason) {
   boost::system::error_code ignored;
-  bool idle = !in_request_ && !parser_ && buffer_.size() == 0 && !writing_ &&
-              socket_.available(ignored) == 0;
+  bool idle = !in_request_ && !closing_ && !parser_ && buffer_.size() == 0 &&
+              !writing_ && socket_.available(ignored) == 0;
   if (idle)
     Close(reason);
 }
--- a/packages/forwarding/src/caller_session_body.cc
+++ b/packages/forwarding/src/caller_session_body.cc
@@ -36,9 +36,6 @@
 bool CallerSession::SendBody(std::string_view data) {
   if (closed_)
     return false;
-  // Cancels CloseSilent().
-  if (input_ended_)
-    ++timer_generation_;
   unsent_.append(data);
   FlushWrites();
   return !BackPressured();
@@ -73,7 +70,8 @@
 
 void CallerSession::StartNextRequest() {
   ParseBuffered();
-  if (input_ended_ && !in_request_ && !awaiting_drain_)
+  bool may_continue = in_request_ || awaiting_drain_ || next_request_posted_;
+  if (input_ended_ && !may_continue && !closing_)
     BeginClose();
 }
 
