Answer, shut down, drain input, then close: one way to end a connection

Callers of the program interface whose connection was kept saw it end without a response when the server stopped: - a response that was followed by further input was truncated: the socket was closed with unread input, which resets the connection (a 1 MiB response with the next request already sent, 3 of 3 runs); - a response without "Connection: close" was followed by a close, so that the next request got no answer; - connections in the accept queue, or accepted at that moment, were reset (1 of 50 clients was answered); - requests in flight when the process ends were cut, and there was no way to answer them. Without a stop: connections beyond max_connections were closed without a word, and a failed accept was repeated at once without a log line (1378 ms of CPU time in 1000 ms without a free descriptor).

Cause: several places closed the socket, and each looked only at its own state. Now a connection ends in one way. What the head of a response states decides whether another request is read; a stopping server serves its open connections, including the queued ones, for one more response or until they have been idle for a second. Server::AbortRequests() answers what is in flight; an Exchange has a lock, so that such a response isn't mixed with the handler's. Beyond the limit a connection gets 503, not run. Accept errors are retried after 100 ms. Lines: response_cut, request_dropped, request_incomplete, connection_refused, accept_failed, with step and peer.

--- a/packages/http/include/vanillalever/http/exchange.h
+++ b/packages/http/include/vanillalever/http/exchange.h
@@ -1,8 +1,8 @@
 #ifndef VANILLALEVER_HTTP_EXCHANGE_H_
 #define VANILLALEVER_HTTP_EXCHANGE_H_
 
-#include <atomic>
 #include <memory>
+#include <mutex>
 #include <string>
 
 #include "vanillalever/http/message.h"
@@ -23,8 +23,8 @@
 // One request and its response. A handler keeps the shared pointer until it has
 // sent the response, which it may do on any thread. If the last pointer is
 // released without a response, the caller receives an internal error, so that
-// no request is dropped silently. The server's IoThreads must outlive every
-// pointer.
+// no request is dropped silently. Thread-safe. The server's IoThreads must
+// outlive every pointer.
 class Exchange {
  public:
   Exchange(Request request, std::shared_ptr<ResponseSink> sink);
@@ -47,13 +47,16 @@
   // Ends the stream.
   void Finish();
 
-  bool streaming() const { return streaming_; }
+  bool streaming() const;
 
  private:
   Request request_;
   std::shared_ptr<ResponseSink> sink_;
-  std::atomic<bool> streaming_ = false;
-  std::atomic<bool> completed_ = false;
+  // Held while the sink is called, so that parts of two responses are not mixed
+  // when the server aborts a request that is just being answered.
+  mutable std::mutex mutex_;
+  bool streaming_ = false;
+  bool completed_ = false;
 };
 
 }  // namespace vanillalever::http
--- a/packages/http/include/vanillalever/http/server.h
+++ b/packages/http/include/vanillalever/http/server.h
@@ -30,7 +30,7 @@
   // Maximum amount of unsent data of a streamed response; the connection of a
   // slower reader is closed.
   std::size_t max_unsent_bytes = 4 << 20;
-  // Maximum number of open connections; further ones are closed immediately.
+  // Maximum number of open connections; further ones are refused with 503.
   std::size_t max_connections = 8192;
 };
 
@@ -49,14 +49,20 @@
   std::string address() const;
   std::uint16_t port() const;
 
-  // Stops accepting connections and closes the idle ones. Each other connection
-  // is closed after its current response.
+  // Stops accepting connections. Each open connection, including those that the
+  // kernel has accepted, is closed after its next response, which says so, or
+  // when it has received no request for one second.
   void StopAccepting();
 
-  // Waits until no request is in flight, for at most `timeout`. Returns false
-  // on timeout.
+  // Waits until no request is in flight, for at most `timeout`. After
+  // StopAccepting(), also waits until the connections are closed. Returns false
+  // if a request is still in flight.
   bool WaitUntilIdle(base::Duration timeout);
 
+  // Answers each request in flight with `error`, and each later one with the
+  // same error as not run. What the handlers answer afterwards is ignored.
+  void AbortRequests(const base::ErrorInfo& error);
+
   // Number of requests whose response is not complete.
   std::size_t requests_in_flight() const;
 
--- a/packages/http/src/exchange.cc
+++ b/packages/http/src/exchange.cc
@@ -2,7 +2,16 @@
 
 #include <utility>
 
+#include "vanillalever/base/logging.h"
+
 namespace vanillalever::http {
+namespace {
+
+std::string EncodeEvent(const std::string& event, const std::string& data) {
+  return "event: " + event + "\ndata: " + data + "\n\n";
+}
+
+}  // namespace
 
 Exchange::Exchange(Request request, std::shared_ptr<ResponseSink> sink)
     : request_(std::move(request)), sink_(std::move(sink)) {}
@@ -14,25 +23,32 @@
   info.message = "the request was dropped before it was answered";
   info.step = base::Step::kAnswer;
   info.ran = base::ExecutionStatus::kUnknown;
+  base::LogEvent(base::LogLevel::kError, "request_dropped",
+                 {{"step", std::string(base::kStepNames.name(info.step))},
+                  {"peer", request_.peer},
+                  {"path", request_.path}});
   SendError(info);
 }
 
 void Exchange::Send(Response response) {
-  if (!completed_.exchange(true))
+  std::lock_guard lock(mutex_);
+  if (!std::exchange(completed_, true))
     sink_->Send(std::move(response));
 }
 
 void Exchange::SendError(const base::ErrorInfo& info) {
-  if (!streaming_) {
-    Send(ErrorResponse(info));
+  std::lock_guard lock(mutex_);
+  if (std::exchange(completed_, true))
     return;
-  }
-  SendEvent("error", ErrorBody(info));
-  Finish();
+  if (!streaming_)
+    return sink_->Send(ErrorResponse(info));
+  sink_->Write(EncodeEvent("error", ErrorBody(info)));
+  sink_->Finish();
 }
 
 void Exchange::StartEvents() {
-  if (completed_ || streaming_.exchange(true))
+  std::lock_guard lock(mutex_);
+  if (completed_ || std::exchange(streaming_, true))
     return;
   Response head;
   head.content_type = "text/event-stream";
@@ -41,13 +57,20 @@
 }
 
 void Exchange::SendEvent(const std::string& event, const std::string& data) {
+  std::lock_guard lock(mutex_);
   if (!completed_)
-    sink_->Write("event: " + event + "\ndata: " + data + "\n\n");
+    sink_->Write(EncodeEvent(event, data));
 }
 
 void Exchange::Finish() {
-  if (!completed_.exchange(true))
+  std::lock_guard lock(mutex_);
+  if (!std::exchange(completed_, true))
     sink_->Finish();
 }
 
+bool Exchange::streaming() const {
+  std::lock_guard lock(mutex_);
+  return streaming_;
+}
+
 }  // namespace vanillalever::http
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -35,6 +35,10 @@
   return state_->WaitUntilIdle(timeout);
 }
 
+void Server::AbortRequests(const base::ErrorInfo& error) {
+  state_->AbortRequests(error);
+}
+
 std::size_t Server::requests_in_flight() const {
   return state_->requests_in_flight();
 }
--- a/packages/http/src/server_state.cc
+++ b/packages/http/src/server_state.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/strand.hpp>
 
 #include "session.h"
+#include "vanillalever/base/logging.h"
 
 namespace vanillalever::http {
 
@@ -14,6 +15,14 @@
 
 namespace {
 
+constexpr base::Duration kAcceptRetryInterval = base::milliseconds(100);
+// Limits the connections that are kept only to send a refusal.
+constexpr std::size_t kMaxRefusedSessions = 256;
+
+std::string StepName(base::Step step) {
+  return std::string(base::kStepNames.name(step));
+}
+
 tcp::endpoint ParseEndpoint(const ServerSettings& settings) {
   boost::system::error_code error;
   auto address = boost::asio::ip::make_address(settings.host, error);
@@ -33,13 +42,15 @@
     : settings_(std::move(settings)),
       router_(router),
       context_(threads.context()),
-      acceptor_(context_) {
+      acceptor_(context_),
+      accept_timer_(context_) {
   tcp::endpoint endpoint = ParseEndpoint(settings_);
   try {
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(endpoint);
     acceptor_.listen();
+    acceptor_.non_blocking(true);
     endpoint_ = acceptor_.local_endpoint();
   } catch (const boost::system::system_error& error) {
     throw base::NotRunError(
@@ -60,44 +71,110 @@
 
 void ServerState::OnAccept(boost::system::error_code error,
                            tcp::socket socket) {
-  std::shared_ptr<Session> session;
-  {
-    std::lock_guard lock(mutex_);
-    if (stopping_)
+  std::lock_guard lock(mutex_);
+  if (!error)
+    AddSession(std::move(socket));
+  if (stopping_)
+    return;
+  if (!error)
+    return Accept();
+  base::LogEvent(base::LogLevel::kError, "accept_failed",
+                 {{"step", StepName(base::Step::kConnect)},
+                  {"address", endpoint_.address().to_string() + ":" +
+                                  std::to_string(endpoint_.port())},
+                  {"error", error.message()}});
+  AcceptAfterDelay();
+}
+
+// Errors such as a lack of file descriptors last until other connections end.
+void ServerState::AcceptAfterDelay() {
+  accept_timer_.expires_after(kAcceptRetryInterval);
+  accept_timer_.async_wait(
+      [self = shared_from_this()](boost::system::error_code) {
+        std::lock_guard lock(self->mutex_);
+        if (!self->stopping_)
+          self->Accept();
+      });
+}
+
+void ServerState::AddSession(tcp::socket socket) {
+  bool refused = sessions_.size() >= settings_.max_connections;
+  if (refused) {
+    boost::system::error_code ignored;
+    auto remote = socket.remote_endpoint(ignored);
+    base::LogEvent(base::LogLevel::kWarning, "connection_refused",
+                   {{"step", StepName(base::Step::kConnect)},
+                    {"peer", remote.address().to_string() + ":" +
+                                 std::to_string(remote.port())},
+                    {"connections", std::to_string(sessions_.size())}});
+    if (refused_sessions_.size() >= kMaxRefusedSessions)
       return;
-    if (!error && sessions_.size() < settings_.max_connections) {
-      session =
-          std::make_shared<Session>(shared_from_this(), std::move(socket));
-      sessions_.insert(session.get());
-    }
-    Accept();
   }
-  if (session)
+  auto session =
+      std::make_shared<Session>(shared_from_this(), std::move(socket));
+  (refused ? refused_sessions_ : sessions_).insert(session.get());
+  if (refused)
+    session->Refuse();
+  else
     session->Start();
 }
 
+void ServerState::AddQueuedConnections() {
+  boost::system::error_code error;
+  while (true) {
+    tcp::socket socket(boost::asio::make_strand(context_));
+    acceptor_.accept(socket, error);
+    if (error)
+      return;
+    AddSession(std::move(socket));
+  }
+}
+
+std::vector<std::shared_ptr<Session>> ServerState::LockSessions() const {
+  std::vector<std::shared_ptr<Session>> sessions;
+  for (Session* session : sessions_) {
+    // The weak pointer is expired if the session's destructor is running.
+    if (auto locked = session->weak_from_this().lock())
+      sessions.push_back(std::move(locked));
+  }
+  return sessions;
+}
+
 void ServerState::StopAccepting() {
   std::vector<std::shared_ptr<Session>> sessions;
   {
     std::lock_guard lock(mutex_);
     if (std::exchange(stopping_, true))
       return;
-    for (Session* session : sessions_) {
-      // The weak pointer is expired if the session's destructor is running.
-      if (auto locked = session->weak_from_this().lock())
-        sessions.push_back(std::move(locked));
-    }
+    AddQueuedConnections();
     boost::system::error_code ignored;
     acceptor_.close(ignored);
+    accept_timer_.cancel();
+    sessions = LockSessions();
   }
   for (const auto& session : sessions)
     session->CloseWhenIdle();
 }
 
+void ServerState::AbortRequests(const base::ErrorInfo& error) {
+  std::vector<std::shared_ptr<Session>> sessions;
+  {
+    std::lock_guard lock(mutex_);
+    refusal_ = error;
+    refusal_->ran = base::ExecutionStatus::kNotRun;
+    sessions = LockSessions();
+  }
+  for (const auto& session : sessions)
+    session->Abort(error);
+}
+
 bool ServerState::WaitUntilIdle(base::Duration timeout) {
   std::unique_lock lock(mutex_);
-  return idle_condition_.wait_for(lock, timeout,
-                                  [this] { return requests_in_flight_ == 0; });
+  idle_condition_.wait_for(lock, timeout, [this] {
+    bool closed = sessions_.empty() && refused_sessions_.empty();
+    return requests_in_flight_ == 0 && (!stopping_ || closed);
+  });
+  return requests_in_flight_ == 0;
 }
 
 void ServerState::RequestStarted() {
@@ -114,6 +191,8 @@
 void ServerState::SessionEnded(Session* session) {
   std::lock_guard lock(mutex_);
   sessions_.erase(session);
+  refused_sessions_.erase(session);
+  idle_condition_.notify_all();
 }
 
 bool ServerState::stopping() const {
@@ -121,6 +200,11 @@
   return stopping_;
 }
 
+std::optional<base::ErrorInfo> ServerState::refusal() const {
+  std::lock_guard lock(mutex_);
+  return refusal_;
+}
+
 std::size_t ServerState::requests_in_flight() const {
   std::lock_guard lock(mutex_);
   return requests_in_flight_;
--- a/packages/http/src/server_state.h
+++ b/packages/http/src/server_state.h
@@ -5,9 +5,12 @@
 #include <cstddef>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "vanillalever/http/server.h"
 
@@ -25,12 +28,16 @@
   void Accept();
   void StopAccepting();
   bool WaitUntilIdle(base::Duration timeout);
+  void AbortRequests(const base::ErrorInfo& error);
 
   void RequestStarted();
   void RequestEnded();
+  // The session's connection is closed. Idempotent.
   void SessionEnded(Session* session);
 
   bool stopping() const;
+  // The error for requests that arrive after AbortRequests().
+  std::optional<base::ErrorInfo> refusal() const;
   std::size_t requests_in_flight() const;
   boost::asio::ip::tcp::endpoint endpoint() const { return endpoint_; }
   const ServerSettings& settings() const { return settings_; }
@@ -39,16 +46,28 @@
  private:
   void OnAccept(boost::system::error_code error,
                 boost::asio::ip::tcp::socket socket);
+  void AcceptAfterDelay();
+  // Starts a session, or refuses the connection if there are too many. Requires
+  // the lock.
+  void AddSession(boost::asio::ip::tcp::socket socket);
+  // Adds the connections that the kernel has accepted already. Requires the
+  // lock.
+  void AddQueuedConnections();
+  std::vector<std::shared_ptr<Session>> LockSessions() const;
 
   ServerSettings settings_;
   const Router& router_;
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_timer_;
   boost::asio::ip::tcp::endpoint endpoint_;
 
   mutable std::mutex mutex_;
   std::condition_variable idle_condition_;
   std::set<Session*> sessions_;
+  // Sessions that only send a refusal.
+  std::set<Session*> refused_sessions_;
+  std::optional<base::ErrorInfo> refusal_;
   std::size_t requests_in_flight_ = 0;
   bool stopping_ = false;
 };
--- a/packages/http/src/session.cc
+++ b/packages/http/src/session.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include "vanillalever/base/logging.h"
+
 namespace vanillalever::http {
 
 namespace beast = boost::beast;
@@ -13,7 +15,9 @@
 
 namespace {
 
-// Limits for the input that is read and discarded after a rejected request.
+// Time that a stopping server waits for a request on a kept connection.
+constexpr base::Duration kStopIdleTimeout = base::seconds(1);
+// Limits for the input that is read and discarded after the last response.
 constexpr base::Duration kLingerTimeout = base::seconds(2);
 constexpr std::size_t kMaxLingerBytes = 16 << 20;
 constexpr std::size_t kDiscardBufferBytes = 64 << 10;
@@ -52,7 +56,7 @@
                  boost::asio::ip::tcp::socket socket)
     : server_(std::move(server)),
       stream_(std::move(socket)),
-      request_timer_(stream_.get_executor()) {
+      input_timer_(stream_.get_executor()) {
   boost::system::error_code error;
   stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), error);
   if (auto remote = stream_.socket().remote_endpoint(error); !error)
@@ -75,37 +79,71 @@
 }
 
 void Session::Start() {
-  Post([](Session& self) { self.ReadHead(); });
+  Post([](Session& self) { self.ReadRequest(); });
 }
 
-void Session::CloseWhenIdle() {
+void Session::Refuse() {
   Post([](Session& self) {
+    base::ErrorInfo info;
+    info.code = base::ErrorCode::kUnavailable;
+    info.message = "the server has reached its limit of connections";
+    info.step = base::Step::kConnect;
+    info.retry_after = base::seconds(1);
     self.keep_alive_ = false;
+    self.WriteMessage(ErrorResponse(info));
+  });
+}
+
+void Session::CloseWhenIdle() {
+  Post([](Session& self) {
     if (self.waiting_for_request_)
-      self.Close();
+      self.StartTimer(kStopIdleTimeout);
   });
 }
 
-void Session::ReadHead() {
-  waiting_for_request_ = true;
+void Session::Abort(const base::ErrorInfo& error) {
+  Post([error](Session& self) {
+    if (auto exchange = self.exchange_.lock())
+      exchange->SendError(error);
+  });
+}
+
+void Session::ReadRequest() {
   parser_.emplace();
   parser_->header_limit(server_->settings().max_header_bytes);
   parser_->body_limit(server_->settings().max_body_bytes);
-  if (buffer_.size() == 0) {
-    // The request timeout starts with the request's first byte.
-    stream_.expires_after(server_->settings().idle_timeout);
-    stream_.async_read_some(buffer_.prepare(4096),
-                            [self = shared_from_this()](beast::error_code error,
-                                                        std::size_t bytes) {
-                              if (error)
-                                return self->Close();
-                              self->buffer_.commit(bytes);
-                              self->ReadHead();
-                            });
-    return;
-  }
+  if (buffer_.size() == 0)
+    return WaitForRequest();
+  ReadHead();
+}
+
+void Session::WaitForRequest() {
+  waiting_for_request_ = true;
+  StartTimer(server_->stopping() ? kStopIdleTimeout
+                                 : server_->settings().idle_timeout);
+  stream_.async_read_some(
+      buffer_.prepare(4096),
+      [self = shared_from_this()](beast::error_code error, std::size_t bytes) {
+        self->OnFirstBytes(error, bytes);
+      });
+}
+
+void Session::OnFirstBytes(beast::error_code error, std::size_t bytes) {
   waiting_for_request_ = false;
-  StartRequestTimer();
+  if (error) {
+    // A request that arrived with the end of the wait is still served.
+    boost::system::error_code ignored;
+    if (timed_out_ && stream_.socket().available(ignored) > 0)
+      return WaitForRequest();
+    return Close();
+  }
+  buffer_.commit(bytes);
+  ReadHead();
+}
+
+void Session::ReadHead() {
+  // The request timeout starts with the request's first byte.
+  StartTimer(server_->settings().request_timeout);
   bhttp::async_read_header(
       stream_, buffer_, *parser_,
       [self = shared_from_this()](beast::error_code error, std::size_t) {
@@ -114,21 +152,27 @@
 }
 
 // Uses a separate timer, because the stream's own timeout would close the
-// connection before the 408 response could be sent.
-void Session::StartRequestTimer() {
+// connection before a response could be sent.
+void Session::StartTimer(base::Duration timeout) {
   stream_.expires_never();
   timed_out_ = false;
-  request_timer_.expires_after(server_->settings().request_timeout);
-  request_timer_.async_wait(
+  input_timer_.expires_after(timeout);
+  input_timer_.async_wait(
       [weak = weak_from_this()](boost::system::error_code error) {
         auto self = weak.lock();
-        if (error || !self)
+        // A wait that has ended is not cancelled by a change of the expiry.
+        if (error || !self ||
+            self->input_timer_.expiry() > std::chrono::steady_clock::now())
           return;
         self->timed_out_ = true;
         self->stream_.cancel();
       });
 }
 
+void Session::StopTimer() {
+  input_timer_.expires_at(std::chrono::steady_clock::time_point::max());
+}
+
 // Sends an error response for invalid or incomplete input, or closes the
 // connection if the client has closed it.
 void Session::OnInputError(beast::error_code error) {
@@ -146,11 +190,16 @@
       bhttp::make_error_code(bhttp::error::bad_method).category();
   if (error.category() == parse_errors)
     return RejectInput(400, "malformed HTTP: " + error.message());
+  base::LogEvent(
+      base::LogLevel::kInfo, "request_incomplete",
+      {{"step", std::string(base::kStepNames.name(base::Step::kParse))},
+       {"peer", peer_},
+       {"reason", error.message()}});
   Close();
 }
 
 void Session::OnHead(beast::error_code error) {
-  if (error)
+  if (error || timed_out_)
     return OnInputError(error);
   if (ToLower(parser_->get()[bhttp::field::expect]) == "100-continue") {
     static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -181,8 +230,8 @@
 }
 
 void Session::Dispatch() {
-  request_timer_.cancel();
-  keep_alive_ = parser_->get().keep_alive() && !server_->stopping();
+  StopTimer();
+  keep_alive_ = parser_->get().keep_alive();
   request_in_flight_ = true;
   server_->RequestStarted();
   Request request = TakeRequest();
@@ -191,6 +240,9 @@
     const Handler& handler = server_->router().Match(request);
     exchange =
         std::make_shared<Exchange>(std::move(request), shared_from_this());
+    exchange_ = exchange;
+    if (auto refusal = server_->refusal())
+      return exchange->SendError(*refusal);
     handler(exchange);
   } catch (const base::Error& error) {
     SendErrorResponse(exchange, error.info());
@@ -230,9 +282,8 @@
   info.message = message;
   Response response = ErrorResponse(info);
   response.status = status;
-  request_timer_.cancel();
+  StopTimer();
   keep_alive_ = false;
-  linger_ = true;
   WriteMessage(std::move(response));
 }
 
@@ -266,6 +317,7 @@
   message.set(bhttp::field::content_type, response.content_type);
   for (const auto& [name, value] : response.headers)
     message.set(name, value);
+  keep_alive_ = keep_alive_ && !server_->stopping();
   message.keep_alive(keep_alive_);
 }
 
@@ -278,8 +330,9 @@
   bhttp::async_write(stream_, *message,
                      [self = shared_from_this(), message](
                          beast::error_code error, std::size_t) {
+                       self->stream_.expires_never();
                        if (error)
-                         self->keep_alive_ = false;
+                         self->OnWriteError(error.message());
                        self->OnResponseComplete();
                      });
 }
@@ -305,7 +358,7 @@
     unsent_.push_back(std::move(data));
   }
   if (unsent_bytes_ > server_->settings().max_unsent_bytes) {
-    connection_failed_ = true;
+    OnWriteError("the client does not read its response");
     boost::system::error_code ignored;
     stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both,
                               ignored);
@@ -341,22 +394,31 @@
 void Session::OnWritten(beast::error_code error) {
   writing_ = false;
   stream_.expires_never();
-  if (error) {
-    connection_failed_ = true;
-    keep_alive_ = false;
-  }
+  if (error)
+    OnWriteError(error.message());
   WriteNext();
 }
 
+// The response can't be completed; further data is discarded.
+void Session::OnWriteError(const std::string& reason) {
+  if (std::exchange(connection_failed_, true))
+    return;
+  base::LogEvent(
+      base::LogLevel::kWarning, "response_cut",
+      {{"step", std::string(base::kStepNames.name(base::Step::kAnswer))},
+       {"peer", peer_},
+       {"reason", reason}});
+}
+
 void Session::OnResponseComplete() {
   end_queued_ = false;
   if (std::exchange(request_in_flight_, false))
     server_->RequestEnded();
-  if (linger_)
-    return StartLingeringClose();
-  if (!keep_alive_ || server_->stopping())
+  if (connection_failed_)
     return Close();
-  ReadHead();
+  if (!keep_alive_)
+    return StartLingeringClose();
+  ReadRequest();
 }
 
 // Shuts down the sending side, then reads and discards input until the client
@@ -387,6 +449,8 @@
   stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
                             ignored);
   stream_.close();
+  StopTimer();
+  server_->SessionEnded(this);
 }
 
 }  // namespace vanillalever::http
--- a/packages/http/src/session.h
+++ b/packages/http/src/session.h
@@ -28,9 +28,13 @@
   ~Session() override;
 
   void Start();
-  // Closes the connection immediately if it is waiting for a request, otherwise
-  // after the current response.
+  // Sends a 503 response without reading a request, then closes the connection.
+  void Refuse();
+  // Closes the connection after its current response, or if it receives no
+  // request for a short time. Call after the server has begun to stop.
   void CloseWhenIdle();
+  // Answers the request in flight, if any, with `error`.
+  void Abort(const base::ErrorInfo& error);
 
   // ResponseSink:
   void Send(Response response) override;
@@ -45,8 +49,12 @@
   template <typename Function>
   void Post(Function function);
 
+  void ReadRequest();
+  void WaitForRequest();
+  void OnFirstBytes(boost::beast::error_code error, std::size_t bytes);
   void ReadHead();
-  void StartRequestTimer();
+  void StartTimer(base::Duration timeout);
+  void StopTimer();
   void OnInputError(boost::beast::error_code error);
   void OnHead(boost::beast::error_code error);
   void ReadBody();
@@ -61,6 +69,7 @@
   void Enqueue(std::string data, bool end_of_stream);
   void WriteNext();
   void OnWritten(boost::beast::error_code error);
+  void OnWriteError(const std::string& reason);
   void OnResponseComplete();
   void StartLingeringClose();
   void DiscardInput(std::size_t limit);
@@ -75,12 +84,14 @@
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::string_body>>
       parser_;
+  // The request being answered; expired if there is none.
+  std::weak_ptr<Exchange> exchange_;
   std::string peer_;
-  boost::asio::steady_timer request_timer_;
+  // Limits the wait for a request and for its rest.
+  boost::asio::steady_timer input_timer_;
   bool timed_out_ = false;
-  // Set if there may be unread input after the response; see
-  // StartLingeringClose().
-  bool linger_ = false;
+  // Whether the client may send another request: what the request asked for,
+  // then what the head of the response states.
   bool keep_alive_ = false;
   bool waiting_for_request_ = true;
   bool request_in_flight_ = false;
