Answer what the drain limit of an entry interrupts

Cause: Drain() gave up, and the I/O threads were stopped before the errors of the committer's and the turns' waiters could be written. Requests of operators were never waited for. Now the last second of the limit is reserved: what is in flight gets unavailable, ran unknown, in a stream as an error event; what arrives later gets unavailable, not run.

--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -27,6 +27,16 @@
 constexpr base::Duration kReleaseInterval = base::milliseconds(200);
 constexpr base::Duration kAcknowledgeInterval = base::milliseconds(100);
 constexpr base::Duration kDrainPollInterval = base::milliseconds(20);
+// Part of the drain limit that is reserved for answering what it interrupts.
+constexpr base::Duration kAbortTime = base::seconds(1);
+
+// The shards of an entry that stops are usually taken over within this time.
+constexpr base::milliseconds kStopRetry{1000};
+
+base::Duration TimeUntil(base::TimePoint end) {
+  return std::max<base::Duration>(end - std::chrono::steady_clock::now(),
+                                  base::milliseconds(1));
+}
 
 platform::HttpPlatformSettings PlatformSettings(const EntrySettings& settings) {
   platform::HttpPlatformSettings platform;
@@ -56,6 +66,7 @@
     return settings_.host + ":" + std::to_string(rpc_server_->port());
   }
   bool Drain(base::Duration limit);
+  void AbortRequests(base::TimePoint end);
 
   // protocol::NodeHandler:
   void OnForward(
@@ -317,17 +328,40 @@
 bool EntryImpl::Drain(base::Duration limit) {
   base::LogEvent(base::LogLevel::kInfo, "drain_started", {});
   auto end = std::chrono::steady_clock::now() + limit;
+  auto abort_at = end - std::min<base::Duration>(kAbortTime, limit / 4);
   membership_.BeginLeaving();
   membership_thread_->Wake();
-  while (!membership_.has_left() && std::chrono::steady_clock::now() < end)
+  while (!membership_.has_left() && std::chrono::steady_clock::now() < abort_at)
     std::this_thread::sleep_for(kDrainPollInterval);
   // Up to this point, requests for shards that were handed over are forwarded
   // to their new owners.
   http_server_->StopAccepting();
-  auto remaining = end - std::chrono::steady_clock::now();
-  return http_server_->WaitUntilIdle(
-             std::max<base::Duration>(remaining, base::milliseconds(1))) &&
-         membership_.has_left();
+  admin_server_->StopAccepting();
+  bool idle = http_server_->WaitUntilIdle(TimeUntil(abort_at));
+  idle = admin_server_->WaitUntilIdle(TimeUntil(abort_at)) && idle;
+  if (!idle)
+    AbortRequests(end);
+  return idle && membership_.has_left();
+}
+
+// Answers the requests that the end of the process interrupts. Calls that run
+// at a server go on; their turns are settled by the next owner of their shard.
+void EntryImpl::AbortRequests(base::TimePoint end) {
+  base::ErrorInfo error;
+  error.code = base::ErrorCode::kUnavailable;
+  error.message = "the entry stops; repeat the request at another one";
+  error.step = base::Step::kAnswer;
+  error.ran = base::ExecutionStatus::kUnknown;
+  error.retry_after = kStopRetry;
+  base::LogEvent(
+      base::LogLevel::kWarning, "requests_interrupted",
+      {{"step", std::string(base::kStepNames.name(error.step))},
+       {"callers", std::to_string(http_server_->requests_in_flight())},
+       {"operators", std::to_string(admin_server_->requests_in_flight())}});
+  for (http::Server* server : {http_server_.get(), admin_server_.get()})
+    server->AbortRequests(error);
+  for (http::Server* server : {http_server_.get(), admin_server_.get()})
+    server->WaitUntilIdle(TimeUntil(end));
 }
 
 Entry::Entry(const EntrySettings& settings)
--- a/tests/system/system_test.py
+++ b/tests/system/system_test.py
@@ -54,7 +54,10 @@
             deployment.start_sidecar(f"service-sidecar-{i}", double, "service", "shop-app", "dc-a")
             for i, double in enumerate(self.service_doubles)
         ]
-        self.entries = [deployment.start_entry(f"entry-{i}", "dc-a", *LEASE_FLAGS) for i in range(self.entry_count)]
+        self.entries = [
+            deployment.start_entry(f"entry-{i}", "dc-a", *LEASE_FLAGS, *self.entry_flags())
+            for i in range(self.entry_count)
+        ]
         self.apply(0, sample_objects())
         deployment.wait_until_serving(self.entries, 1, len(self.engine_sidecars) + len(self.service_sidecars))
 
@@ -62,6 +65,10 @@
     def engine_flags():
         return ("--decode_rate=400",)
 
+    @staticmethod
+    def entry_flags():
+        return ()
+
     def apply(self, base_version, put, entry=0, token=None):
         """Applies a configuration change; returns status and parsed response."""
         body = {
