Keep the process when a task of the worker pool throws

As for the I/O threads: an exception other than base::Error in a task of a caller's request ended the entry, and with it the requests of all callers. Now the pool logs task_failed, the HTTP request is answered by its Exchange (internal, ran unknown), and ProgramApi::Handle() answers a forwarded one, whose sender would otherwise wait for its time limit of 30 minutes; the latter was found by reading, no run shows it.

--- a/packages/entry/src/program_api.cc
+++ b/packages/entry/src/program_api.cc
@@ -1,6 +1,7 @@
 #include "program_api.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 #include "turn_answer.h"
@@ -24,6 +25,14 @@
 constexpr base::Duration kForwardTimeout = std::chrono::minutes(30);
 constexpr char kProgramsPath[] = "/v1/programs";
 
+base::ErrorInfo InternalError(const std::exception& error) {
+  base::ErrorInfo info;
+  info.message = error.what();
+  info.step = Step::kAdmit;
+  info.ran = ExecutionStatus::kUnknown;
+  return info;
+}
+
 base::ErrorInfo ForwardError(const std::string& message, ExecutionStatus ran) {
   base::ErrorInfo info;
   info.code = ErrorCode::kUnavailable;
@@ -97,6 +106,8 @@
     Route(request, reply);
   } catch (const base::Error& error) {
     reply->Fail(error.info());
+  } catch (const std::exception& error) {
+    reply->Fail(InternalError(error));
   }
 }
 
@@ -167,11 +178,7 @@
     } catch (const base::Error& error) {
       reply->Fail(error.info());
     } catch (const std::exception& error) {
-      base::ErrorInfo info;
-      info.message = error.what();
-      info.step = Step::kAdmit;
-      info.ran = ExecutionStatus::kUnknown;
-      reply->Fail(info);
+      reply->Fail(InternalError(error));
     }
   });
 }
--- a/packages/entry/src/worker_pool.h
+++ b/packages/entry/src/worker_pool.h
@@ -1,11 +1,14 @@
 #ifndef VANILLALEVER_ENTRY_SRC_WORKER_POOL_H_
 #define VANILLALEVER_ENTRY_SRC_WORKER_POOL_H_
 
+#include <exception>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/thread_pool.hpp>
 
+#include "vanillalever/base/logging.h"
+
 namespace vanillalever::entry {
 
 // Thread pool for tasks that block on the platform.
@@ -14,9 +17,17 @@
   explicit WorkerPool(std::size_t threads) : pool_(threads) {}
   ~WorkerPool() { Stop(); }
 
+  // An exception of a task is logged and ends only this task.
   template <typename Task>
   void Post(Task task) {
-    boost::asio::post(pool_, std::move(task));
+    boost::asio::post(pool_, [task = std::move(task)]() mutable {
+      try {
+        task();
+      } catch (const std::exception& error) {
+        base::LogEvent(base::LogLevel::kError, "task_failed",
+                       {{"error", error.what()}});
+      }
+    });
   }
 
   // Waits for running tasks and discards queued ones. Idempotent.
