Answer a turn whose runner throws

Since a task of an I/O thread that throws no longer ends the process, the callers of its turn would wait without an answer. Tasks of a CallRunner answer them now: the error of a base::Error, else internal, ran unknown.

--- a/packages/entry/src/call_runner.cc
+++ b/packages/entry/src/call_runner.cc
@@ -1,6 +1,7 @@
 #include "call_runner.h"
 
 #include <algorithm>
+#include <exception>
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
@@ -76,9 +77,10 @@
 
 template <typename Function>
 void CallRunner::Post(Function function) {
-  boost::asio::post(
-      strand_, [self = shared_from_this(),
-                function = std::move(function)]() mutable { function(*self); });
+  boost::asio::post(strand_, [self = shared_from_this(),
+                              function = std::move(function)]() mutable {
+    self->RunOrFail([&] { function(*self); });
+  });
 }
 
 template <typename Function>
@@ -88,7 +90,7 @@
       strand_, [self = shared_from_this(), function = std::move(function)](
                    boost::system::error_code error) mutable {
         if (!error)
-          function(*self);
+          self->RunOrFail([&] { function(*self); });
       }));
 }
 
@@ -101,6 +103,9 @@
     if (info.code == ErrorCode::kNotOwner && phase_ != Phase::kSelectingServer)
       info.ran = ExecutionStatus::kUnknown;
     Fail(info);
+  } catch (const std::exception& error) {
+    Fail(MakeError(ErrorCode::kInternal, Step::kRun, error.what(),
+                   ExecutionStatus::kUnknown));
   }
 }
 
