Take an empty end without length or chunks for no end of a stream

What callers saw: events 1 to 3 of a cut stream, then a complete end. A stream whose response has neither length nor chunks ends with its connection, so an orderly close before its first event looks like its end. refused that only for streams from their start: what a caller took up (Last-Event-Id), and what the gateway took up within a response, still ended as complete.

Cause: ends_before_first_event() regarded the events of the whole request, and no request that names a last event. Now it regards the events of the present response. An end after an event of that response stays an end.

A stream can have been cut after its last event, so that nothing is left to send. After an empty end the gateway therefore takes the stream up one event earlier and leaves the repeated event out; a response that brings it and ends is whole. It does so only after an empty end: with every such send, streams that break often would need more sends than a request has (read from the existing test of streams cut inside an event: four instead of three).

--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -104,9 +104,16 @@
   // The response is whole for the transport, but not for the caller.
   void OnBrokenOff(const std::string& reason);
   bool ends_inside_event() const;
-  // A stream that ends with its connection may have been cut; one without any
-  // event was.
+  // Whether the response ended with its connection before it brought an event.
+  // It may have been cut then, also if it was to go on with a stream.
   bool ends_before_first_event() const;
+  // Whether the server is asked for the last event again: if the stream ended
+  // with that event, the repeated one shows that the response is whole.
+  bool repeats_last_event() const;
+  // Id of the event before the last one relayed; empty if it is not known.
+  const std::string& EventBeforeLast() const;
+  // Id of the event after which the next server goes on; empty at the start.
+  const std::string& ResumePoint() const;
   void OnTimeout();
 
   // Records what the server's response says about its request rate.
@@ -177,6 +184,8 @@
   // Times of the latest send and of its first output.
   base::TimePoint sent_at_{};
   std::optional<base::TimePoint> first_output_;
+  // See ends_before_first_event(), of any send.
+  bool ended_without_event_ = false;
   // Software version of the server that sent the stream's first event, to this
   // or an earlier attempt; the stream goes on nowhere else.
   std::optional<std::string> stream_version_;
--- a/packages/forwarding/src/event_framer.cc
+++ b/packages/forwarding/src/event_framer.cc
@@ -1,6 +1,7 @@
 #include "vanillalever/forwarding/event_framer.h"
 
 #include <cstddef>
+#include <utility>
 
 namespace vanillalever::forwarding {
 namespace {
@@ -25,8 +26,26 @@
   return text;
 }
 
+// Id of the event; empty if it has none.
+std::string_view IdOf(std::string_view event) {
+  while (!event.starts_with(kIdField)) {
+    std::size_t end = event.find('\n');
+    if (end == std::string_view::npos)
+      return {};
+    event.remove_prefix(end + 1);
+  }
+  event.remove_prefix(kIdField.size());
+  return Trim(event.substr(0, event.find('\n')));
+}
+
 }  // namespace
 
+void EventFramer::BeginResponse(bool repeats_last) {
+  partial_.clear();
+  response_has_event_ = false;
+  repeats_last_ = repeats_last;
+}
+
 std::string EventFramer::Feed(std::string_view data) {
   // The end of an event may begin in the bytes received before.
   constexpr std::size_t kEndBytes = 4;
@@ -34,22 +53,29 @@
       partial_.size() < kEndBytes ? 0 : partial_.size() - kEndBytes;
   partial_ += data;
   std::size_t taken = 0;
+  std::string complete;
   for (std::size_t end = EventEnd(partial_, searched); end != std::string::npos;
        end = EventEnd(partial_, taken)) {
-    ParseEvent(std::string_view(partial_).substr(taken, end - taken));
+    std::string_view event =
+        std::string_view(partial_).substr(taken, end - taken);
+    if (!ParseEvent(event))
+      complete.append(event);
     taken = end;
   }
-  std::string complete = partial_.substr(0, taken);
   partial_.erase(0, taken);
   return complete;
 }
 
-void EventFramer::ParseEvent(std::string_view event) {
+bool EventFramer::ParseEvent(std::string_view event) {
+  response_has_event_ = true;
+  if (std::exchange(repeats_last_, false) && IdOf(event) == last_id_)
+    return true;
   while (!event.empty()) {
     std::size_t end = event.find('\n');
     std::string_view line = event.substr(0, end);
     if (line.starts_with(kIdField)) {
-      last_id_ = Trim(line.substr(kIdField.size()));
+      previous_id_ = std::exchange(
+          last_id_, std::string(Trim(line.substr(kIdField.size()))));
       id_too_long_ |= last_id_.size() > kMaxIdBytes;
       ++events_;
     }
@@ -65,6 +91,7 @@
       break;
     event.remove_prefix(end + 1);
   }
+  return false;
 }
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -169,8 +169,7 @@
   options.time_left = std::chrono::duration_cast<milliseconds>(time_left());
   options.expected_server = slot.server.id;
   options.urgency = kUrgency;
-  options.last_event_id =
-      framer_.last_id().empty() ? profile_.last_event_id : framer_.last_id();
+  options.last_event_id = ResumePoint();
   return ServerRequestText(context_.codec, request_,
                            conversation::History(previous_turn_.get()),
                            options);
@@ -193,7 +192,7 @@
   ++sends_;
   context_.metrics.sends.Add();
   response_mode_ = ResponseMode::kNone;
-  framer_.DiscardPartial();
+  framer_.BeginResponse(repeats_last_event());
   body_.clear();
   const std::string& id = slot_->server.id;
   bool head_only = request_.method() == http::verb::head;
@@ -357,8 +356,10 @@
   }
   if (response_mode_ == ResponseMode::kStreamed && ends_inside_event())
     return OnBrokenOff("the stream ended inside an event");
-  if (response_mode_ == ResponseMode::kStreamed && ends_before_first_event())
+  if (response_mode_ == ResponseMode::kStreamed && ends_before_first_event()) {
+    ended_without_event_ = true;
     return OnBrokenOff("the stream ended before its first event");
+  }
   RecordOutcome(status_ >= kFirstServerErrorStatus);
   RecordCompletion();
   EndSend(true);
--- a/packages/forwarding/src/forwarded_request_failures.cc
+++ b/packages/forwarding/src/forwarded_request_failures.cc
@@ -53,8 +53,7 @@
 }
 
 bool ForwardedRequest::ends_before_first_event() const {
-  bool from_the_start = framer_.events() == 0 && profile_.last_event_id.empty();
-  return from_the_start && !relaying_ && connection_ &&
+  return !framer_.response_has_event() && connection_ &&
          connection_->ended_with_response();
 }
 
--- a/packages/forwarding/src/forwarded_request_resume.cc
+++ b/packages/forwarding/src/forwarded_request_resume.cc
@@ -11,6 +11,21 @@
   return route_->kind == RequestKind::kStreaming && route_->resumable;
 }
 
+bool ForwardedRequest::repeats_last_event() const {
+  return ended_without_event_ && !EventBeforeLast().empty();
+}
+
+const std::string& ForwardedRequest::EventBeforeLast() const {
+  // A caller's own last event comes before the first one of this response.
+  return framer_.events() == 1 ? profile_.last_event_id : framer_.previous_id();
+}
+
+const std::string& ForwardedRequest::ResumePoint() const {
+  if (repeats_last_event())
+    return EventBeforeLast();
+  return framer_.last_id().empty() ? profile_.last_event_id : framer_.last_id();
+}
+
 void ForwardedRequest::FindOrigin() {
   if (!may_be_resumed() || profile_.last_event_id.empty())
     return FindPreviousTurn();
--- a/packages/forwarding/tests/decision_test.cc
+++ b/packages/forwarding/tests/decision_test.cc
@@ -52,13 +52,32 @@
   CHECK(framer.Feed("\nid: 2\nda") == "id: 1\ndata: a\n\n");
   CHECK(framer.events() == 1);
   CHECK(framer.last_id() == "1");
-  framer.DiscardPartial();
+  framer.BeginResponse(false);
   CHECK(framer.Feed("id: 2\r\ndata: b\r\n\r\n") == "id: 2\r\ndata: b\r\n\r\n");
   CHECK(framer.last_id() == "2");
   CHECK(framer.events() == 2);
   CHECK(framer.partial().empty());
 }
 
+TEST_CASE("a repeated last event is left out once, and only where expected") {
+  EventFramer framer;
+  framer.KeepData();
+  framer.Feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  CHECK(framer.previous_id() == "1");
+  framer.BeginResponse(true);
+  CHECK_FALSE(framer.response_has_event());
+  CHECK(framer.Feed("data: b\nid: 2\n\nid: 3\ndata: c\n\n") ==
+        "id: 3\ndata: c\n\n");
+  CHECK(framer.response_has_event());
+  CHECK(framer.events() == 3);
+  CHECK(framer.data() == "a\nb\nc\n");
+  framer.BeginResponse(true);
+  CHECK(framer.Feed("id: 4\ndata: d\n\nid: 4\n\n") ==
+        "id: 4\ndata: d\n\nid: 4\n\n");
+  framer.BeginResponse(false);
+  CHECK(framer.Feed("id: 4\n\n") == "id: 4\n\n");
+}
+
 TEST_CASE(
     "cached prefixes start at the first part and are evicted in LRU order") {
   PromptIndex index(1000);
--- a/tests/gateway/server_fault_test.py
+++ b/tests/gateway/server_fault_test.py
@@ -147,11 +147,12 @@
 class StreamTest(GatewayCase):
     EVENTS = [str(number) for number in range(1, 7)]
 
-    def read_stream(self, gateway, path):
+    def read_stream(self, gateway, path, **extra):
         """Returns the status, the text and whether it ended as complete."""
         caller = Caller(gateway)
         self.addCleanup(caller.close)
-        headers = caller.headers({name.replace("_", "-"): value for name, value in turn("p", budget=100000).items()})
+        headers = caller.headers({name.replace("_", "-"): value
+                                  for name, value in turn("p", budget=100000, **extra).items()})
         caller.connection.request("POST", path, b"p", headers)
         response = caller.connection.getresponse()
         try:
@@ -207,6 +208,26 @@
             self.plan(path, "unframed-none")
             self.assertEqual(self.read_stream(gateway, path)[0], 502)
 
+    def test_stream_that_a_caller_takes_up_and_that_ends_before_any_event_is_not_complete(self):
+        """Guards against events 1 and 2 of a cut stream that look whole with an empty rest."""
+        gateway = self.start()
+        self.plan("/turn/none", "unframed-none")
+        status, text, _ = self.read_stream(gateway, "/turn/none", Last_Event_Id="2", Resumes="a1")
+        self.assertEqual((status, text), (502, ""))
+
+    def test_stream_that_goes_on_within_a_response_and_ends_before_any_event_is_not_complete(self):
+        """The same where the gateway takes the stream up."""
+        gateway = self.start()
+        self.plan("/turn/none", "unframed-resumed-none")
+        _, text, complete = self.read_stream(gateway, "/turn/none")
+        self.assertEqual((re.findall(r"id: (\d+)", text), complete), (["1", "2", "3"], False))
+
+    def test_stream_without_length_or_chunks_that_is_taken_up_is_relayed_whole(self):
+        gateway = self.start()
+        self.plan("/turn/u", "unframed")
+        status, text, complete = self.read_stream(gateway, "/turn/u", Last_Event_Id="2", Resumes="a1")
+        self.assertEqual((status, complete, re.findall(r"id: (\d+)", text)), (200, True, self.EVENTS[2:]))
+
     def test_stream_that_ends_inside_an_event_goes_on_where_it_may(self):
         gateway = self.start()
         for behaviour in ("unframed-cut", "unframed-reset"):
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -381,11 +381,13 @@
 
     async def run_unframed(self, request, writer, behaviour):
         """A stream that ends with its connection; "unframed-cut" ends inside its third event, "unframed-reset" by a
-        reset after it, "unframed-none" before its first event."""
+        reset after it, "unframed-none" before its first event, "unframed-resumed-none" by the reset, and before the
+        first event where it is taken up again."""
         fields = dict(self.headers(request), **{"Content-Type": "text/event-stream"})
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join(f"{n}: {v}\r\n" for n, v in fields.items()) + "\r\n").encode())
         first = int(request.headers.get("last-event-id") or 0) + 1
-        if behaviour == "unframed-none":
+        resumed_none = behaviour == "unframed-resumed-none"
+        if behaviour == "unframed-none" or (resumed_none and first > 1):
             await writer.drain()
             return False
         for number in range(first, self.events + 1):
@@ -394,7 +396,7 @@
             broken = behaviour != "unframed" and number == first + 2
             writer.write(event[:-5] if broken and behaviour == "unframed-cut" else event)
             await writer.drain()
-            if broken and behaviour == "unframed-reset":
+            if broken and (behaviour == "unframed-reset" or resumed_none):
                 await asyncio.sleep(self.gap_s)
                 self.reset(writer)
             if broken:
