Join nothing but an event stream to the events that a caller has

Cause: the type of a response that goes on with a stream was compared only within a response (relaying_), not where the caller takes the stream up.

Change: what a caller's Last-Event-Id asks for on a resumable route is an event stream or a broken send, which goes on elsewhere where it may and ends with 502. Errors with their own status are passed on as before.

--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -53,6 +53,9 @@
   static constexpr base::milliseconds kRetryAfter{250};
   static constexpr std::uint64_t kRetryAfterJitterMs = 250;
 
+  // Content type of streams.
+  static constexpr std::string_view kEventStream = "text/event-stream";
+
   // Time between two checks whether servers that interrupted the request have
   // crashed.
   static constexpr base::milliseconds kCrashCheckDelay{10};
@@ -104,6 +107,9 @@
   // The response is whole for the transport, but not for the caller.
   void OnBrokenOff(const std::string& reason);
   bool ends_inside_event() const;
+  // Whether a successful response with these fields may be joined to the events
+  // that the caller has. A server can respond with an error of another type.
+  bool GoesOnWithStream(const HttpFields& fields) const;
   // Whether the response ended with its connection before it brought an event.
   // It may have been cut then, also if it was to go on with a stream.
   bool ends_before_first_event() const;
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -254,9 +254,7 @@
   }
   bool success = status / 100 == 2;
   bool stream = success && route_->kind == RequestKind::kStreaming;
-  if (relaying_ && stream &&
-      fields[http::field::content_type] !=
-          response_fields_[http::field::content_type])
+  if (stream && !GoesOnWithStream(fields))
     return OnBrokenOff("the response does not go on with the stream");
   response_mode_ = stream ? ResponseMode::kStreamed : ResponseMode::kBuffered;
   // A resumed stream keeps the head of its first response.
--- a/packages/forwarding/src/forwarded_request_failures.cc
+++ b/packages/forwarding/src/forwarded_request_failures.cc
@@ -45,7 +45,6 @@
 }
 
 bool ForwardedRequest::ends_inside_event() const {
-  constexpr std::string_view kEventStream = "text/event-stream";
   bool events = View(response_fields_[http::field::content_type])
                     .starts_with(kEventStream);
   return events &&
--- a/packages/forwarding/src/forwarded_request_resume.cc
+++ b/packages/forwarding/src/forwarded_request_resume.cc
@@ -2,15 +2,30 @@
 
 #include <algorithm>
 
+#include <boost/beast/http/field.hpp>
+
 #include "vanillalever/base/logging.h"
 #include "vanillalever/forwarding/forwarded_request.h"
 
 namespace vanillalever::forwarding {
+namespace {
+
+namespace http = boost::beast::http;
+
+}  // namespace
 
 bool ForwardedRequest::may_be_resumed() const {
   return route_->kind == RequestKind::kStreaming && route_->resumable;
 }
 
+bool ForwardedRequest::GoesOnWithStream(const HttpFields& fields) const {
+  std::string_view type = View(fields[http::field::content_type]);
+  if (relaying_)
+    return type == View(response_fields_[http::field::content_type]);
+  bool taken_up = may_be_resumed() && !profile_.last_event_id.empty();
+  return !taken_up || type.starts_with(kEventStream);
+}
+
 bool ForwardedRequest::repeats_last_event() const {
   return ended_without_event_ && !EventBeforeLast().empty();
 }
--- a/tests/gateway/server_fault_test.py
+++ b/tests/gateway/server_fault_test.py
@@ -222,6 +222,16 @@
         _, text, complete = self.read_stream(gateway, "/turn/none")
         self.assertEqual((re.findall(r"id: (\d+)", text), complete), (["1", "2", "3"], False))
 
+    def test_error_of_a_server_that_should_go_on_with_a_callers_stream_does_not_end_it(self):
+        """Guards against an error with status 200 that a caller joins to the events it has."""
+        gateway = self.start()
+        for behaviour, (status, _, _) in standin.Engine.ERRORS.items():
+            with self.subTest(behaviour=behaviour):
+                path = "/turn/" + behaviour
+                self.plan(path, behaviour)
+                answered, _, _ = self.read_stream(gateway, path, Last_Event_Id="2", Resumes="a1")
+                self.assertEqual(answered, 500 if status == 500 else 502)
+
     def test_stream_without_length_or_chunks_that_is_taken_up_is_relayed_whole(self):
         gateway = self.start()
         self.plan("/turn/u", "unframed")
