--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -170,8 +170,7 @@
   options.time_left = std::chrono::duration_cast<milliseconds>(time_left());
   options.expected_server = slot.server.id;
   options.urgency = kUrgency;
-  options.last_event_id =
-      framer_.last_id().empty() ? profile_.last_event_id : framer_.last_id();
+  options.last_event_id = ResumePoint();
   return ServerRequestText(context_.codec, request_,
                            conversation::History(previous_turn_.get()),
                            options);
@@ -194,7 +193,7 @@
   ++sends_;
   context_.metrics.sends.Add();
   response_mode_ = ResponseMode::kNone;
-  framer_.DiscardPartial();
+  framer_.BeginResponse(repeats_last_event());
   body_.clear();
   relayed_length_.reset();
   const std::string& id = slot_->server.id;
@@ -259,9 +258,7 @@
   bool head_only = request_.method() == http::verb::head;
   bool stream =
       success && route_->kind == RequestKind::kStreaming && !head_only;
-  if (relaying_ && stream &&
-      fields[http::field::content_type] !=
-          response_fields_[http::field::content_type])
+  if (stream && !GoesOnWithStream(fields))
     return OnBrokenOff("the response does not go on with the stream");
   response_mode_ = stream ? ResponseMode::kStreamed : ResponseMode::kBuffered;
   // A resumed stream keeps the head of its first response.
@@ -363,8 +360,10 @@
   }
   if (response_mode_ == ResponseMode::kStreamed && ends_inside_event())
     return OnBrokenOff("the stream ended inside an event");
-  if (response_mode_ == ResponseMode::kStreamed && ends_before_first_event())
+  if (response_mode_ == ResponseMode::kStreamed && ends_before_first_event()) {
+    ended_without_event_ = true;
     return OnBrokenOff("the stream ended before its first event");
+  }
   RecordOutcome(status_ >= kFirstServerErrorStatus);
   RecordCompletion();
   EndSend(true);
