--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -73,8 +73,8 @@
 // The kernel also ends connections whose peer acknowledges but does not read:
 // that is decided by the timer, so later here.
 void CallerSession::ResetUserTimeout() {
-  vanillalever::http::SetUserTimeout(socket_,
-                 2 * (delegate_.ingress_limits().idle_timeout + kIdleSlack));
+  vanillalever::http::SetUserTimeout(
+      socket_, 2 * (delegate_.ingress_limits().idle_timeout + kIdleSlack));
 }
 
 void CallerSession::ArmTimer(base::Duration limit) {
