Soak: nothing that follows lost data arrives on a connection

Traced: the proxy drops a server's data while it is silent and passes on what follows once it is ok again, with whole chunks, so that the response has a gap which no receiver can see. TCP never does that: what follows lost data does not arrive, and neither does the end of the connection.

Each check stays; a silent connection stays silent for longer than before, which asks more of the gateway.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -44,7 +44,8 @@
 class Proxy(standin.Listener):
     """Forwards connections to port `target`.
 
-    `mode` is one of ok, delay, reset, silent (drops all data) and one_way (drops responses).
+    `mode` is one of ok, delay, reset, silent (drops all data) and one_way (drops responses). As with TCP, nothing that
+    follows lost data arrives on that connection, not even its end.
     """
 
     def __init__(self, target):
@@ -70,15 +71,19 @@
                 ended.close()
 
     async def copy(self, reader, writer, answers):
+        lost = False
         while data := await reader.read(4096):
             if self.mode == "reset":
                 raise ConnectionResetError
             if self.mode == "delay":
                 await asyncio.sleep(0.2)
-            if self.mode == "silent" or (self.mode == "one_way" and answers):
+            lost |= self.mode == "silent" or (self.mode == "one_way" and answers)
+            if lost:
                 continue
             writer.write(data)
             await writer.drain()
+        if lost:
+            raise ConnectionResetError
         # The other direction ends too, as servers and callers here close both at once.
         writer.close()
 
