Refuse streams at a gateway that may miss what others know

Cause: while the store was lost to this gateway and to the live ones, the versions known here counted as all, also where a gateway that had become silent may still have reached the store.

Change: JudgeVersions(), without I/O. The known versions are all if their row was just read, or if the store is lost and no silent gateway reached it by its last message (PeerDirectory::ReachedBySilent; one that had been silent for 15 s when this gateway lost the store counts as removed). With one that did, the stream is refused at once with 503.

--- a/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
@@ -74,6 +74,9 @@
   bool Complete(base::TimePoint listed_at, base::TimePoint now) const;
   // Whether the run was heard from within the retention time and is not live.
   bool Silent(PeerId run, base::TimePoint now) const;
+  // Whether a silent gateway reached the store by its last message. One that
+  // had been silent for the retention time at `since` counts as removed.
+  bool ReachedBySilent(base::TimePoint since) const;
   // Runs and addresses of the live gateways.
   std::vector<std::pair<PeerId, std::string>> live_runs() const;
 
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -22,6 +22,7 @@
 #include "vanillalever/forwarding/relayed_table.h"
 #include "vanillalever/forwarding/server_registry.h"
 #include "vanillalever/forwarding/shared_table.h"
+#include "vanillalever/forwarding/store_view.h"
 #include "vanillalever/forwarding/strike_peers.h"
 
 namespace vanillalever::forwarding {
@@ -53,6 +54,7 @@
 // message only delays the update. Event loop's thread only.
 class PeerLink final : public BudgetPeers,
                        public StorePeers,
+                       public StoreView,
                        public StrikePeers {
  public:
   PeerLink(boost::asio::io_context& context,
@@ -82,6 +84,9 @@
   bool store_lost() const override {
     return !reaches_store_ && directory_.store_addresses().empty();
   }
+  bool reached_by_silent_peer() const override {
+    return !reaches_store_ && directory_.ReachedBySilent(store_lost_at_);
+  }
 
   std::vector<std::string> StoreAddresses() const override {
     return directory_.store_addresses();
@@ -111,8 +116,7 @@
   // Removes this gateway's registration.
   void Unregister();
 
-  // Number of other live gateways.
-  std::size_t live() const { return directory_.live(); }
+  std::size_t live() const override { return directory_.live(); }
   // Updates how the gateways share the rates that servers state.
   void ShareRates();
   // Whether this gateway may be partitioned; see PeerDirectory::InMinority().
@@ -173,6 +177,8 @@
   const PeerId id_;
   std::uint64_t sequence_ = 0;
   bool reaches_store_ = true;
+  // When the store last became unreachable for this gateway.
+  base::TimePoint store_lost_at_{};
   // Servers whose load has changed since the last message.
   std::set<std::string> changed_servers_;
   // This gateway's load at the server.
--- a/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
@@ -1,6 +1,7 @@
 #ifndef VANILLALEVER_FORWARDING_RELAYED_TABLE_H_
 #define VANILLALEVER_FORWARDING_RELAYED_TABLE_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -23,6 +24,8 @@
 class StorePeers {
  public:
   virtual ~StorePeers() = default;
+  // Number of other live gateways.
+  virtual std::size_t live() const = 0;
   // Addresses "ip:port" of the other gateways that reach the store, as last
   // announced by them.
   virtual std::vector<std::string> StoreAddresses() const = 0;
--- a/packages/forwarding/include/vanillalever/forwarding/store_path.h
+++ b/packages/forwarding/include/vanillalever/forwarding/store_path.h
@@ -17,6 +17,9 @@
   base::milliseconds silence{250};
   // Interval of the calls that find out whether the store responds again.
   base::milliseconds probe_interval{400};
+  // A gateway that made no call for this long makes one, so that it can tell
+  // the others in time that the store has become unavailable.
+  base::milliseconds idle_check{250};
 };
 
 // Decides whether a gateway calls the store itself or through another gateway.
@@ -30,6 +33,12 @@
     reachable_ = true;
     last_response_ = now;
   }
+  // A long poll that began at `sent` has a response, which says nothing of the
+  // calls that were sent after it.
+  void OnPollResponse(base::TimePoint sent, base::TimePoint now) {
+    if (reachable_ && (open_calls_ == 0 || sent >= silent_since_))
+      OnResponse(now);
+  }
   // A call of this gateway begins; OnResponse() or OnFailure() ends it.
   void OnCall(base::TimePoint now) {
     if (open_calls_++ == 0)
@@ -63,6 +72,12 @@
     return true;
   }
 
+  // Whether to call the store now to find out whether it still responds.
+  bool IdleCheckDue(base::TimePoint now) const {
+    return reachable_ && open_calls_ == 0 &&
+           now - last_response_ >= settings_.idle_check;
+  }
+
   const StorePathSettings& settings() const { return settings_; }
 
  private:
--- a/packages/forwarding/include/vanillalever/forwarding/stream_origins.h
+++ b/packages/forwarding/include/vanillalever/forwarding/stream_origins.h
@@ -16,9 +16,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "vanillalever/base/name_table.h"
-#include "vanillalever/forwarding/budget_peers.h"
 #include "vanillalever/forwarding/server_registry.h"
 #include "vanillalever/forwarding/shared_table.h"
+#include "vanillalever/forwarding/store_view.h"
 #include "vanillalever/forwarding/stream_record.h"
 #include "vanillalever/forwarding/version_history.h"
 
@@ -27,8 +27,9 @@
 // Result of looking up where a stream began.
 enum class OriginLookup {
   kKnown,
-  kUnknown,      // several versions serve, and no gateway has recorded it
-  kUnavailable,  // the store did not respond in time
+  kUnknown,  // several versions serve, and no gateway has recorded it
+  // The store did not respond in time, or this gateway is cut off.
+  kUnavailable,
 };
 
 inline constexpr base::NameTable<OriginLookup, 3> kOriginLookupNames({
@@ -49,11 +50,11 @@
   using FindCallback =
       std::function<void(OriginLookup, const std::string& version)>;
 
-  // `peers` tell whether any gateway reaches the store.
+  // `store`: whether any gateway reaches it.
   StreamOrigins(boost::asio::io_context& context,
                 SharedTable& table,
                 ServerRegistry& registry,
-                const BudgetPeers& peers);
+                const StoreView& store);
 
   // Number of live gateways, this one included: together they leave most of the
   // store's rate to other calls.
@@ -107,7 +108,7 @@
     base::TimePoint give_up{};
     FindCallback done;
     int reads = 0;
-    // One version was confirmed to serve, or found not to be the only one.
+    // It is decided whether one version is the answer.
     bool confirmed = false;
   };
 
@@ -135,7 +136,10 @@
   // Reads which versions serve, as another gateway may have seen a new one
   // first.
   void ConfirmSole(const std::shared_ptr<Lookup>& lookup);
-  void OnSoleConfirmed(const std::shared_ptr<Lookup>& lookup);
+  // Ends that step as soon as the versions known here are judged. `row_read`:
+  // the stored versions have just been read.
+  void JudgeSole(const std::shared_ptr<Lookup>& lookup, bool row_read);
+  void After(base::Duration delay, std::function<void()> action);
   void ReadOrigin(const std::shared_ptr<Lookup>& lookup);
   void OnOriginRead(const std::shared_ptr<Lookup>& lookup,
                     const ReadResult& result);
@@ -143,7 +147,7 @@
   boost::asio::io_context& context_;
   SharedTable& table_;
   ServerRegistry& registry_;
-  const BudgetPeers& peers_;
+  const StoreView& store_;
   boost::asio::steady_timer write_timer_;
   std::size_t live_gateways_ = 1;
   // Attempts whose origins the next transaction writes.
--- a/packages/forwarding/include/vanillalever/forwarding/version_history.h
+++ b/packages/forwarding/include/vanillalever/forwarding/version_history.h
@@ -15,6 +15,22 @@
 // server of each left; zero while one is registered.
 using ServedVersions = std::map<std::string, std::int64_t>;
 
+// Whether the versions that a gateway knows are all at which a stream can have
+// begun.
+enum class VersionKnowledge {
+  kCurrent,
+  // A call to the store may still tell.
+  kUnconfirmed,
+  // Another gateway may know a version that this one cannot learn of.
+  kOutdated,
+};
+
+// `row_read`: the stored versions were read after the caller asked.
+// `store_lost`, `reached_by_silent_peer`: see StoreView.
+VersionKnowledge JudgeVersions(bool row_read,
+                               bool store_lost,
+                               bool reached_by_silent_peer);
+
 // Settings of VersionHistory.
 struct VersionHistorySettings {
   // How long a version that has left counts: longer than a caller tries to
--- a/packages/forwarding/src/peer_directory.cc
+++ b/packages/forwarding/src/peer_directory.cc
@@ -126,6 +126,14 @@
   });
 }
 
+bool PeerDirectory::ReachedBySilent(base::TimePoint since) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& item) {
+    const Peer& peer = item.second;
+    return peer.id != 0 && !peer.live && peer.reaches_store &&
+           peer.last_message_at + settings_.retention > since;
+  });
+}
+
 std::vector<std::pair<PeerId, std::string>> PeerDirectory::live_runs() const {
   std::vector<std::pair<PeerId, std::string>> runs;
   for (const auto& [address, peer] : peers_) {
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -125,6 +125,8 @@
 
 void PeerLink::SetStoreReachable(bool reachable) {
   reaches_store_ = reachable;
+  if (!reachable)
+    store_lost_at_ = base::TimePoint::clock::now();
   // The others stop calling the store through this gateway at once.
   SendFullLoad();
 }
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -13,7 +13,7 @@
 constexpr milliseconds kConnectTimeout{200};
 // Longer than the other gateway's own call takes at most.
 constexpr milliseconds kRelayTimeout{900};
-constexpr milliseconds kTickInterval{100};
+constexpr milliseconds kTickInterval{50};
 constexpr int kOk = 200;
 // Any row will do; this one does not exist.
 constexpr const char* kProbeTable = "gateways";
@@ -95,13 +95,16 @@
                                 std::uint64_t version,
                                 base::milliseconds wait,
                                 std::function<void(ChangesResult)> done) {
-  direct_.AwaitChanges(
-      std::move(table), version, wait,
-      [this, done = std::move(done)](const ChangesResult& result) {
-        RecordDirect(result.history_lost ? StoreOutcome::kDone : result.outcome,
-                     result.reason);
-        done(result);
-      });
+  direct_.AwaitChanges(std::move(table), version, wait,
+                       [this, sent = base::TimePoint::clock::now(),
+                        done = std::move(done)](const ChangesResult& result) {
+                         if (result.history_lost || Answered(result.outcome))
+                           path_.OnPollResponse(sent,
+                                                base::TimePoint::clock::now());
+                         else
+                           RecordDirect(result.outcome, result.reason);
+                         done(result);
+                       });
 }
 
 template <typename Result>
@@ -207,8 +210,10 @@
 void RelayedTable::Tick() {
   if (path_.TakeSilence(base::TimePoint::clock::now()))
     AnnounceReachable("no response");
-  if (path_.TakeProbe(base::TimePoint::clock::now())) {
-    path_.OnCall(base::TimePoint::clock::now());
+  auto now = base::TimePoint::clock::now();
+  bool others = peers_ != nullptr && peers_->live() > 0;
+  if (path_.TakeProbe(now) || (others && path_.IdleCheckDue(now))) {
+    path_.OnCall(now);
     direct_.Read({kProbeTable, "", kProbeKey},
                  [this](const ReadResult& result) {
                    path_.OnCallEnded();
--- a/packages/forwarding/src/stream_origins.cc
+++ b/packages/forwarding/src/stream_origins.cc
@@ -53,11 +53,11 @@
 StreamOrigins::StreamOrigins(boost::asio::io_context& context,
                              SharedTable& table,
                              ServerRegistry& registry,
-                             const BudgetPeers& peers)
+                             const StoreView& store)
     : context_(context),
       table_(table),
       registry_(registry),
-      peers_(peers),
+      store_(store),
       write_timer_(context) {}
 
 void StreamOrigins::OnServersChanged() {
@@ -289,36 +289,55 @@
   // which versions serve.
   bool unread =
       !services_[service].known && !registry_.versions(service).empty();
-  if (unread || SoleVersion(service))
-    ConfirmSole(lookup);
-  else
-    ReadOrigin(lookup);
+  if (!unread && !SoleVersion(service))
+    return ReadOrigin(lookup);
+  ConfirmSole(lookup);
+  if (!lookup->confirmed)
+    After(kConfirmTimeout, [this, lookup] { JudgeSole(lookup, false); });
 }
 
 void StreamOrigins::ConfirmSole(const std::shared_ptr<Lookup>& lookup) {
-  if (peers_.store_lost())
-    return OnSoleConfirmed(lookup);
+  JudgeSole(lookup, false);
+  if (lookup->confirmed)
+    return;
+  if (base::TimePoint::clock::now() >= lookup->give_up) {
+    lookup->confirmed = true;
+    return lookup->done(OriginLookup::kUnavailable, "");
+  }
   table_.Read(VersionRow(lookup->service),
               [this, lookup](const ReadResult& result) {
                 ApplyRead(lookup->service, result);
-                OnSoleConfirmed(lookup);
+                JudgeSole(lookup, result.outcome == StoreOutcome::kDone);
+                if (!lookup->confirmed)
+                  After(kReadInterval, [this, lookup] { ConfirmSole(lookup); });
               });
-  auto timer =
-      std::make_shared<boost::asio::steady_timer>(context_, kConfirmTimeout);
-  timer->async_wait([this, lookup, timer](boost::system::error_code error) {
-    if (!error && peers_.store_lost())
-      OnSoleConfirmed(lookup);
-  });
 }
 
-void StreamOrigins::OnSoleConfirmed(const std::shared_ptr<Lookup>& lookup) {
-  if (std::exchange(lookup->confirmed, true))
+void StreamOrigins::JudgeSole(const std::shared_ptr<Lookup>& lookup,
+                              bool row_read) {
+  if (lookup->confirmed)
+    return;
+  auto knowledge = JudgeVersions(row_read, store_.store_lost(),
+                                 store_.reached_by_silent_peer());
+  if (knowledge == VersionKnowledge::kUnconfirmed)
     return;
+  lookup->confirmed = true;
+  if (knowledge == VersionKnowledge::kOutdated)
+    return lookup->done(OriginLookup::kUnavailable, "");
   if (auto sole = SoleVersion(lookup->service))
     return lookup->done(OriginLookup::kKnown, *sole);
   ReadOrigin(lookup);
 }
 
+void StreamOrigins::After(base::Duration delay, std::function<void()> action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
+  timer->async_wait(
+      [timer, action = std::move(action)](boost::system::error_code error) {
+        if (!error)
+          action();
+      });
+}
+
 void StreamOrigins::ReadOrigin(const std::shared_ptr<Lookup>& lookup) {
   if (lookup->request_id.empty() || lookup->request_id.size() > kMaxIdBytes)
     return lookup->done(OriginLookup::kUnknown, "");
@@ -347,12 +366,7 @@
   if (base::TimePoint::clock::now() + kReadInterval >= lookup->give_up)
     return lookup->done(
         responded ? OriginLookup::kUnknown : OriginLookup::kUnavailable, "");
-  auto timer =
-      std::make_shared<boost::asio::steady_timer>(context_, kReadInterval);
-  timer->async_wait([this, lookup, timer](boost::system::error_code error) {
-    if (!error)
-      ReadOrigin(lookup);
-  });
+  After(kReadInterval, [this, lookup] { ReadOrigin(lookup); });
 }
 
 void StreamOrigins::Tick() {
--- a/packages/forwarding/src/version_history.cc
+++ b/packages/forwarding/src/version_history.cc
@@ -4,6 +4,18 @@
 
 namespace vanillalever::forwarding {
 
+VersionKnowledge JudgeVersions(bool row_read,
+                               bool store_lost,
+                               bool reached_by_silent_peer) {
+  if (row_read)
+    return VersionKnowledge::kCurrent;
+  if (!store_lost)
+    return VersionKnowledge::kUnconfirmed;
+  // Without the store no gateway learns of a server of another version.
+  return reached_by_silent_peer ? VersionKnowledge::kOutdated
+                                : VersionKnowledge::kCurrent;
+}
+
 VersionHistory::VersionHistory(VersionHistorySettings settings)
     : settings_(settings) {}
 
--- a/packages/forwarding/tests/decision_test.cc
+++ b/packages/forwarding/tests/decision_test.cc
@@ -223,6 +223,27 @@
   CHECK_FALSE(peers.InMinority(later + base::seconds(60)));
 }
 
+// Guards against a gateway that is cut off and takes the silence of the others
+// for their end.
+TEST_CASE("a gateway that reached the store before its silence may reach it") {
+  PeerDirectory peers;
+  peers.OnMessage("a:1", 5, 1, kStart);
+  peers.SetReachesStore("a:1", true);
+  CHECK_FALSE(peers.ReachedBySilent(kStart));
+  auto silent = kStart + base::seconds(2);
+  peers.TakeLost(silent);
+  CHECK(peers.ReachedBySilent(silent));
+  // However long this gateway has been without the store.
+  CHECK(peers.ReachedBySilent(kStart - base::seconds(600)));
+  // It was removed before this gateway lost the store.
+  CHECK_FALSE(peers.ReachedBySilent(kStart + base::seconds(15)));
+  // It said that it does not reach the store, and became silent again.
+  peers.OnMessage("a:1", 5, 2, silent);
+  peers.SetReachesStore("a:1", false);
+  peers.TakeLost(silent + base::seconds(2));
+  CHECK_FALSE(peers.ReachedBySilent(silent));
+}
+
 TEST_CASE("peers become silent, restart and send messages out of order") {
   PeerDirectory peers;
   CHECK(peers.OnMessage("a:1", 5, 10, kStart));
--- a/packages/forwarding/tests/table_codec_test.cc
+++ b/packages/forwarding/tests/table_codec_test.cc
@@ -92,5 +92,33 @@
   CHECK_FALSE(path.TakeProbe(kStart + milliseconds(900)));
 }
 
+// Guards against an idle gateway that does not notice an outage, so that the
+// others cannot tell it from one that reaches the store.
+TEST_CASE("an idle gateway checks the store, a busy one need not") {
+  StorePath path({.idle_check = milliseconds(250)});
+  path.OnResponse(kStart);
+  CHECK_FALSE(path.IdleCheckDue(kStart + milliseconds(200)));
+  CHECK(path.IdleCheckDue(kStart + milliseconds(250)));
+  path.OnCall(kStart + milliseconds(250));
+  CHECK_FALSE(path.IdleCheckDue(kStart + milliseconds(300)));
+  path.OnCallEnded();
+  path.OnFailure();
+  CHECK_FALSE(path.IdleCheckDue(kStart + milliseconds(300)));
+}
+
+// Guards against a long poll that ends within an outage and hides it.
+TEST_CASE("the response to a long poll says nothing of later calls") {
+  StorePath path({.silence = milliseconds(250)});
+  path.OnCall(kStart);
+  path.OnPollResponse(kStart - milliseconds(900), kStart + milliseconds(200));
+  CHECK(path.TakeSilence(kStart + milliseconds(250)));
+  path.OnPollResponse(kStart - milliseconds(900), kStart + milliseconds(300));
+  CHECK_FALSE(path.reachable());
+  path.OnCallEnded();
+  path.OnResponse(kStart + milliseconds(400));
+  path.OnPollResponse(kStart + milliseconds(300), kStart + milliseconds(600));
+  CHECK_FALSE(path.IdleCheckDue(kStart + milliseconds(800)));
+}
+
 }  // namespace
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/tests/version_history_test.cc
+++ b/packages/forwarding/tests/version_history_test.cc
@@ -53,6 +53,18 @@
   CHECK(history.versions().at("v1") == 0);
 }
 
+TEST_CASE("known versions are complete unless another gateway may know more") {
+  constexpr auto kCurrent = VersionKnowledge::kCurrent;
+  // A read of the row tells, whatever was announced before.
+  for (bool lost : {false, true})
+    for (bool silent : {false, true})
+      CHECK(JudgeVersions(true, lost, silent) == kCurrent);
+  CHECK(JudgeVersions(false, false, false) == VersionKnowledge::kUnconfirmed);
+  CHECK(JudgeVersions(false, false, true) == VersionKnowledge::kUnconfirmed);
+  CHECK(JudgeVersions(false, true, false) == kCurrent);
+  CHECK(JudgeVersions(false, true, true) == VersionKnowledge::kOutdated);
+}
+
 TEST_CASE("stored values survive coding, and malformed ones are refused") {
   StreamOrigin origin{"models", "v1.2"};
   CHECK(DecodeStreamOrigin(EncodeStreamOrigin(origin)) == origin);
