--- a/apps/vanillaleverd/main.cc
+++ b/apps/vanillaleverd/main.cc
@@ -181,10 +181,17 @@
   return settings;
 }
 
-// Waits for SIGTERM or SIGINT; both must be blocked in all threads.
+// Waits for SIGTERM or SIGINT; `signals` must be blocked in all threads. A
+// SIGHUP, which by default ends a process, changes nothing.
 void WaitForStopSignal(const sigset_t& signals) {
   int signal = 0;
   sigwait(&signals, &signal);
+  while (signal == SIGHUP) {
+    vanillalever::base::LogEvent(
+        LogLevel::kWarning, "reload_ignored",
+        {{"reason", "the settings are read only at the start"}});
+    sigwait(&signals, &signal);
+  }
 }
 
 template <typename Process>
@@ -238,6 +245,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   vanillalever::base::InitLogging(FLAGS_role);
--- a/tests/system/stop_test.py
+++ b/tests/system/stop_test.py
@@ -69,11 +69,11 @@
     return {"turn": turn, "pool": "model-bench", "operation": "chat", "body": message, "max_tokens": 40, "stream": True}
 
 
-def stop_in_series(process):
-    """Sends SIGTERM several times during the stop; returns the exit code."""
-    for _ in range(STOP_SIGNAL_COUNT):
+def stop_in_series(process, signals=(signal.SIGTERM,) * STOP_SIGNAL_COUNT):
+    """Sends several signals, the last ones during the stop; returns the exit code."""
+    for number in signals:
         if process.popen.poll() is None:
-            process.popen.send_signal(signal.SIGTERM)
+            process.popen.send_signal(number)
         time.sleep(0.2)
     return process.popen.wait(60)
 
@@ -117,6 +117,26 @@
                 self.assertTrue(ran_before or self.executions(last_body["body"]["ref"]) == 0, text)
 
 
+class Reload(SystemTest):
+    def test_reload_signals_before_and_during_a_stop_interrupt_no_request(self):
+        """Guards against a SIGHUP that ends the process with its requests unanswered."""
+        stopped = self.entries[1]
+        callers = [
+            Caller(i, stopped.addresses["http"], [self.create(f"reload-{i}-{j}", entry=1) for j in range(8)],
+                   chat if i % 3 == 0 else refund)
+            for i in range(12)
+        ]
+        for caller in callers:
+            caller.start()
+        time.sleep(1)
+        series = (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM)
+        self.assertEqual(stop_in_series(stopped, series), 0)
+        for caller in callers:
+            caller.join(60)
+        self.assertEqual([request for caller in callers for request in caller.unanswered], [])
+        self.assertGreater(sum(answer[1] == 200 for caller in callers for answer in caller.answers), 0)
+
+
 class DrainLimit(SystemTest):
     engines = 1
     entry_count = 1
