Bound the calls of idle gateways to the store by the number of gateways

Each idle gateway calls the store every 250 ms since, so that it notices an outage in time. 410 gateways would make 1,640 of the 2,000 reads a second that the store allows. The interval now is at least 5 ms for each gateway: 200 calls a second in all, 2 s at 410 gateways; the same as before up to 50. By calculation and a unit test; the effect of the longer interval on streams that are taken up at such sizes was not measured.

--- a/packages/forwarding/include/vanillalever/forwarding/store_path.h
+++ b/packages/forwarding/include/vanillalever/forwarding/store_path.h
@@ -2,6 +2,7 @@
 #define VANILLALEVER_FORWARDING_STORE_PATH_H_
 
 #include <algorithm>
+#include <cstddef>
 
 #include "vanillalever/base/clock.h"
 
@@ -20,6 +21,8 @@
   // A gateway that made no call for this long makes one, so that it can tell
   // the others in time that the store has become unavailable.
   base::milliseconds idle_check{250};
+  // The same for each gateway that makes such calls, if that is longer.
+  base::milliseconds idle_check_per_gateway{5};
 };
 
 // Decides whether a gateway calls the store itself or through another gateway.
@@ -73,9 +76,12 @@
   }
 
   // Whether to call the store now to find out whether it still responds.
-  bool IdleCheckDue(base::TimePoint now) const {
-    return reachable_ && open_calls_ == 0 &&
-           now - last_response_ >= settings_.idle_check;
+  // `gateways`: how many make such calls; they share the store's rate of reads.
+  bool IdleCheckDue(base::TimePoint now, std::size_t gateways = 1) const {
+    base::Duration interval = std::max<base::Duration>(
+        settings_.idle_check,
+        static_cast<int>(gateways) * settings_.idle_check_per_gateway);
+    return reachable_ && open_calls_ == 0 && now - last_response_ >= interval;
   }
 
   const StorePathSettings& settings() const { return settings_; }
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -211,8 +211,9 @@
   if (path_.TakeSilence(base::TimePoint::clock::now()))
     AnnounceReachable("no response");
   auto now = base::TimePoint::clock::now();
-  bool others = peers_ != nullptr && peers_->live() > 0;
-  if (path_.TakeProbe(now) || (others && path_.IdleCheckDue(now))) {
+  std::size_t others = peers_ != nullptr ? peers_->live() : 0;
+  if (path_.TakeProbe(now) ||
+      (others > 0 && path_.IdleCheckDue(now, others + 1))) {
     path_.OnCall(now);
     direct_.Read({kProbeTable, "", kProbeKey},
                  [this](const ReadResult& result) {
--- a/packages/forwarding/tests/table_codec_test.cc
+++ b/packages/forwarding/tests/table_codec_test.cc
@@ -99,6 +99,9 @@
   path.OnResponse(kStart);
   CHECK_FALSE(path.IdleCheckDue(kStart + milliseconds(200)));
   CHECK(path.IdleCheckDue(kStart + milliseconds(250)));
+  // At most 200 calls a second of all gateways together.
+  CHECK_FALSE(path.IdleCheckDue(kStart + milliseconds(2000), 410));
+  CHECK(path.IdleCheckDue(kStart + milliseconds(2050), 410));
   path.OnCall(kStart + milliseconds(250));
   CHECK_FALSE(path.IdleCheckDue(kStart + milliseconds(300)));
   path.OnCallEnded();
