--- a/packages/http/tests/connection_close_test.cc
+++ b/packages/http/tests/connection_close_test.cc
@@ -1,6 +1,6 @@
 #include <sys/resource.h>
 
-#include <dirent.h>
+#include <unistd.h>
 #include <cstdio>
 
 #include <algorithm>
