--- a/packages/http/tests/connection_close_test.cc
+++ b/packages/http/tests/connection_close_test.cc
@@ -1,7 +1,6 @@
 #include <sys/resource.h>
 
 #include <unistd.h>
-#include <cstdio>
 
 #include <algorithm>
 #include <atomic>
--- a/packages/http/tests/connection_reuse_test.cc
+++ b/packages/http/tests/connection_reuse_test.cc
@@ -68,10 +68,10 @@
             return;
           bool silent = session->input.starts_with("GET /silent ");
           session->input.erase(0, size);
-          static const std::string kResponse =
+          const std::string response =
               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
           if (!silent)
-            boost::asio::write(session->socket, boost::asio::buffer(kResponse));
+            boost::asio::write(session->socket, boost::asio::buffer(response));
           Serve(session);
         });
   }
