--- a/packages/http/src/call.cc
+++ b/packages/http/src/call.cc
@@ -4,7 +4,6 @@
 #include <cctype>
 
 #include <boost/asio/bind_executor.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 
 #include "vanillalever/base/logging.h"
@@ -14,7 +13,6 @@
 namespace vanillalever::http {
 
 namespace bhttp = boost::beast::http;
-using boost::asio::ip::tcp;
 
 Call::Call(boost::asio::io_context& context,
            const ClientSettings& settings,
