Close idle connections to the store when one has gone silent

With connections to the store silent while new ones work, each call learned alone that its connection was dead: the next one took another idle connection and timed out too. A gateway with 14 idle connections sent 9 of 20 requests to a server more than 2 s after the store had acknowledged that it drains, and 17 calls to the store failed within 8 s.

A response that does not arrive in time now closes all idle connections to its peer (idle_connections_dropped); connections of http::Client get the keep-alive and the user time-out of the gateway's other connections, and are reused for 60 s at most.

--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -9,7 +9,7 @@
 #include <boost/beast/http/status.hpp>
 
 #include "vanillalever/base/logging.h"
-#include "vanillalever/forwarding/socket_options.h"
+#include "vanillalever/http/socket_options.h"
 
 namespace vanillalever::forwarding {
 namespace {
@@ -62,7 +62,7 @@
       mode_(mode) {}
 
 void CallerSession::Start() {
-  ConfigureSocket(socket_);
+  vanillalever::http::ConfigureSocket(socket_);
   ResetUserTimeout();
   ArmTimer(mode_ == SessionMode::kServe
                ? delegate_.ingress_limits().idle_timeout + kIdleSlack
@@ -73,8 +73,8 @@
 // The kernel also ends connections whose peer acknowledges but does not read:
 // that is decided by the timer, so later here.
 void CallerSession::ResetUserTimeout() {
-  SetUserTimeout(socket_,
-                 2 * (delegate_.ingress_limits().idle_timeout + kIdleSlack));
+  vanillalever::http::SetUserTimeout(
+      socket_, 2 * (delegate_.ingress_limits().idle_timeout + kIdleSlack));
 }
 
 void CallerSession::ArmTimer(base::Duration limit) {
--- a/packages/forwarding/src/caller_session_body.cc
+++ b/packages/forwarding/src/caller_session_body.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "vanillalever/forwarding/caller_session.h"
-#include "vanillalever/forwarding/socket_options.h"
+#include "vanillalever/http/socket_options.h"
 
 namespace vanillalever::forwarding {
 namespace {
@@ -24,8 +24,8 @@
                               base::TimePoint deadline) {
   if (closed_)
     return;
-  SetUserTimeout(socket_,
-                 deadline - base::TimePoint::clock::now() + kUserTimeoutSlack);
+  vanillalever::http::SetUserTimeout(
+      socket_, deadline - base::TimePoint::clock::now() + kUserTimeoutSlack);
   user_timeout_extended_ = true;
   AppendHead(status, fields, &unsent_);
   unsent_.append("Content-Length: " + std::to_string(length) + "\r\n\r\n");
--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -10,8 +10,8 @@
 #include <boost/asio/write.hpp>
 
 #include "vanillalever/base/logging.h"
-#include "vanillalever/forwarding/socket_options.h"
 #include "vanillalever/http/address.h"
+#include "vanillalever/http/socket_options.h"
 
 namespace vanillalever::forwarding {
 namespace {
@@ -69,7 +69,7 @@
         self->refused_ = error == boost::asio::error::connection_refused;
         if (error)
           return self->Fail("connect: " + error.message());
-        ConfigureSocket(self->socket_);
+        http::ConfigureSocket(self->socket_);
         self->Write();
         self->Read();
       });
--- a/packages/http/include/vanillalever/http/client.h
+++ b/packages/http/include/vanillalever/http/client.h
@@ -63,14 +63,17 @@
   base::Duration connect_timeout = base::seconds(2);
   // Maximum number of idle connections kept per address.
   std::size_t max_idle_per_address = 16;
+  // Age above which a connection is not used for another request.
+  base::Duration max_connection_age = base::seconds(60);
   // Maximum size of a response body.
   std::size_t max_body_bytes = 64 << 20;
 };
 
 class ConnectionPool;
 
-// Asynchronous HTTP/1.1 client with keep-alive. Thread-safe. Callbacks run on
-// the IoThreads; the callbacks of one request never run concurrently.
+// Asynchronous HTTP/1.1 client with keep-alive. A request that gets no response
+// in time closes all idle connections to its server. Thread-safe. Callbacks run
+// on the IoThreads; the callbacks of one request never run concurrently.
 class Client {
  public:
   Client(IoThreads& threads, ClientSettings settings);
--- a/packages/forwarding/include/vanillalever/forwarding/socket_options.h
+++ b/packages/http/include/vanillalever/http/socket_options.h
@@ -1,11 +1,11 @@
-#ifndef VANILLALEVER_FORWARDING_SOCKET_OPTIONS_H_
-#define VANILLALEVER_FORWARDING_SOCKET_OPTIONS_H_
+#ifndef VANILLALEVER_HTTP_SOCKET_OPTIONS_H_
+#define VANILLALEVER_HTTP_SOCKET_OPTIONS_H_
 
 #include <boost/asio/ip/tcp.hpp>
 
 #include "vanillalever/base/clock.h"
 
-namespace vanillalever::forwarding {
+namespace vanillalever::http {
 
 // Disables Nagle's algorithm, and makes the connection fail within a few
 // seconds when the peer's machine no longer responds.
@@ -16,6 +16,6 @@
 void SetUserTimeout(boost::asio::ip::tcp::socket& socket,
                     base::Duration timeout);
 
-}  // namespace vanillalever::forwarding
+}  // namespace vanillalever::http
 
-#endif  // VANILLALEVER_FORWARDING_SOCKET_OPTIONS_H_
+#endif  // VANILLALEVER_HTTP_SOCKET_OPTIONS_H_
--- a/packages/http/src/call.cc
+++ b/packages/http/src/call.cc
@@ -4,14 +4,15 @@
 #include <cctype>
 
 #include <boost/asio/bind_executor.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+
+#include "vanillalever/base/logging.h"
 #include "vanillalever/http/address.h"
+#include "vanillalever/http/socket_options.h"
 
 namespace vanillalever::http {
 
 namespace bhttp = boost::beast::http;
-using boost::asio::ip::tcp;
 
 Call::Call(boost::asio::io_context& context,
            const ClientSettings& settings,
@@ -45,10 +46,14 @@
       strand_, [weak = weak_from_this()](boost::system::error_code error) {
         auto self = weak.lock();
         if (!error && self)
-          self->Abort(base::ErrorCode::kTimeout, "no answer in time");
+          self->OnTimeout();
       }));
-  if (!request_.new_connection)
-    stream_ = pool_->Acquire(request_.address);
+  if (!request_.new_connection) {
+    Connection connection =
+        pool_->Acquire(request_.address, base::TimePoint::clock::now());
+    stream_ = std::move(connection.stream);
+    opened_at_ = connection.opened_at;
+  }
   reused_ = stream_ != nullptr;
   if (reused_)
     WriteRequest();
@@ -76,8 +81,8 @@
 void Call::OnConnect(boost::system::error_code error) {
   if (error || abort_error_)
     return OnFailure(error);
-  boost::system::error_code ignored;
-  stream_->socket().set_option(tcp::no_delay(true), ignored);
+  opened_at_ = base::TimePoint::clock::now();
+  ConfigureSocket(stream_->socket());
   WriteRequest();
 }
 
@@ -159,6 +164,23 @@
   on_data_(data);
 }
 
+void Call::OnTimeout() {
+  constexpr const char* kReason = "no answer in time";
+  if (sent_ && !done_ && !abort_error_)
+    DropIdleConnections(kReason);
+  Abort(base::ErrorCode::kTimeout, kReason);
+}
+
+void Call::DropIdleConnections(const std::string& reason) {
+  std::size_t count = pool_->Drop(request_.address);
+  if (count > 0)
+    base::LogEvent(base::LogLevel::kWarning, "idle_connections_dropped",
+                   {{"peer", request_.address},
+                    {"connections", std::to_string(count)},
+                    {"target", request_.target},
+                    {"reason", reason}});
+}
+
 void Call::Abort(base::ErrorCode code, const std::string& message) {
   if (done_ || abort_error_)
     return;
@@ -170,6 +192,8 @@
 }
 
 void Call::OnFailure(const boost::system::error_code& error) {
+  if (error == boost::asio::error::timed_out && sent_)
+    DropIdleConnections(error.message());
   // The server closed an idle keep-alive connection, and no part of a response
   // was received. The request can be sent again: callers use `new_connection`
   // for requests that must not be repeated.
@@ -198,7 +222,8 @@
   }
   result.body = std::move(message.body());
   if (message.keep_alive() && buffer_.size() == 0 && !abort_error_)
-    pool_->Release(request_.address, std::move(stream_));
+    pool_->Release(request_.address, {std::move(stream_), opened_at_},
+                   base::TimePoint::clock::now());
   Complete(std::move(result));
 }
 
--- a/packages/http/src/call.h
+++ b/packages/http/src/call.h
@@ -38,6 +38,10 @@
   void OnHead(boost::system::error_code error);
   void ReadBody();
   void OnBodyData(boost::system::error_code error);
+  // The response did not arrive in time.
+  void OnTimeout();
+  // The connection is silent, and so may be the idle ones.
+  void DropIdleConnections(const std::string& reason);
   void Abort(base::ErrorCode code, const std::string& message);
   void OnFailure(const boost::system::error_code& error);
   void DeliverData();
@@ -55,6 +59,7 @@
 
   boost::asio::steady_timer deadline_timer_;
   std::unique_ptr<Stream> stream_;
+  base::TimePoint opened_at_{};
   boost::beast::flat_buffer buffer_;
   boost::beast::http::request<boost::beast::http::string_body> message_;
   std::optional<
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -7,7 +7,8 @@
 Client::Client(IoThreads& threads, ClientSettings settings)
     : threads_(threads),
       settings_(settings),
-      pool_(std::make_shared<ConnectionPool>(settings.max_idle_per_address)) {}
+      pool_(std::make_shared<ConnectionPool>(settings.max_idle_per_address,
+                                             settings.max_connection_age)) {}
 
 Client::~Client() = default;
 
--- a/packages/http/src/connection_pool.cc
+++ b/packages/http/src/connection_pool.cc
@@ -21,24 +21,36 @@
 
 }  // namespace
 
-std::unique_ptr<Stream> ConnectionPool::Acquire(const std::string& address) {
+Connection ConnectionPool::Acquire(const std::string& address,
+                                   base::TimePoint now) {
   std::lock_guard lock(mutex_);
   auto& connections = idle_connections_[address];
   while (!connections.empty()) {
-    auto stream = std::move(connections.back());
+    Connection connection = std::move(connections.back());
     connections.pop_back();
-    if (IsReusable(*stream))
-      return stream;
+    if (!IsTooOld(connection, now) && IsReusable(*connection.stream))
+      return connection;
   }
-  return nullptr;
+  return {};
 }
 
 void ConnectionPool::Release(const std::string& address,
-                             std::unique_ptr<Stream> stream) {
+                             Connection connection,
+                             base::TimePoint now) {
+  if (IsTooOld(connection, now))
+    return;
   std::lock_guard lock(mutex_);
   auto& connections = idle_connections_[address];
   if (connections.size() < max_idle_per_address_)
-    connections.push_back(std::move(stream));
+    connections.push_back(std::move(connection));
+}
+
+std::size_t ConnectionPool::Drop(const std::string& address) {
+  std::lock_guard lock(mutex_);
+  auto& connections = idle_connections_[address];
+  std::size_t count = connections.size();
+  connections.clear();
+  return count;
 }
 
 }  // namespace vanillalever::http
--- a/packages/http/src/connection_pool.h
+++ b/packages/http/src/connection_pool.h
@@ -12,27 +12,47 @@
 
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "vanillalever/base/clock.h"
+
 namespace vanillalever::http {
 
 using Stream = boost::beast::tcp_stream;
 
+// Client connection. Without a stream, none.
+struct Connection {
+  std::unique_ptr<Stream> stream;
+  base::TimePoint opened_at{};
+};
+
 // Idle client connections by address; the most recently used one is reused
 // first. Thread-safe.
 class ConnectionPool {
  public:
-  explicit ConnectionPool(std::size_t max_idle_per_address)
-      : max_idle_per_address_(max_idle_per_address) {}
+  // Connections older than `max_age` are closed instead of being reused.
+  ConnectionPool(std::size_t max_idle_per_address, base::Duration max_age)
+      : max_idle_per_address_(max_idle_per_address), max_age_(max_age) {}
 
   // Returns an idle connection that the server is not known to have closed, or
-  // null.
-  std::unique_ptr<Stream> Acquire(const std::string& address);
-  // Keeps the connection for reuse, or closes it if the pool is full.
-  void Release(const std::string& address, std::unique_ptr<Stream> stream);
+  // none.
+  Connection Acquire(const std::string& address, base::TimePoint now);
+  // Keeps the connection for reuse, or closes it if it is too old or the pool
+  // is full.
+  void Release(const std::string& address,
+               Connection connection,
+               base::TimePoint now);
+  // Closes all idle connections to the address: another one has gone silent.
+  // Returns their number.
+  std::size_t Drop(const std::string& address);
 
  private:
+  bool IsTooOld(const Connection& connection, base::TimePoint now) const {
+    return now - connection.opened_at >= max_age_;
+  }
+
   std::size_t max_idle_per_address_;
+  base::Duration max_age_;
   std::mutex mutex_;
-  std::map<std::string, std::vector<std::unique_ptr<Stream>>> idle_connections_;
+  std::map<std::string, std::vector<Connection>> idle_connections_;
 };
 
 }  // namespace vanillalever::http
--- a/packages/forwarding/src/socket_options.cc
+++ b/packages/http/src/socket_options.cc
@@ -1,4 +1,4 @@
-#include "vanillalever/forwarding/socket_options.h"
+#include "vanillalever/http/socket_options.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <cstdint>
 
-namespace vanillalever::forwarding {
+namespace vanillalever::http {
 namespace {
 
 using boost::asio::ip::tcp;
@@ -42,4 +42,4 @@
   SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
 }
 
-}  // namespace vanillalever::forwarding
+}  // namespace vanillalever::http
