--- a/tests/system/docs_test.py
+++ b/tests/system/docs_test.py
@@ -13,7 +13,7 @@
 def sources():
     """Returns all code that writes logs and metrics."""
     paths = [*(ROOT / "packages").glob("*/src/*.cc"), *(ROOT / "platform").glob("*.cc")]
-    paths.append(ROOT / "apps/vanillalever_gateway/main.cc")
+    paths += [ROOT / "apps" / name / "main.cc" for name in ("vanillalever_gateway", "vanillaleverd")]
     return "\n".join(path.read_text() for path in sorted(paths))
 
 
