State the largest number of connections once

main.cc repeated the default of GatewaySettings::max_sessions; it now caps by that default, as it does for rejected connections. The values are the same.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -153,7 +153,8 @@
     constexpr std::size_t kPerSession = 2;
     std::size_t reserved = std::min(kReserved, descriptors / 6 * 5);
     std::size_t sessions = (descriptors - reserved) / kPerSession;
-    settings.max_sessions = std::clamp<std::size_t>(sessions, 1, 4000);
+    settings.max_sessions =
+        std::clamp<std::size_t>(sessions, 1, settings.max_sessions);
     settings.max_rejected_sessions = std::clamp<std::size_t>(
         settings.max_sessions / 2, 1, settings.max_rejected_sessions);
   }
