--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -76,6 +76,13 @@
   void FinishBody();
 
   bool ResolveRoute();
+  // The following three refuse the request and return false if it may not go
+  // on. Finds the organisation of the request's key.
+  bool IdentifyOrganisation();
+  // Whether the servers can complete the request in time.
+  bool AdmitUnderLoad();
+  // Counts the request toward the allotment of its organisation.
+  bool TakeAllotment();
   // Looks up the version that began the stream, if the caller takes one up.
   void FindOrigin();
   void OnOrigin(OriginLookup outcome, const std::string& version);
@@ -186,6 +193,8 @@
   PromptChain chain_;
   std::shared_ptr<const RouteConfig> config_;
   const Route* route_ = nullptr;
+  // Null if the request needs no key.
+  const organisation::Organisation* organisation_ = nullptr;
   const Service* service_ = nullptr;
   // Computed when first needed; see fingerprint().
   std::string fingerprint_;
--- a/packages/forwarding/include/vanillalever/forwarding/route_config.h
+++ b/packages/forwarding/include/vanillalever/forwarding/route_config.h
@@ -10,6 +10,7 @@
 
 #include "vanillalever/base/clock.h"
 #include "vanillalever/base/name_table.h"
+#include "vanillalever/organisation/organisation.h"
 
 namespace vanillalever::forwarding {
 
@@ -52,6 +53,8 @@
   // A request carries only the new input of a turn and names the turn that it
   // continues; the gateway keeps the turns.
   bool stateful = false;
+  // Requests need no key of an organisation.
+  bool anonymous = false;
   // How long turns, and the budgets of ended programs, must be kept.
   base::seconds retention{60};
 };
@@ -88,6 +91,9 @@
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::map<std::string, Service> services;
+  // Organisations whose callers identify themselves by keys; if empty, no
+  // request needs a key.
+  std::vector<organisation::Organisation> organisations;
   IngressLimits limits;
 
   // Route of the host with the longest prefix of `path`; null if none matches.
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -56,7 +56,7 @@
 void ForwardedRequest::Start() {
   context_.metrics.requests.Add();
   profile_ = context_.codec.DecodeRequest(request_);
-  if (!ResolveRoute())
+  if (!ResolveRoute() || !IdentifyOrganisation())
     return;
   if (route_->kind == RequestKind::kStreaming &&
       !HasValidIds(profile_, ConversationService::kMaxIdBytes))
@@ -70,6 +70,8 @@
           arrived_at_ - *context_.stopping_since, limit, context_.stop_time,
           context_.durations.longest(route_->name, arrived_at_)))
     return Refuse("the gateway is stopping", kStoppingRetryAfter);
+  if (!AdmitUnderLoad() || !TakeAllotment())
+    return;
   timer_.expires_at(deadline_);
   timer_.async_wait([weak = weak_from_this()](boost::system::error_code error) {
     if (auto self = weak.lock(); !error && self)
