Share compiled objects between checkouts also outside tools/build

Cause: only tools/build told ccache the checkout's folder, so the build of deploy/system.toml and direct calls of ninja compiled everything anew. Change: cmake/ccache sets the folder for every build; its name keeps the linter's view of the compile commands.

--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -2,7 +2,7 @@
 
 find_program(CCACHE_PROGRAM ccache)
 if(CCACHE_PROGRAM)
-  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CMAKE_SOURCE_DIR}/cmake/ccache)
 endif()
 
 find_package(Threads REQUIRED)
