Notice the return of the store at once; know how old a view is

Nothing told as of when a view was current. Change: after a failure calls do not wait for changes; a call that the store serves again wakes both watchers, spread over 200 ms. TableWatcher::confirmed_at() is the time at which the confirming call was sent, on a clock that runs during a freeze; where keys can be revoked the configuration is also listed through other gateways.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -89,7 +89,7 @@
                         adapter::kOperatorTable,
                         config_feed_,
                         seed_ + 1,
-                        MakeWatcherSettings(settings_)),
+                        MakeConfigWatcherSettings(settings_)),
         server_watcher_(threads_.context(),
                         table_,
                         adapter::kServerTable,
@@ -105,6 +105,10 @@
                     {"readiness", settings_.readiness_address},
                     {"store", settings_.store_address}});
     table_.SetPeers(gateway_.store_peers());
+    table_.SetReturnObserver([this] {
+      config_watcher_.OnStoreReturned();
+      server_watcher_.OnStoreReturned();
+    });
     gateway_.Listen();
     ServeReadiness();
     ServePeers();
@@ -193,6 +197,20 @@
     return settings;
   }
 
+  // Keys that were taken away must be known in time also while the store does
+  // not serve this gateway.
+  static forwarding::TableWatcherSettings MakeConfigWatcherSettings(
+      const adapter::NodeSettings& node) {
+    constexpr int kPollsPerRevocation = 5;
+    forwarding::TableWatcherSettings settings = MakeWatcherSettings(node);
+    if (node.key_revocation) {
+      base::milliseconds interval = *node.key_revocation / kPollsPerRevocation;
+      settings.max_wait = std::min(settings.max_wait, interval);
+      settings.relayed_list_interval = interval;
+    }
+    return settings;
+  }
+
   void ServeReadiness() {
     router_.Add("GET", "/readiness",
                 [this](const std::shared_ptr<http::Exchange>& exchange) {
--- a/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -50,6 +51,10 @@
 
   // Call before Start().
   void SetPeers(StorePeers& peers) { peers_ = &peers; }
+  // Calls `observer` whenever the store serves this gateway again.
+  void SetReturnObserver(std::function<void()> observer) {
+    on_return_ = std::move(observer);
+  }
   // Starts the calls that find out whether the store responds again.
   void Start();
 
@@ -90,6 +95,7 @@
   boost::asio::io_context& context_;
   SharedTable& direct_;
   StorePeers* peers_ = nullptr;
+  std::function<void()> on_return_;
   StorePath path_;
   base::Random random_;
   base::Counter& relayed_calls_;
--- a/packages/forwarding/include/vanillalever/forwarding/table_watcher.h
+++ b/packages/forwarding/include/vanillalever/forwarding/table_watcher.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "vanillalever/base/boot_clock.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/shared_table.h"
 
@@ -23,11 +25,18 @@
   // `max_retry_delay`.
   base::milliseconds first_retry_delay{40};
   base::milliseconds max_retry_delay{400};
+  // Longest delay of a call after the store has been found to serve this
+  // gateway again, so that the gateways do not all call at the same moment.
+  base::milliseconds max_return_delay{200};
+  // While the store does not serve this gateway, the table is listed through
+  // others at this interval; zero: never.
+  base::milliseconds relayed_list_interval{0};
 };
 
 // Watches one table of the store that has no partitions: lists it, then polls
-// its changes, and lists it again when changes were missed. Event loop's thread
-// only.
+// its changes, and lists it again when changes were missed. After a failure the
+// calls do not wait for changes until one succeeds, so that the return of the
+// store is noticed within the timeout of such a call. Event loop's thread only.
 class TableWatcher {
  public:
   // Receives the rows and changes of the table.
@@ -51,21 +60,38 @@
   void Start();
   // Cancels the present wait and lists the table again.
   void Resync();
+  // The store serves this gateway again, as another call has shown.
+  void OnStoreReturned();
 
   // Whether the last call succeeded.
   bool connected() const { return connected_; }
   // When the store last responded.
   base::TimePoint last_response() const { return last_response_; }
+  // Time as of which the rows that the observer knows are those of the store;
+  // absent until the first listing.
+  std::optional<base::BootTime> confirmed_at() const { return confirmed_at_; }
 
  private:
   void List();
   void Await();
-  void OnListed(const ReadResult& result, std::uint64_t generation);
-  void OnChanges(const ChangesResult& result, std::uint64_t generation);
-  void OnResponse();
+  void OnListed(const ReadResult& result,
+                std::uint64_t generation,
+                base::BootTime sent);
+  void OnChanges(const ChangesResult& result,
+                 std::uint64_t generation,
+                 base::BootTime sent);
+  void OnResponse(base::BootTime sent);
+  // The store serves this gateway.
+  void OnReachable();
+  // Lists or awaits again after the delay.
+  void CallAfter(base::Duration delay);
+  // Begins the listings through other gateways, until the store serves this
+  // one again.
+  void ListThroughPeers();
   void OnFailure(std::string_view step, const std::string& reason);
 
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer relay_timer_;
   SharedTable& table_;
   std::string name_;
   Observer& observer_;
@@ -76,6 +102,7 @@
   bool connected_ = false;
   int failures_ = 0;
   base::TimePoint last_response_{};
+  std::optional<base::BootTime> confirmed_at_;
   base::TimePoint reconnected_at_{};
   bool was_disconnected_ = false;
   // Incremented with each call, so that responses to earlier calls are ignored.
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -205,6 +205,8 @@
                   {"reason", std::string(path_.reachable() ? "" : reason)}});
   if (peers_ != nullptr)
     peers_->SetStoreReachable(path_.reachable());
+  if (path_.reachable() && on_return_)
+    on_return_();
 }
 
 void RelayedTable::Tick() {
--- a/packages/forwarding/src/table_watcher.cc
+++ b/packages/forwarding/src/table_watcher.cc
@@ -21,6 +21,7 @@
                            std::uint64_t seed,
                            TableWatcherSettings settings)
     : timer_(context),
+      relay_timer_(context),
       table_(table),
       name_(std::move(name)),
       observer_(observer),
@@ -37,20 +38,29 @@
   List();
 }
 
+void TableWatcher::OnStoreReturned() {
+  if (connected_)
+    return;
+  auto most = static_cast<std::uint64_t>(settings_.max_return_delay.count());
+  CallAfter(base::milliseconds(random_.Below(most + 1)));
+}
+
 void TableWatcher::List() {
   std::uint64_t generation = ++generation_;
-  table_.List(name_, "", [this, generation](const ReadResult& result) {
-    OnListed(result, generation);
-  });
+  table_.List(
+      name_, "",
+      [this, generation, sent = base::BootClock::now()](
+          const ReadResult& result) { OnListed(result, generation, sent); });
 }
 
 void TableWatcher::OnListed(const ReadResult& result,
-                            std::uint64_t generation) {
+                            std::uint64_t generation,
+                            base::BootTime sent) {
   if (generation != generation_)
     return;
   if (result.outcome != StoreOutcome::kDone)
     return OnFailure("list", result.reason);
-  OnResponse();
+  OnResponse(sent);
   version_ = result.version;
   listed_ = true;
   observer_.OnRows(result.rows);
@@ -59,25 +69,29 @@
 
 void TableWatcher::Await() {
   std::uint64_t generation = ++generation_;
-  table_.AwaitChanges(name_, version_, settings_.max_wait,
-                      [this, generation](const ChangesResult& result) {
-                        OnChanges(result, generation);
+  base::milliseconds wait =
+      connected_ ? settings_.max_wait : base::milliseconds(0);
+  table_.AwaitChanges(name_, version_, wait,
+                      [this, generation, sent = base::BootClock::now()](
+                          const ChangesResult& result) {
+                        OnChanges(result, generation, sent);
                       });
 }
 
 void TableWatcher::OnChanges(const ChangesResult& result,
-                             std::uint64_t generation) {
+                             std::uint64_t generation,
+                             base::BootTime sent) {
   if (generation != generation_)
     return;
   if (result.history_lost) {
     base::LogEvent(base::LogLevel::kInfo, "store_history_lost",
                    {{"table", name_}, {"version", std::to_string(version_)}});
-    OnResponse();
+    OnReachable();
     return List();
   }
   if (result.outcome != StoreOutcome::kDone)
     return OnFailure("changes", result.reason);
-  OnResponse();
+  OnResponse(sent);
   version_ = std::max(version_, result.version);
   bool after_outage =
       was_disconnected_ && last_response_ - reconnected_at_ < kOutageWindow;
@@ -86,7 +100,13 @@
   Await();
 }
 
-void TableWatcher::OnResponse() {
+// A poll shows the rows as they were at some time after it was sent.
+void TableWatcher::OnResponse(base::BootTime sent) {
+  confirmed_at_ = std::max(confirmed_at_.value_or(sent), sent);
+  OnReachable();
+}
+
+void TableWatcher::OnReachable() {
   last_response_ = base::TimePoint::clock::now();
   failures_ = 0;
   if (connected_)
@@ -106,14 +126,20 @@
                     {"step", std::string(step)},
                     {"reason", reason},
                     {"version", std::to_string(version_)}});
+    if (settings_.relayed_list_interval > base::milliseconds(0))
+      ListThroughPeers();
   }
   auto delay =
       std::min(settings_.max_retry_delay,
                settings_.first_retry_delay * (1 << std::min(failures_, 8)));
   ++failures_;
-  timer_.expires_after(delay / 2 +
-                       base::milliseconds(random_.Below(
-                           static_cast<std::uint64_t>(delay.count() / 2 + 1))));
+  CallAfter(delay / 2 +
+            base::milliseconds(random_.Below(
+                static_cast<std::uint64_t>(delay.count() / 2 + 1))));
+}
+
+void TableWatcher::CallAfter(base::Duration delay) {
+  timer_.expires_after(delay);
   timer_.async_wait(
       [this, generation = ++generation_](boost::system::error_code error) {
         if (error || generation != generation_)
@@ -125,4 +151,22 @@
       });
 }
 
+void TableWatcher::ListThroughPeers() {
+  if (listed_) {
+    table_.List(
+        name_, "",
+        [this, sent = base::BootClock::now()](const ReadResult& result) {
+          if (result.outcome != StoreOutcome::kDone || connected_)
+            return;
+          confirmed_at_ = std::max(confirmed_at_.value_or(sent), sent);
+          observer_.OnRows(result.rows);
+        });
+  }
+  relay_timer_.expires_after(settings_.relayed_list_interval);
+  relay_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error && !connected_)
+      ListThroughPeers();
+  });
+}
+
 }  // namespace vanillalever::forwarding
