--- a/packages/forwarding/include/vanillalever/forwarding/record_writer.h
+++ b/packages/forwarding/include/vanillalever/forwarding/record_writer.h
@@ -34,7 +34,7 @@
   struct Outcome {
     // The record is durable.
     bool recorded = false;
-    // Version of its rows; zero if an earlier attempt wrote them.
+    // Version of its rows, also if an earlier attempt wrote them.
     std::uint64_t version = 0;
   };
   using Callback = std::function<void(Outcome)>;
--- a/packages/forwarding/src/conversation_service.cc
+++ b/packages/forwarding/src/conversation_service.cc
@@ -191,19 +191,6 @@
 
 void ConversationService::DeleteRecord(
     const RetentionSchedule::OwnedRecord& record) {
-  // The version is not known after a write whose response was lost.
-  if (record.version == 0) {
-    table_.Read(
-        RecordRowName(kTurnTable, record.id, 0),
-        [this, record](const ReadResult& result) {
-          if (result.outcome != StoreOutcome::kDone || result.rows.empty())
-            return;
-          RetentionSchedule::OwnedRecord known = record;
-          known.version = result.rows.front().version;
-          DeleteRecord(known);
-        });
-    return;
-  }
   std::vector<TableWrite> deletes;
   for (std::size_t i = 0; i < record.rows; ++i)
     deletes.push_back({RecordRowName(kTurnTable, record.id, i), record.version,
--- a/packages/forwarding/src/record_writer.cc
+++ b/packages/forwarding/src/record_writer.cc
@@ -141,9 +141,9 @@
 
 void RecordWriter::OnConflict(Partition& partition,
                               const TransactionResult& result) {
-  std::map<std::string, const std::string*> present;
+  std::map<std::string, const TableRow*> present;
   for (const TableRow& row : result.current)
-    present.emplace(row.name.key, &row.value);
+    present.emplace(row.name.key, &row);
   auto jobs = std::exchange(partition.writing, {});
   std::reverse(jobs.begin(), jobs.end());
   for (Job& job : jobs) {
@@ -152,12 +152,14 @@
       partition.waiting.push_front(std::move(job));
       continue;
     }
-    bool same = *first->second == job.rows.front();
+    const TableRow& row = *first->second;
+    bool same = row.value == job.rows.front();
     if (!same) {
       base::LogEvent(base::LogLevel::kWarning, "record_id_reused",
                      {{"table", name_}, {"record", job.id}});
     }
-    job.done({same, 0});
+    // Same: the response to an earlier attempt was lost.
+    job.done({same, row.version});
   }
 }
 
--- a/packages/forwarding/tests/record_writer_test.cc
+++ b/packages/forwarding/tests/record_writer_test.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -49,6 +51,47 @@
       open_;
 };
 
+// A store that does its first transaction without a response.
+class ForgetfulTable final : public SharedTable {
+ public:
+  static constexpr std::uint64_t kVersion = 7;
+
+  void Transact(std::vector<TableWrite> writes,
+                std::function<void(TransactionResult)> done) override {
+    TransactionResult result;
+    result.outcome = StoreOutcome::kUnknown;
+    if (row) {
+      result.outcome = StoreOutcome::kConflict;
+      result.current = {*row};
+    } else {
+      row = TableRow{writes.front().name, *writes.front().value, kVersion};
+    }
+    done(result);
+  }
+  void ReadRange(TableRange, std::function<void(ReadResult)>) override {}
+  void AwaitChanges(std::string,
+                    std::uint64_t,
+                    base::milliseconds,
+                    std::function<void(ChangesResult)>) override {}
+
+  std::optional<TableRow> row;
+};
+
+// A conversation in use was deleted by the gateway that had not learned the
+// version of its record: it deleted whatever version it found later.
+TEST_CASE("the version of a record is known also if the response was lost") {
+  boost::asio::io_context io;
+  ForgetfulTable table;
+  RecordWriter writer(io, table, "turns", 1);
+  RecordWriter::Outcome seen;
+  writer.Write("turn", {"value"},
+               base::TimePoint::clock::now() + base::seconds(60),
+               [&seen](RecordWriter::Outcome outcome) { seen = outcome; });
+  io.run();
+  CHECK(seen.recorded);
+  CHECK(seen.version == ForgetfulTable::kVersion);
+}
+
 TEST_CASE("records that gather during a burst fit into transactions") {
   boost::asio::io_context io;
   BoundedTable table;
