Pace writes to the store beyond its rate instead of repeating them through others

CallPacer spaces the writes of a gateway after a refusal: equal share first, more while none is refused.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -75,7 +75,8 @@
                seed_ + 3,
                counters_.counter("vl_gateway_relayed_store_calls_total",
                                  "Calls to the store made through another "
-                                 "gateway.")),
+                                 "gateway."),
+               {.calls_per_second = settings_.store_writes_per_second}),
         gateway_(threads_.context(),
                  MakeGatewaySettings(settings_),
                  codec_,
--- a/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
@@ -18,6 +18,7 @@
 #include "vanillalever/forwarding/table_codec.h"
 #include "vanillalever/http/client.h"
 #include "vanillalever/http/exchange.h"
+#include "vanillalever/pacing/call_pacer.h"
 
 namespace vanillalever::forwarding {
 
@@ -47,7 +48,8 @@
   RelayedTable(http::IoThreads& threads,
                SharedTable& direct,
                std::uint64_t seed,
-               base::Counter& relayed_calls);
+               base::Counter& relayed_calls,
+               pacing::CallPacerSettings write_pace = {});
 
   // Call before Start().
   void SetPeers(StorePeers& peers) { peers_ = &peers; }
@@ -78,6 +80,8 @@
 
   template <typename Result>
   void Start(const PendingPtr<Result>& call);
+  // Makes a write when the pace of this gateway allows it.
+  void StartPaced(const PendingPtr<TransactionResult>& call);
   template <typename Result>
   void CallDirectly(const PendingPtr<Result>& call);
   // Returns false if no other gateway reaches the store.
@@ -88,7 +92,11 @@
   template <typename Result>
   void OnResult(const PendingPtr<Result>& call, Result result);
   void AnnounceReachable(std::string_view reason);
-  void RecordDirect(StoreOutcome outcome, std::string_view reason);
+  // Records the outcome of a direct call.
+  template <typename Result>
+  void RecordDirect(const Result& result);
+  // The store refused a call because all gateways together make too many.
+  void RecordThrottled();
   void Tick();
 
   http::Client client_;
@@ -99,6 +107,7 @@
   StorePath path_;
   base::Random random_;
   base::Counter& relayed_calls_;
+  pacing::CallPacer write_pacer_;
   boost::asio::steady_timer probe_timer_;
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/shared_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/shared_table.h
@@ -65,6 +65,8 @@
   // On kConflict the present rows of those to be written, without the ones that
   // do not exist.
   std::vector<TableRow> current;
+  // Refused because all callers together make too many calls.
+  bool throttled = false;
   // Why the outcome is kNotDone or kUnknown.
   std::string reason;
 };
@@ -86,6 +88,8 @@
   std::vector<TableRow> rows;
   // Version of the store at which the rows were read.
   std::uint64_t version = 0;
+  // Refused because all callers together make too many calls.
+  bool throttled = false;
   // Why the outcome is not kDone.
   std::string reason;
 };
@@ -100,6 +104,8 @@
   std::vector<TableRow> rows;
   // Version to pass to the next call.
   std::uint64_t version = 0;
+  // Refused because all callers together make too many calls.
+  bool throttled = false;
   // Why the outcome is not kDone.
   std::string reason;
 };
--- a/packages/forwarding/include/vanillalever/forwarding/store_path.h
+++ b/packages/forwarding/include/vanillalever/forwarding/store_path.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <optional>
 
 #include "vanillalever/base/clock.h"
 
@@ -35,6 +36,15 @@
   void OnResponse(base::TimePoint now) {
     reachable_ = true;
     last_response_ = now;
+    throttled_since_.reset();
+  }
+  // A call was refused because the gateways together make too many. Another
+  // gateway would not be served either, unless the store turns away this one.
+  void OnThrottled(base::TimePoint now) {
+    if (!throttled_since_)
+      throttled_since_ = now;
+    if (now - *throttled_since_ >= settings_.silence)
+      reachable_ = false;
   }
   // A long poll that began at `sent` has a response, which says nothing of the
   // calls that were sent after it.
@@ -94,6 +104,8 @@
   base::TimePoint silent_since_{};
   base::TimePoint last_response_{};
   base::TimePoint next_probe_{};
+  // First of the refusals since the last response.
+  std::optional<base::TimePoint> throttled_since_;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -63,12 +63,14 @@
 RelayedTable::RelayedTable(http::IoThreads& threads,
                            SharedTable& direct,
                            std::uint64_t seed,
-                           base::Counter& relayed_calls)
+                           base::Counter& relayed_calls,
+                           pacing::CallPacerSettings write_pace)
     : client_(threads, {.connect_timeout = kConnectTimeout}),
       context_(threads.context()),
       direct_(direct),
       random_(seed),
       relayed_calls_(relayed_calls),
+      write_pacer_(write_pace),
       probe_timer_(threads.context()) {}
 
 void RelayedTable::Start() {
@@ -80,7 +82,27 @@
   auto call = std::make_shared<Pending<TransactionResult>>();
   call->call = std::move(writes);
   call->done = std::move(done);
-  Start(call);
+  StartPaced(call);
+}
+
+void RelayedTable::StartPaced(const PendingPtr<TransactionResult>& call) {
+  auto wait = write_pacer_.Reserve(base::TimePoint::clock::now());
+  if (wait == base::Duration(0))
+    return Start(call);
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      context_, wait.value_or(base::Duration(0)));
+  timer->async_wait([this, call, timer,
+                     made = wait.has_value()](boost::system::error_code error) {
+    if (error)
+      return;
+    if (made)
+      return Start(call);
+    TransactionResult result;
+    result.throttled = true;
+    result.reason = "the rate of writes is used up";
+    call->finished = true;
+    std::exchange(call->done, nullptr)(std::move(result));
+  });
 }
 
 void RelayedTable::ReadRange(TableRange range,
@@ -102,7 +124,7 @@
                            path_.OnPollResponse(sent,
                                                 base::TimePoint::clock::now());
                          else
-                           RecordDirect(result.outcome, result.reason);
+                           RecordDirect(result);
                          done(result);
                        });
 }
@@ -121,7 +143,7 @@
   path_.OnCall(base::TimePoint::clock::now());
   auto done = [this, call](Result result) {
     path_.OnCallEnded();
-    RecordDirect(result.outcome, result.reason);
+    RecordDirect(result);
     OnResult(call, std::move(result));
   };
   if constexpr (std::is_same_v<Result, TransactionResult>)
@@ -166,7 +188,9 @@
   timer->async_wait([this, call, sent, timer](boost::system::error_code error) {
     if (error || call->finished)
       return;
-    if (path_.Overdue(sent, base::TimePoint::clock::now()))
+    auto now = base::TimePoint::clock::now();
+    // Calls that wait at the store for others would only be made twice.
+    if (path_.Overdue(sent, now) && !write_pacer_.pacing(now))
       CallThroughPeer(call);
   });
 }
@@ -180,7 +204,8 @@
     call->unknown |= result.outcome == StoreOutcome::kUnknown;
     call->reason = result.reason;
     // The other way may still succeed.
-    if (CallThroughPeer(call) || call->open > 0)
+    bool elsewhere = !result.throttled || !path_.reachable();
+    if ((elsewhere && CallThroughPeer(call)) || call->open > 0)
       return;
     result.outcome =
         call->unknown ? StoreOutcome::kUnknown : StoreOutcome::kNotDone;
@@ -189,14 +214,25 @@
   std::exchange(call->done, nullptr)(std::move(result));
 }
 
-void RelayedTable::RecordDirect(StoreOutcome outcome, std::string_view reason) {
+template <typename Result>
+void RelayedTable::RecordDirect(const Result& result) {
   bool reached = path_.reachable();
-  if (Answered(outcome))
+  if (Answered(result.outcome))
     path_.OnResponse(base::TimePoint::clock::now());
+  else if (result.throttled)
+    RecordThrottled();
   else
     path_.OnFailure();
   if (reached != path_.reachable())
-    AnnounceReachable(reason);
+    AnnounceReachable(result.reason);
+}
+
+void RelayedTable::RecordThrottled() {
+  auto now = base::TimePoint::clock::now();
+  path_.OnThrottled(now);
+  if (!write_pacer_.pacing(now))
+    base::LogEvent(base::LogLevel::kWarning, "store_writes_paced", {});
+  write_pacer_.OnRefused(now);
 }
 
 void RelayedTable::AnnounceReachable(std::string_view reason) {
@@ -214,13 +250,14 @@
     AnnounceReachable("no response");
   auto now = base::TimePoint::clock::now();
   std::size_t others = peers_ != nullptr ? peers_->live() : 0;
+  write_pacer_.SetCallers(others + 1);
   if (path_.TakeProbe(now) ||
       (others > 0 && path_.IdleCheckDue(now, others + 1))) {
     path_.OnCall(now);
     direct_.Read({kProbeTable, "", kProbeKey},
                  [this](const ReadResult& result) {
                    path_.OnCallEnded();
-                   RecordDirect(result.outcome, result.reason);
+                   RecordDirect(result);
                  });
   }
   probe_timer_.expires_after(kTickInterval);
@@ -233,7 +270,7 @@
 void RelayedTable::Serve(const std::shared_ptr<http::Exchange>& exchange) {
   auto reply = [this, exchange](const auto& result) {
     path_.OnCallEnded();
-    RecordDirect(result.outcome, result.reason);
+    RecordDirect(result);
     http::Response response;
     response.content_type = "application/octet-stream";
     response.body = EncodeTableReply(result);
