Tell refusals for the store's rate from a store that turns a gateway away

Its pacer is taken out again: the overload part paces and groups writes with more effect. Change: what stays is that a refusal for the rate is not relayed, unless nothing else came for 250 ms.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -75,8 +75,7 @@
                seed_ + 3,
                counters_.counter("vl_gateway_relayed_store_calls_total",
                                  "Calls to the store made through another "
-                                 "gateway."),
-               {.calls_per_second = settings_.store_writes_per_second}),
+                                 "gateway.")),
         gateway_(threads_.context(),
                  MakeGatewaySettings(settings_),
                  codec_,
--- a/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
@@ -18,7 +18,6 @@
 #include "vanillalever/forwarding/table_codec.h"
 #include "vanillalever/http/client.h"
 #include "vanillalever/http/exchange.h"
-#include "vanillalever/pacing/call_pacer.h"
 
 namespace vanillalever::forwarding {
 
@@ -48,8 +47,7 @@
   RelayedTable(http::IoThreads& threads,
                SharedTable& direct,
                std::uint64_t seed,
-               base::Counter& relayed_calls,
-               pacing::CallPacerSettings write_pace = {});
+               base::Counter& relayed_calls);
 
   // Call before Start().
   void SetPeers(StorePeers& peers) { peers_ = &peers; }
@@ -80,8 +78,6 @@
 
   template <typename Result>
   void Start(const PendingPtr<Result>& call);
-  // Makes a write when the pace of this gateway allows it.
-  void StartPaced(const PendingPtr<TransactionResult>& call);
   template <typename Result>
   void CallDirectly(const PendingPtr<Result>& call);
   // Returns false if no other gateway reaches the store.
@@ -95,8 +91,6 @@
   // Records the outcome of a direct call.
   template <typename Result>
   void RecordDirect(const Result& result);
-  // The store refused a call because all gateways together make too many.
-  void RecordThrottled();
   void Tick();
 
   http::Client client_;
@@ -107,7 +101,6 @@
   StorePath path_;
   base::Random random_;
   base::Counter& relayed_calls_;
-  pacing::CallPacer write_pacer_;
   boost::asio::steady_timer probe_timer_;
 };
 
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -63,14 +63,12 @@
 RelayedTable::RelayedTable(http::IoThreads& threads,
                            SharedTable& direct,
                            std::uint64_t seed,
-                           base::Counter& relayed_calls,
-                           pacing::CallPacerSettings write_pace)
+                           base::Counter& relayed_calls)
     : client_(threads, {.connect_timeout = kConnectTimeout}),
       context_(threads.context()),
       direct_(direct),
       random_(seed),
       relayed_calls_(relayed_calls),
-      write_pacer_(write_pace),
       probe_timer_(threads.context()) {}
 
 void RelayedTable::Start() {
@@ -82,27 +80,7 @@
   auto call = std::make_shared<Pending<TransactionResult>>();
   call->call = std::move(writes);
   call->done = std::move(done);
-  StartPaced(call);
-}
-
-void RelayedTable::StartPaced(const PendingPtr<TransactionResult>& call) {
-  auto wait = write_pacer_.Reserve(base::TimePoint::clock::now());
-  if (wait == base::Duration(0))
-    return Start(call);
-  auto timer = std::make_shared<boost::asio::steady_timer>(
-      context_, wait.value_or(base::Duration(0)));
-  timer->async_wait([this, call, timer,
-                     made = wait.has_value()](boost::system::error_code error) {
-    if (error)
-      return;
-    if (made)
-      return Start(call);
-    TransactionResult result;
-    result.throttled = true;
-    result.reason = "the rate of writes is used up";
-    call->finished = true;
-    std::exchange(call->done, nullptr)(std::move(result));
-  });
+  Start(call);
 }
 
 void RelayedTable::ReadRange(TableRange range,
@@ -188,9 +166,7 @@
   timer->async_wait([this, call, sent, timer](boost::system::error_code error) {
     if (error || call->finished)
       return;
-    auto now = base::TimePoint::clock::now();
-    // Calls that wait at the store for others would only be made twice.
-    if (path_.Overdue(sent, now) && !write_pacer_.pacing(now))
+    if (path_.Overdue(sent, base::TimePoint::clock::now()))
       CallThroughPeer(call);
   });
 }
@@ -220,21 +196,13 @@
   if (Answered(result.outcome))
     path_.OnResponse(base::TimePoint::clock::now());
   else if (result.throttled)
-    RecordThrottled();
+    path_.OnThrottled(base::TimePoint::clock::now());
   else
     path_.OnFailure();
   if (reached != path_.reachable())
     AnnounceReachable(result.reason);
 }
 
-void RelayedTable::RecordThrottled() {
-  auto now = base::TimePoint::clock::now();
-  path_.OnThrottled(now);
-  if (!write_pacer_.pacing(now))
-    base::LogEvent(base::LogLevel::kWarning, "store_writes_paced", {});
-  write_pacer_.OnRefused(now);
-}
-
 void RelayedTable::AnnounceReachable(std::string_view reason) {
   base::LogEvent(base::LogLevel::kWarning, "store_path",
                  {{"reachable", path_.reachable() ? "true" : "false"},
@@ -250,7 +218,6 @@
     AnnounceReachable("no response");
   auto now = base::TimePoint::clock::now();
   std::size_t others = peers_ != nullptr ? peers_->live() : 0;
-  write_pacer_.SetCallers(others + 1);
   if (path_.TakeProbe(now) ||
       (others > 0 && path_.IdleCheckDue(now, others + 1))) {
     path_.OnCall(now);
