--- a/packages/forwarding/include/vanillalever/forwarding/store_path.h
+++ b/packages/forwarding/include/vanillalever/forwarding/store_path.h
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <optional>
+#include <utility>
 
 #include "vanillalever/base/clock.h"
 
@@ -36,14 +36,14 @@
   void OnResponse(base::TimePoint now) {
     reachable_ = true;
     last_response_ = now;
-    throttled_since_.reset();
+    throttled_ = false;
   }
   // A call was refused because the gateways together make too many. Another
   // gateway would not be served either, unless the store turns away this one.
   void OnThrottled(base::TimePoint now) {
-    if (!throttled_since_)
+    if (!std::exchange(throttled_, true))
       throttled_since_ = now;
-    if (now - *throttled_since_ >= settings_.silence)
+    if (now - throttled_since_ >= settings_.silence)
       reachable_ = false;
   }
   // A long poll that began at `sent` has a response, which says nothing of the
@@ -104,8 +104,9 @@
   base::TimePoint silent_since_{};
   base::TimePoint last_response_{};
   base::TimePoint next_probe_{};
-  // First of the refusals since the last response.
-  std::optional<base::TimePoint> throttled_since_;
+  // Calls were refused for the rate since the last response, and since when.
+  bool throttled_ = false;
+  base::TimePoint throttled_since_{};
 };
 
 }  // namespace vanillalever::forwarding
