State the priority of a request

Cause: an organisation's priority goes before its route's, and decisions under load need the one in force. Change: ForwardedRequest::priority() gives it. Result: nothing uses a priority yet, so no behaviour changes.

--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -79,6 +79,9 @@
   // The following three refuse the request and return false if it may not go
   // on. Finds the organisation of the request's key.
   bool IdentifyOrganisation();
+  // Priority of the request, zero being the highest: that of its organisation,
+  // or of its route if the organisation states none.
+  int priority() const;
   // Whether the servers can complete the request in time.
   bool AdmitUnderLoad();
   // Counts the request toward the allotment of its organisation.
--- a/packages/forwarding/src/forwarded_request_organisation.cc
+++ b/packages/forwarding/src/forwarded_request_organisation.cc
@@ -9,4 +9,9 @@
   return true;
 }
 
+int ForwardedRequest::priority() const {
+  return organisation_ ? organisation_->priority.value_or(route_->priority)
+                       : route_->priority;
+}
+
 }  // namespace vanillalever::forwarding
