Identify organisations by their keys

Cause: nothing knew an organisation: requests ran without a key, servers got what callers stated, and a key that was taken away went on. Change: package organisation holds the keys of one configuration version (KeyDirectory) and decides how long a gateway may rely on its view of them (RevocationPolicy). A request needs a key unless its route is anonymous; the key is checked against the newest configuration before each send. Servers get the organisation's name, never the key. Turns and token budgets belong to an organisation.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -165,6 +165,7 @@
     settings.listen = node.callers_address;
     settings.data_centre = node.data_centre;
     settings.grace = node.grace;
+    settings.key_revocation = node.key_revocation;
     settings.peers.address = node.ip + ":" + std::to_string(node.first_port);
     settings.peers.cpu_millicores = node.cpu_millicores;
     // The rest is for connections, requests in progress and their prompts.
--- a/packages/conversation/include/vanillalever/conversation/turn.h
+++ b/packages/conversation/include/vanillalever/conversation/turn.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace vanillalever::conversation {
@@ -15,6 +16,9 @@
 struct Turn {
   // Id of the request that produced the turn.
   std::string id;
+  // Organisation whose caller produced the turn, empty if it belongs to none;
+  // absent if the deployment has no organisations.
+  std::optional<std::string> organisation;
   // Turn that this one continues; null for the first turn.
   TurnPtr previous;
   // New input of the turn, without the history.
--- a/packages/conversation/include/vanillalever/conversation/turn_record.h
+++ b/packages/conversation/include/vanillalever/conversation/turn_record.h
@@ -19,6 +19,8 @@
   std::vector<std::string> ancestors;
   std::string input;
   std::string output;
+  // See Turn.
+  std::optional<std::string> organisation;
 
   bool operator==(const TurnRecord&) const = default;
 };
--- a/packages/conversation/src/chain_reader.cc
+++ b/packages/conversation/src/chain_reader.cc
@@ -67,6 +67,7 @@
     auto turn = std::make_shared<Turn>();
     turn->id = entry->first;
     turn->previous = std::move(previous);
+    turn->organisation = entry->second->organisation;
     turn->input = entry->second->input;
     turn->output = entry->second->output;
     previous = std::move(turn);
--- a/packages/conversation/src/turn_record.cc
+++ b/packages/conversation/src/turn_record.cc
@@ -31,6 +31,7 @@
   TurnRecord record;
   record.input = turn.input;
   record.output = turn.output;
+  record.organisation = turn.organisation;
   for (const Turn* ancestor = turn.previous.get();
        ancestor != nullptr && record.ancestors.size() < kMaxRecordAncestors;
        ancestor = ancestor->previous.get())
@@ -47,6 +48,8 @@
     ancestors.set(i, record.ancestors[i]);
   root.setInput(Bytes(record.input));
   root.setOutput(Bytes(record.output));
+  if (record.organisation)
+    root.setOrganisation(*record.organisation);
   return protocol::Pack(message);
 }
 
@@ -60,6 +63,9 @@
       record.ancestors.emplace_back(ancestor.cStr(), ancestor.size());
     record.input = ToString(root.getInput());
     record.output = ToString(root.getOutput());
+    if (root.hasOrganisation())
+      record.organisation.emplace(root.getOrganisation().cStr(),
+                                  root.getOrganisation().size());
     return record;
   } catch (const kj::Exception&) {
     return std::nullopt;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -76,12 +76,22 @@
   void FinishBody();
 
   bool ResolveRoute();
-  // The following three refuse the request and return false if it may not go
+  // The following four refuse the request and return false if it may not go
   // on. Finds the organisation of the request's key.
   bool IdentifyOrganisation();
+  // Whether the organisation still holds the request's key, as far as this
+  // gateway may rely on its configuration.
+  bool KeyStillHeld();
   // Priority of the request, zero being the highest: that of its organisation,
   // or of its route if the organisation states none.
   int priority() const;
+  bool keys_confirmed() const;
+  void RefuseUnconfirmedKey();
+  // What servers and records state as the organisation; see
+  // ServerRequestOptions.
+  std::optional<std::string> OrganisationName() const;
+  // Programs of different organisations may have the same id.
+  std::string BudgetKey() const;
   // Whether the servers can complete the request in time.
   bool AdmitUnderLoad();
   // Counts the request toward the allotment of its organisation.
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "vanillalever/base/boot_clock.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/budget_service.h"
 #include "vanillalever/forwarding/conversation_service.h"
@@ -22,6 +23,7 @@
 #include "vanillalever/forwarding/stop_policy.h"
 #include "vanillalever/forwarding/stream_origins.h"
 #include "vanillalever/forwarding/wire_codec.h"
+#include "vanillalever/organisation/revocation_policy.h"
 
 namespace vanillalever::forwarding {
 
@@ -51,6 +53,11 @@
   base::Duration stop_time{0};
   // When the stop signal came.
   std::optional<base::TimePoint> stopping_since = std::nullopt;
+  // Until when the configuration is known to be current, and may still be
+  // relied on for keys; times of `boot_clock`.
+  base::BootClock boot_clock{};
+  std::optional<base::TimePoint> config_confirmed_at = std::nullopt;
+  organisation::RevocationPolicy revocation{};
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -45,6 +46,11 @@
   RegistrySettings registry;
   BudgetSettings budget;
   ConversationSettings conversations;
+  // Time within which a key that was taken away must have stopped working;
+  // absent if there is no such bound.
+  std::optional<base::milliseconds> key_revocation;
+  // Time in which callers notice that a gateway is not ready.
+  base::milliseconds readiness_notice{2000};
 };
 
 // Forwards callers' requests to backend servers. Runs on one event loop; not
@@ -66,6 +72,10 @@
   // whether this version is now applied.
   bool ApplyConfig(std::shared_ptr<const RouteConfig> config);
 
+  // The current configuration was the newest one at `confirmed_at`, a time of
+  // base::BootClock.
+  void OnConfigConfirmed(base::TimePoint confirmed_at);
+
   // Changes of the servers' registrations.
   void OnServerPut(BackendServer server);
   // `may_return`: the registration may have expired only because the store was
@@ -73,8 +83,8 @@
   void OnServerRemoved(const std::string& id, bool may_return);
   void OnServersListed(std::vector<BackendServer> servers);
 
-  // Readiness for new callers: a configuration and the servers are known, and
-  // the process is neither draining nor isolated.
+  // Readiness for new callers: a configuration and the servers are known, keys
+  // can be accepted, and the process is neither draining nor isolated.
   bool ready() const;
 
   // Reports whether the store has responded recently. Call periodically.
@@ -91,7 +101,9 @@
                                            SessionMode mode) override;
   void OnSessionEnded(CallerSession* session) override;
   const IngressLimits& ingress_limits() const override;
-  bool closing() const override { return draining_ || isolated_; }
+  bool closing() const override {
+    return draining_ || isolated_ || !keys_accepted();
+  }
   void OnPeerPrompt(const ServerSlot& slot, const PromptChain& chain) override;
 
  private:
@@ -108,6 +120,10 @@
   void StopAccepting();
   std::vector<std::shared_ptr<CallerSession>> Sessions() const;
   void CheckIsolation();
+  // Whether the configuration may be relied on for keys by callers that come
+  // now.
+  bool keys_accepted() const;
+  void CheckKeys();
 
   GatewaySettings settings_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -138,6 +154,8 @@
   // Neither the store nor most other gateways are reachable, so that callers
   // should use another gateway.
   bool isolated_ = false;
+  // Result of keys_accepted() when it was last logged.
+  bool keys_accepted_ = true;
   std::function<void()> on_drained_;
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -45,6 +45,11 @@
   base::Counter& malformed_rows;
   base::Counter& requests_in_crashes;
   base::Counter& crash_refusals;
+  base::Counter& unknown_keys;
+  base::Counter& unconfirmed_keys;
+  base::Counter& withdrawn_keys;
+  base::Counter& organisations;
+  base::Counter& keys;
   LatencyHistograms latency;
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/request_profile.h
+++ b/packages/forwarding/include/vanillalever/forwarding/request_profile.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "vanillalever/base/clock.h"
+#include "vanillalever/organisation/credential.h"
 
 namespace vanillalever::forwarding {
 
@@ -52,6 +53,8 @@
   // Id of the turn that this one continues; empty at the start of a
   // conversation. Used on stateful routes.
   std::string previous_turn;
+  // The key of the caller's organisation.
+  organisation::Credential credential;
 };
 
 // Whether the ids that become keys of the shared table are printable ASCII
--- a/packages/forwarding/include/vanillalever/forwarding/route_config.h
+++ b/packages/forwarding/include/vanillalever/forwarding/route_config.h
@@ -10,6 +10,7 @@
 
 #include "vanillalever/base/clock.h"
 #include "vanillalever/base/name_table.h"
+#include "vanillalever/organisation/key_directory.h"
 #include "vanillalever/organisation/organisation.h"
 
 namespace vanillalever::forwarding {
@@ -91,9 +92,13 @@
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::map<std::string, Service> services;
-  // Organisations whose callers identify themselves by keys; if empty, no
-  // request needs a key.
+  // Whether requests need the key of an organisation, except on anonymous
+  // routes.
+  bool requires_keys = false;
+  // Organisations whose callers identify themselves by keys.
   std::vector<organisation::Organisation> organisations;
+  // The keys of `organisations`.
+  organisation::KeyDirectory keys;
   IngressLimits limits;
 
   // Route of the host with the longest prefix of `path`; null if none matches.
@@ -104,6 +109,10 @@
   // the weights stay the same.
   const std::string& ChooseService(const Route& route,
                                    std::string_view key) const;
+
+  // The organisation that holds the caller's key; null if none does.
+  const organisation::Organisation* OrganisationOf(
+      const organisation::Credential& credential) const;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/include/vanillalever/forwarding/wire_codec.h
+++ b/packages/forwarding/include/vanillalever/forwarding/wire_codec.h
@@ -27,6 +27,10 @@
   // Id of the last event that the caller received; empty to start from the
   // beginning.
   std::string last_event_id;
+  // Name of the caller's organisation, empty if it has none; callers cannot
+  // set it. Absent if the deployment has no organisations: then the fields of
+  // the caller are sent as they are.
+  std::optional<std::string> organisation;
 };
 
 // Response metadata supplied by the server.
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -113,7 +113,7 @@
     return Place();
   TokenDemand demand{*profile_.token_budget, profile_.max_output_tokens,
                      wait_limit()};
-  context_.budgets.Begin(profile_.program, demand,
+  context_.budgets.Begin(BudgetKey(), demand,
                          [self = shared_from_this()](BudgetOutcome outcome) {
                            self->OnBudgetResult(outcome);
                          });
@@ -124,7 +124,7 @@
       Seconds(base::TimePoint::clock::now() - arrived_at_));
   if (outcome == BudgetOutcome::kGranted) {
     if (done_) {
-      context_.budgets.End(profile_.program, profile_.max_output_tokens, 0);
+      context_.budgets.End(BudgetKey(), profile_.max_output_tokens, 0);
       return;
     }
     budget_reserved_ = true;
@@ -173,12 +173,15 @@
   options.expected_server = slot.server.id;
   options.urgency = kUrgency;
   options.last_event_id = ResumePoint();
+  options.organisation = OrganisationName();
   return ServerRequestText(context_.codec, request_,
                            conversation::History(previous_turn_.get()),
                            options);
 }
 
 void ForwardedRequest::Send(const Placement& placement) {
+  if (!KeyStillHeld())
+    return;
   auto now = base::TimePoint::clock::now();
   placement_ = placement;
   sent_at_ = now;
@@ -453,7 +456,7 @@
   wait_timer_.cancel();
   if (std::exchange(budget_reserved_, false)) {
     std::int64_t event_tokens = service_->engine->event_tokens;
-    context_.budgets.End(profile_.program, profile_.max_output_tokens,
+    context_.budgets.End(BudgetKey(), profile_.max_output_tokens,
                          framer_.events() * event_tokens);
   }
   LogOutcome(outcome, reason);
--- a/packages/forwarding/src/forwarded_request_turns.cc
+++ b/packages/forwarding/src/forwarded_request_turns.cc
@@ -31,6 +31,9 @@
     return;
   switch (outcome) {
     case TurnLookup::kFound:
+      // To other organisations the turn does not exist.
+      if (turn->organisation && turn->organisation != OrganisationName())
+        return SendLocalReply(404, "no such turn");
       previous_turn_ = turn;
       return ReserveBudget();
     case TurnLookup::kMissing:
@@ -44,6 +47,7 @@
 void ForwardedRequest::RecordTurn() {
   auto turn = std::make_shared<conversation::Turn>();
   turn->id = profile_.request_id;
+  turn->organisation = OrganisationName();
   turn->previous = previous_turn_;
   turn->input = request_.body();
   turn->output = framer_.data();
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -24,6 +24,9 @@
 // Far longer than the gap between a program's turns, so that a row is not
 // deleted while another gateway still uses it.
 constexpr base::seconds kBudgetRetention{600};
+// Fraction of the bound of keys after which a gateway is not ready at the
+// latest, so that a short bound leaves time to serve.
+constexpr int kNoticeDivisor = 2;
 
 void LogAcceptError(const boost::system::error_code& error) {
   base::LogEvent(base::LogLevel::kWarning, "accept_failed",
@@ -72,7 +75,15 @@
                RecentDurations(),
                settings_.max_response_bytes,
                std::max(settings_.grace - settings_.stop_margin,
-                        settings_.grace / 4)} {}
+                        settings_.grace / 4)} {
+  if (auto bound = settings_.key_revocation) {
+    context_.revocation = organisation::RevocationPolicy(
+        {.bound = *bound,
+         .send_time = settings_.pool.connect_timeout,
+         .notice_time =
+             std::min(settings_.readiness_notice, *bound / kNoticeDivisor)});
+  }
+}
 
 Gateway::~Gateway() = default;
 
@@ -146,10 +157,22 @@
       context_.config ? context_.config->version : 0;
   if (context_.config && config->version <= current_version)
     return config->version == current_version;
-  base::LogEvent(base::LogLevel::kInfo, "config_applied",
-                 {{"version", std::to_string(config->version)},
-                  {"previous", std::to_string(current_version)},
-                  {"routes", std::to_string(config->routes.size())}});
+  base::LogEvent(
+      base::LogLevel::kInfo, "config_applied",
+      {{"version", std::to_string(config->version)},
+       {"previous", std::to_string(current_version)},
+       {"routes", std::to_string(config->routes.size())},
+       {"organisations", std::to_string(config->organisations.size())},
+       {"keys", std::to_string(config->keys.size())}});
+  if (std::size_t ignored = config->keys.ignored_keys(); ignored > 0) {
+    base::LogEvent(base::LogLevel::kWarning, "keys_ignored",
+                   {{"version", std::to_string(config->version)},
+                    {"keys", std::to_string(ignored)},
+                    {"reason", "empty, or held by an earlier organisation"}});
+  }
+  metrics_.organisations.Set(
+      static_cast<std::int64_t>(config->organisations.size()));
+  metrics_.keys.Set(static_cast<std::int64_t>(config->keys.size()));
   context_.config = std::move(config);
   return true;
 }
@@ -222,7 +245,25 @@
 }
 
 bool Gateway::ready() const {
-  return context_.config && servers_known_ && !draining_ && !isolated_;
+  return context_.config && servers_known_ && !closing();
+}
+
+void Gateway::OnConfigConfirmed(base::TimePoint confirmed_at) {
+  context_.config_confirmed_at = confirmed_at;
+}
+
+bool Gateway::keys_accepted() const {
+  return !context_.config || !context_.config->requires_keys ||
+         context_.revocation.MayInvite(context_.config_confirmed_at,
+                                       context_.boot_clock.now());
+}
+
+void Gateway::CheckKeys() {
+  bool accepted = keys_accepted();
+  if (std::exchange(keys_accepted_, accepted) == accepted)
+    return;
+  base::LogEvent(base::LogLevel::kWarning, "keys_unconfirmed",
+                 {{"now", accepted ? "false" : "true"}});
 }
 
 void Gateway::Tick() {
@@ -253,6 +294,7 @@
   peers_.ShareRates();
   origins_.SetLiveGateways(peers_.live() + 1);
   CheckIsolation();
+  CheckKeys();
   budgets_.Tick();
   if (draining_)
     CheckDrained();
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -82,7 +82,21 @@
           "crash.")),
       crash_refusals(
           registry.counter("vl_gateway_crash_refusals_total",
-                           "Requests refused because they crash servers.")) {}
+                           "Requests refused because they crash servers.")),
+      unknown_keys(registry.counter(
+          "vl_gateway_unknown_keys_total",
+          "Requests refused for a key that is missing, unknown or malformed.")),
+      unconfirmed_keys(registry.counter(
+          "vl_gateway_unconfirmed_keys_total",
+          "Requests refused because the configuration could not be confirmed "
+          "in time to accept keys.")),
+      withdrawn_keys(registry.counter(
+          "vl_gateway_withdrawn_keys_total",
+          "Requests ended before a send because their key had been taken "
+          "away.")),
+      organisations(registry.gauge("vl_gateway_organisations",
+                                   "Organisations in the configuration.")),
+      keys(registry.gauge("vl_gateway_keys", "Keys in the configuration.")) {}
 
 std::string RenderMetrics(const base::CounterRegistry& counters,
                           const GatewayMetrics& metrics) {
--- a/packages/forwarding/src/route_config.cc
+++ b/packages/forwarding/src/route_config.cc
@@ -37,4 +37,10 @@
   return route.targets.back().service;
 }
 
+const organisation::Organisation* RouteConfig::OrganisationOf(
+    const organisation::Credential& credential) const {
+  auto index = keys.Find(credential);
+  return index ? &organisations[*index] : nullptr;
+}
+
 }  // namespace vanillalever::forwarding
--- /dev/null
+++ b/packages/organisation/src/revocation_policy.cc
@@ -0,0 +1,22 @@
+#include "vanillalever/organisation/revocation_policy.h"
+
+namespace vanillalever::organisation {
+
+bool RevocationPolicy::MaySend(std::optional<base::TimePoint> confirmed_at,
+                               base::TimePoint now) const {
+  return Holds(confirmed_at, now + settings_.send_time);
+}
+
+bool RevocationPolicy::MayInvite(std::optional<base::TimePoint> confirmed_at,
+                                 base::TimePoint now) const {
+  return Holds(confirmed_at, now + settings_.send_time + settings_.notice_time);
+}
+
+bool RevocationPolicy::Holds(std::optional<base::TimePoint> confirmed_at,
+                             base::TimePoint until) const {
+  if (!settings_.bound)
+    return true;
+  return confirmed_at && until - *confirmed_at <= *settings_.bound;
+}
+
+}  // namespace vanillalever::organisation
--- a/packages/protocol/schema/turn.capnp
+++ b/packages/protocol/schema/turn.capnp
@@ -15,4 +15,8 @@
   input @1 :Data;
   # Data of each event of the response, each followed by a line feed.
   output @2 :Data;
+  # Organisation whose caller produced the turn, empty if it belongs to none;
+  # absent in deployments without organisations, and in records of versions that
+  # knew none.
+  organisation @3 :Text;
 }
