Confirm the configuration at each poll

Cause: a gateway has to know as of when its view of the configuration is current, by a clock that runs while it stands still. Change: TableWatcher passes on when the call was made that a response answers; the configuration is polled at least five times within the bound of keys. Process-level tests of organisations and keys.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -89,7 +89,7 @@
                         adapter::kOperatorTable,
                         config_feed_,
                         seed_ + 1,
-                        MakeWatcherSettings(settings_)),
+                        MakeConfigWatcherSettings(settings_)),
         server_watcher_(threads_.context(),
                         table_,
                         adapter::kServerTable,
@@ -194,6 +194,19 @@
     return settings;
   }
 
+  // The configuration is confirmed often enough to accept keys for most of
+  // their bound after the last confirmation.
+  static forwarding::TableWatcherSettings MakeConfigWatcherSettings(
+      const adapter::NodeSettings& node) {
+    constexpr int kConfirmations = 5;
+    forwarding::TableWatcherSettings settings = MakeWatcherSettings(node);
+    if (node.key_revocation) {
+      settings.max_wait =
+          std::min(settings.max_wait, *node.key_revocation / kConfirmations);
+    }
+    return settings;
+  }
+
   void ServeReadiness() {
     router_.Add("GET", "/readiness",
                 [this](const std::shared_ptr<http::Exchange>& exchange) {
--- a/packages/forwarding/include/vanillalever/forwarding/table_watcher.h
+++ b/packages/forwarding/include/vanillalever/forwarding/table_watcher.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "vanillalever/base/boot_clock.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/shared_table.h"
 
@@ -39,6 +40,9 @@
     // One changed row. `after_outage`: the store was unavailable shortly
     // before, so that a deleted row may be registered again.
     virtual void OnChange(const TableRow& row, bool after_outage) = 0;
+    // What the observer has seen holds all changes before `confirmed_at`, a
+    // time of base::BootClock.
+    virtual void OnConfirmed(base::TimePoint) {}
   };
 
   TableWatcher(boost::asio::io_context& context,
@@ -80,6 +84,9 @@
   bool was_disconnected_ = false;
   // Incremented with each call, so that responses to earlier calls are ignored.
   std::uint64_t generation_ = 0;
+  base::BootClock boot_clock_;
+  // When the present call was made, a time of `boot_clock_`.
+  base::TimePoint called_at_{};
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/table_watcher.cc
+++ b/packages/forwarding/src/table_watcher.cc
@@ -39,6 +39,7 @@
 
 void TableWatcher::List() {
   std::uint64_t generation = ++generation_;
+  called_at_ = boot_clock_.now();
   table_.List(name_, "", [this, generation](const ReadResult& result) {
     OnListed(result, generation);
   });
@@ -54,11 +55,13 @@
   version_ = result.version;
   listed_ = true;
   observer_.OnRows(result.rows);
+  observer_.OnConfirmed(called_at_);
   Await();
 }
 
 void TableWatcher::Await() {
   std::uint64_t generation = ++generation_;
+  called_at_ = boot_clock_.now();
   table_.AwaitChanges(name_, version_, settings_.max_wait,
                       [this, generation](const ChangesResult& result) {
                         OnChanges(result, generation);
@@ -83,6 +86,7 @@
       was_disconnected_ && last_response_ - reconnected_at_ < kOutageWindow;
   for (const TableRow& row : result.rows)
     observer_.OnChange(row, after_outage);
+  observer_.OnConfirmed(called_at_);
   Await();
 }
 
--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -60,7 +60,7 @@
     """A gateway process."""
 
     def __init__(self, platform, grace_s=8, name="edge-1", peer_port=0, store_port=0,
-                 memory_mb=512, max_fds=8200):
+                 memory_mb=512, max_fds=8200, bounds=""):
         self.front, self.ready_port = free_port(), free_port()
         self.peer_port = peer_port = peer_port or free_peer_port()
         self.directory = tempfile.TemporaryDirectory()
@@ -78,6 +78,7 @@
   maxFds: {max_fds}
 bounds:
   graceS: {grace_s}
+  {bounds}
 provider:
   address: "127.0.0.1:{store_port or platform.store.port}"
 """)
