--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -105,6 +105,12 @@
                     {"readiness", settings_.readiness_address},
                     {"store", settings_.store_address}});
     table_.SetPeers(gateway_.store_peers());
+    table_.SetReturnObserver([this] {
+      config_watcher_.OnStoreReturned();
+      server_watcher_.OnStoreReturned();
+    });
+    gateway_.SetConfigConfirmation(
+        [this] { return config_watcher_.confirmed_at(); });
     gateway_.Listen();
     ServeReadiness();
     ServePeers();
@@ -194,15 +200,16 @@
     return settings;
   }
 
-  // The configuration is confirmed often enough to accept keys for most of
-  // their bound after the last confirmation.
+  // Keys that were taken away must be known in time also while the store does
+  // not serve this gateway.
   static forwarding::TableWatcherSettings MakeConfigWatcherSettings(
       const adapter::NodeSettings& node) {
-    constexpr int kConfirmations = 5;
+    constexpr int kPollsPerRevocation = 5;
     forwarding::TableWatcherSettings settings = MakeWatcherSettings(node);
     if (node.key_revocation) {
-      settings.max_wait =
-          std::min(settings.max_wait, *node.key_revocation / kConfirmations);
+      base::milliseconds interval = *node.key_revocation / kPollsPerRevocation;
+      settings.max_wait = std::min(settings.max_wait, interval);
+      settings.relayed_list_interval = interval;
     }
     return settings;
   }
--- a/packages/base/src/boot_clock.cc
+++ b/packages/base/src/boot_clock.cc
@@ -4,11 +4,11 @@
 
 namespace vanillalever::base {
 
-TimePoint BootClock::now() const {
+BootTime BootClock::now() {
   timespec time{};
   clock_gettime(CLOCK_BOOTTIME, &time);
-  return TimePoint(std::chrono::seconds(time.tv_sec) +
-                   std::chrono::nanoseconds(time.tv_nsec));
+  return BootTime(std::chrono::seconds(time.tv_sec) +
+                  std::chrono::nanoseconds(time.tv_nsec));
 }
 
 }  // namespace vanillalever::base
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -1,6 +1,7 @@
 #ifndef VANILLALEVER_FORWARDING_FORWARDING_CONTEXT_H_
 #define VANILLALEVER_FORWARDING_FORWARDING_CONTEXT_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -53,10 +54,10 @@
   base::Duration stop_time{0};
   // When the stop signal came.
   std::optional<base::TimePoint> stopping_since = std::nullopt;
-  // Until when the configuration is known to be current, and may still be
-  // relied on for keys; times of `boot_clock`.
-  base::BootClock boot_clock{};
-  std::optional<base::TimePoint> config_confirmed_at = std::nullopt;
+  // Time as of which `config` is known to be the newest configuration.
+  std::function<std::optional<base::BootTime>()> config_confirmed_at = [] {
+    return std::optional<base::BootTime>();
+  };
   organisation::RevocationPolicy revocation{};
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -72,9 +73,12 @@
   // whether this version is now applied.
   bool ApplyConfig(std::shared_ptr<const RouteConfig> config);
 
-  // The current configuration was the newest one at `confirmed_at`, a time of
-  // base::BootClock.
-  void OnConfigConfirmed(base::TimePoint confirmed_at);
+  // Source of the time as of which the applied configuration is known to be the
+  // newest one.
+  void SetConfigConfirmation(
+      std::function<std::optional<base::BootTime>()> confirmed_at) {
+    context_.config_confirmed_at = std::move(confirmed_at);
+  }
 
   // Changes of the servers' registrations.
   void OnServerPut(BackendServer server);
--- a/packages/forwarding/src/forwarded_request_organisation.cc
+++ b/packages/forwarding/src/forwarded_request_organisation.cc
@@ -63,8 +63,8 @@
 }
 
 bool ForwardedRequest::keys_confirmed() const {
-  return context_.revocation.MaySend(context_.config_confirmed_at,
-                                     context_.boot_clock.now());
+  return context_.revocation.MaySend(context_.config_confirmed_at(),
+                                     base::BootClock::now());
 }
 
 void ForwardedRequest::RefuseUnconfirmedKey() {
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -248,14 +248,10 @@
   return context_.config && servers_known_ && !closing();
 }
 
-void Gateway::OnConfigConfirmed(base::TimePoint confirmed_at) {
-  context_.config_confirmed_at = confirmed_at;
-}
-
 bool Gateway::keys_accepted() const {
   return !context_.config || !context_.config->requires_keys ||
-         context_.revocation.MayInvite(context_.config_confirmed_at,
-                                       context_.boot_clock.now());
+         context_.revocation.MayInvite(context_.config_confirmed_at(),
+                                       base::BootClock::now());
 }
 
 void Gateway::CheckKeys() {
--- a/packages/organisation/include/vanillalever/organisation/revocation_policy.h
+++ b/packages/organisation/include/vanillalever/organisation/revocation_policy.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 
+#include "vanillalever/base/boot_clock.h"
 #include "vanillalever/base/clock.h"
 
 namespace vanillalever::organisation {
@@ -20,8 +21,7 @@
 
 // Decides how long a gateway may accept keys on the word of its view of the
 // configuration. The view is current as of its confirmation; a key may have
-// been taken away at any moment after it. Times are those of base::BootClock,
-// which also runs while the process is stopped. Does no I/O.
+// been taken away at any moment after it. Does no I/O.
 class RevocationPolicy {
  public:
   explicit RevocationPolicy(RevocationSettings settings = {})
@@ -29,17 +29,17 @@
 
   // Whether a request may be sent to a server because the view holds its key.
   // `confirmed_at` is nothing if the view was never confirmed.
-  bool MaySend(std::optional<base::TimePoint> confirmed_at,
-               base::TimePoint now) const;
+  bool MaySend(std::optional<base::BootTime> confirmed_at,
+               base::BootTime now) const;
 
   // Whether new callers should come to this gateway: MaySend() will still hold
   // when the last of those that come now arrive.
-  bool MayInvite(std::optional<base::TimePoint> confirmed_at,
-                 base::TimePoint now) const;
+  bool MayInvite(std::optional<base::BootTime> confirmed_at,
+                 base::BootTime now) const;
 
  private:
-  bool Holds(std::optional<base::TimePoint> confirmed_at,
-             base::TimePoint until) const;
+  bool Holds(std::optional<base::BootTime> confirmed_at,
+             base::BootTime until) const;
 
   RevocationSettings settings_;
 };
--- a/packages/organisation/tests/revocation_policy_test.cc
+++ b/packages/organisation/tests/revocation_policy_test.cc
@@ -7,7 +7,7 @@
 
 using base::milliseconds;
 
-constexpr base::TimePoint kStart{std::chrono::hours(1)};
+constexpr base::BootTime kStart{std::chrono::hours(1)};
 constexpr RevocationSettings kSettings{
     .bound = milliseconds(5000),
     .send_time = milliseconds(400),
