--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -109,6 +109,8 @@
       config_watcher_.OnStoreReturned();
       server_watcher_.OnStoreReturned();
     });
+    gateway_.SetConfigConfirmation(
+        [this] { return config_watcher_.confirmed_at(); });
     gateway_.Listen();
     ServeReadiness();
     ServePeers();
@@ -169,6 +171,7 @@
     settings.listen = node.callers_address;
     settings.data_centre = node.data_centre;
     settings.grace = node.grace;
+    settings.key_revocation = node.key_revocation;
     settings.peers.address = node.ip + ":" + std::to_string(node.first_port);
     settings.peers.cpu_millicores = node.cpu_millicores;
     // The rest is for connections, requests in progress and their prompts.
