--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -487,12 +487,13 @@
         self.store.put("servers", ended.identity, None)
         self.store.put("servers", server.identity, server.entry())
 
-    def configure(self, routes):
+    def configure(self, routes, **limits):
+        """`limits` replace those of the configuration."""
         self.version += 3
-        self.run(self.put_config, routes)
+        self.run(self.put_config, routes, limits)
         return self.version
 
-    def put_config(self, routes):
+    def put_config(self, routes, limits=None):
         base = {"host": "desk.example", "timeoutMs": 3000, "goalMs": 200, "priority": 1, "maxAttempts": 1,
                 "stateful": False, "retentionS": 60.0, "sticky": False, "resumable": False}
         config = {"version": self.version, "routes": [dict(base, name=r["prefix"], **r) for r in routes],
@@ -501,7 +502,7 @@
                                {"name": "models", "healthPath": "/health", "maxConns": 96, "protocol": "h1",
                                 "tls": False, "engine": {"slots": 12, "kvCapacity": 90000, "eventTokens": 5}}],
                   "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 1000,
-                             "idleTimeoutMs": 5000}}
+                             "idleTimeoutMs": 5000, **(limits or {})}}
         self.store.put("op", "config", config)
 
     def close(self):
