Account for what callers' connections hold, and bound it

Cause: nothing bounded what connections hold together: bodies in chunks, requests in progress, unread responses and events. After a 413 the rejected body stayed in memory until the connection was closed.

Change: package memory (no I/O): one account of bytes by purpose (requests, responses) with a total derived from the machine's memory. Above three quarters of a limit, holders of more than 64 KB read no further; after a second of that, or at the limit at once, the holders with the most bytes times time are ended: refused with 503 and Retry-After if their request has not run, else answered 502 or 504, or closed if they do not read. vanillalever_gateway uses it for callers, packages/http (vanillaleverd, readiness, peers) for its sessions. A body has no progress if less than 1 KB arrives in an idle timeout; before, a body had one idle timeout in all. Large buffers go back to the system when they are freed.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -30,11 +30,24 @@
 #include "vanillalever/forwarding/relayed_table.h"
 #include "vanillalever/forwarding/table_watcher.h"
 #include "vanillalever/http/server.h"
+#include "vanillalever/memory/process_memory.h"
 
 DEFINE_double(
     log_lines_per_second,
     400,
     "Maximum log lines per second; further ones are dropped and counted.");
+DEFINE_double(memory_share,
+              0.4,
+              "Part of the machine's memory that requests and responses of "
+              "callers may take.");
+DEFINE_double(memory_connection_share,
+              1.0 / 6,
+              "Part of the machine's memory that bounds the number of callers' "
+              "connections.");
+DEFINE_int32(memory_patience_ms,
+             1000,
+             "Time for which large callers are slowed before the largest and "
+             "slowest are refused or disconnected.");
 DEFINE_double(log_burst_lines,
               2000,
               "Maximum burst of log lines beyond the rate; 0 with a rate of 0 "
@@ -46,6 +59,7 @@
 namespace base = vanillalever::base;
 namespace forwarding = vanillalever::forwarding;
 namespace http = vanillalever::http;
+namespace memory = vanillalever::memory;
 
 // Same as the tick interval of the gateway.
 constexpr base::milliseconds kStoreCheckInterval{100};
@@ -159,6 +173,27 @@
         settings.max_sessions / 2, 1, settings.max_rejected_sessions);
   }
 
+  static std::size_t MachineBytes(const adapter::NodeSettings& node) {
+    return node.memory_bytes > 0 ? node.memory_bytes : memory::MachineBytes();
+  }
+
+  // The rest of the memory is for the process itself, kept conversations, what
+  // is known of servers, and the allocator.
+  static void SetMemoryLimits(const adapter::NodeSettings& node,
+                              forwarding::GatewaySettings& settings) {
+    // Of a connection that holds no request.
+    constexpr std::size_t kConnectionBytes = 12 << 10;
+    std::size_t bytes = MachineBytes(node);
+    auto share = [bytes](double part) {
+      return static_cast<std::size_t>(static_cast<double>(bytes) * part);
+    };
+    settings.memory.total_bytes = share(FLAGS_memory_share);
+    settings.memory.patience = base::milliseconds(FLAGS_memory_patience_ms);
+    settings.max_sessions = std::clamp<std::size_t>(
+        share(FLAGS_memory_connection_share) / kConnectionBytes, 1,
+        settings.max_sessions);
+  }
+
   static forwarding::GatewaySettings MakeGatewaySettings(
       const adapter::NodeSettings& node) {
     forwarding::GatewaySettings settings;
@@ -177,6 +212,7 @@
       settings.max_response_bytes = node.memory_bytes / kResponseDivisor;
     }
     SetSessionLimits(Descriptors(node), settings);
+    SetMemoryLimits(node, settings);
     // The store may count a row's value in its encoding, which adds a third.
     settings.conversations.max_row_bytes = node.max_row_bytes / 4 * 3 - 1024;
     return settings;
@@ -210,6 +246,10 @@
                   exchange->Send(std::move(response));
                 });
     http::ServerSettings server;
+    constexpr std::size_t kReadinessDivisor = 32;
+    constexpr std::size_t kReadinessConnections = 128;
+    server.max_connections = kReadinessConnections;
+    server.memory.total_bytes = MachineBytes(settings_) / kReadinessDivisor;
     const std::string& address = settings_.readiness_address;
     std::size_t colon = address.rfind(':');
     server.host = address.substr(0, colon);
@@ -227,6 +267,8 @@
     http::ServerSettings server;
     server.host = settings_.ip;
     server.port = settings_.first_port;
+    constexpr std::size_t kPeerDivisor = 16;
+    server.memory.total_bytes = MachineBytes(settings_) / kPeerDivisor;
     try {
       peer_server_ =
           std::make_unique<http::Server>(threads_, server, peer_router_);
@@ -296,6 +338,7 @@
 };
 
 int RunGateway() {
+  memory::BoundAllocatorSlack();
   adapter::NodeSettings settings = adapter::ReadNodeSettings();
   base::InitBoundedLogging(settings.instance,
                            {.lines_per_second = FLAGS_log_lines_per_second,
--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -18,6 +18,7 @@
 
 #include "vanillalever/forwarding/route_config.h"
 #include "vanillalever/forwarding/wire_codec.h"
+#include "vanillalever/memory/account.h"
 
 namespace vanillalever::forwarding {
 
@@ -48,6 +49,8 @@
   virtual bool SendBody(std::string_view data) = 0;
   // All of the declared length has been sent.
   virtual void FinishBody() = 0;
+  // The request holds this many bytes of a response that it has not sent yet.
+  virtual void OnBuffered(std::size_t bytes) = 0;
   // Closes the connection, so that the caller sees an incomplete response.
   virtual void Abort() = 0;
 };
@@ -58,8 +61,8 @@
   virtual ~ActiveRequest() = default;
   // The connection has ended; the response cannot be delivered.
   virtual void OnCallerDisconnected(std::string_view reason) = 0;
-  // The process is about to end: ends the response as it can.
-  virtual void OnProcessEnding() = 0;
+  // The process cannot go on with the request: ends the response as it can.
+  virtual void OnEnding(std::string_view reason) = 0;
   // The caller has read enough for more to be sent, after SendBody() returned
   // false.
   virtual void OnOutputDrained() = 0;
@@ -87,6 +90,8 @@
   virtual const IngressLimits& ingress_limits() const = 0;
   // Whether responses should carry "Connection: close".
   virtual bool closing() const = 0;
+  // Account of what sessions hold.
+  virtual std::shared_ptr<memory::Account> memory() const = 0;
 };
 
 // Caller's HTTP/1.1 connection, which processes one request at a time and keeps
@@ -97,6 +102,7 @@
 // leading zeros of the next chunk's size, are written then, one byte at a time:
 // a caller that has closed resets the connection, which cancels its request.
 class CallerSession final : public ResponseSink,
+                            public memory::Holder,
                             public std::enable_shared_from_this<CallerSession> {
  public:
   CallerSession(boost::asio::ip::tcp::socket socket,
@@ -110,7 +116,7 @@
   // response written.
   void CloseIfIdle(std::string_view reason);
   // Ends the request in progress, if any, with a response.
-  void EndRequest();
+  void EndRequest(std::string_view reason);
 
   void SendResponse(int status,
                     const HttpFields& fields,
@@ -124,8 +130,13 @@
                  base::TimePoint deadline) override;
   bool SendBody(std::string_view data) override;
   void FinishBody() override;
+  void OnBuffered(std::size_t bytes) override;
   void Abort() override;
 
+  // memory::Holder:
+  void OnResumed() override;
+  void OnEnded(memory::Purpose purpose) override;
+
  private:
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -163,6 +174,15 @@
   void ArmTimer(base::Duration limit);
   void AppendHead(int status, const HttpFields& fields, std::string* text);
   void SendErrorResponse(int status);
+  // Accounts for input and requests, and for output.
+  void AccountInput();
+  void AccountOutput();
+  // Whether the rest of a body may be read now.
+  bool MayReadBody();
+  // Whether the body that is being read has grown since this was asked last.
+  bool BodyProgresses();
+  // Releases what the session holds, with a response if possible.
+  void Release();
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
@@ -187,6 +207,14 @@
   // The next pipelined request is about to be taken up.
   bool next_request_posted_ = false;
   std::size_t discarded_bytes_ = 0;
+  // When the connection is closed though its caller still sends.
+  base::TimePoint discard_until_{};
+  // Bytes of the current body when its timer was set.
+  std::size_t body_at_timer_ = 0;
+  // Bytes of the request in progress, and of its response that is not sent yet.
+  std::size_t request_bytes_ = 0;
+  std::size_t buffered_bytes_ = 0;
+  memory::Holding holding_;
   std::string unsent_;
   std::string sending_;
   // Bytes of `sending_` that are written.
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -34,7 +34,7 @@
   void Reject(std::string_view reason);
 
   void OnCallerDisconnected(std::string_view reason) override;
-  void OnProcessEnding() override;
+  void OnEnding(std::string_view reason) override;
   void OnOutputDrained() override;
 
   void OnResponseHead(int status,
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -13,6 +13,7 @@
 #include "vanillalever/base/counters.h"
 #include "vanillalever/forwarding/caller_session.h"
 #include "vanillalever/forwarding/forwarding_context.h"
+#include "vanillalever/forwarding/memory_monitor.h"
 
 namespace vanillalever::forwarding {
 
@@ -45,6 +46,7 @@
   RegistrySettings registry;
   BudgetSettings budget;
   ConversationSettings conversations;
+  memory::AccountSettings memory;
 };
 
 // Forwards callers' requests to backend servers. Runs on one event loop; not
@@ -92,6 +94,9 @@
   void OnSessionEnded(CallerSession* session) override;
   const IngressLimits& ingress_limits() const override;
   bool closing() const override { return draining_ || isolated_; }
+  std::shared_ptr<memory::Account> memory() const override {
+    return memory_.account();
+  }
   void OnPeerPrompt(const ServerSlot& slot, const PromptChain& chain) override;
 
  private:
@@ -114,6 +119,7 @@
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer accept_timer_;
   GatewayMetrics metrics_;
+  MemoryMonitor memory_;
   base::Random random_;
   ServerRegistry registry_;
   Placer placer_;
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -24,10 +24,12 @@
 // exceeds this.
 constexpr std::size_t kMaxUnsentBytes = 4 << 20;
 // Larger buffers are released when they are written.
-constexpr std::size_t kMaxKeptBufferBytes = 64 << 10;
+constexpr std::size_t kMaxKeptBufferBytes = 16 << 10;
 // Added to the idle timeout, so that a request sent just before the timeout
 // does not race with the close.
 constexpr base::milliseconds kIdleSlack{1000};
+// For a caller whose request was refused before it was complete.
+constexpr const char* kRetryAfterSeconds = "1";
 // Start of all responses. No byte of it tells the status.
 constexpr std::string_view kStatusLineStart = "HTTP/1.1 ";
 // Interval between two probes of a caller that sends nothing more.
@@ -39,6 +41,8 @@
 // caller could lose the response.
 constexpr base::milliseconds kLingerTime{2000};
 constexpr std::size_t kMaxDiscardedBytes = 64 << 20;
+// Time after which such a connection is closed in any case.
+constexpr base::milliseconds kMaxDiscardTime{30000};
 // A caller beyond the limit of connections that sends no request is
 // disconnected after this time.
 constexpr base::milliseconds kRejectedIdleTimeout{1000};
@@ -59,7 +63,8 @@
     : socket_(std::move(socket)),
       timer_(socket_.get_executor()),
       delegate_(delegate),
-      mode_(mode) {}
+      mode_(mode),
+      holding_(delegate.memory(), *this) {}
 
 void CallerSession::Start() {
   vanillalever::http::ConfigureSocket(socket_);
@@ -91,6 +96,8 @@
         return self->ArmTimer(limit);
       return self->Close("the caller does not read its response");
     }
+    if (self->BodyProgresses())
+      return self->ArmTimer(limit);
     bool started = self->parser_ && self->parser_->got_some();
     if (started && !self->closing_)
       self->SendErrorResponse(static_cast<int>(http::status::request_timeout));
@@ -101,7 +108,7 @@
 
 void CallerSession::Read() {
   if (reading_ || closed_ || input_ended_ ||
-      buffer_.size() > kMaxReadAheadBytes)
+      buffer_.size() > kMaxReadAheadBytes || !MayReadBody())
     return;
   reading_ = true;
   socket_.async_read_some(buffer_.prepare(kReadSizeBytes),
@@ -123,6 +130,7 @@
     Discard();
   else if (!in_request_)
     ParseBuffered();
+  AccountInput();
   Read();
 }
 
@@ -138,12 +146,14 @@
 void CallerSession::Discard() {
   discarded_bytes_ += buffer_.size();
   buffer_.consume(buffer_.size());
-  if (!writing_ && discarded_bytes_ < kMaxDiscardedBytes)
+  if (!writing_ && discarded_bytes_ < kMaxDiscardedBytes &&
+      base::TimePoint::clock::now() < discard_until_)
     ArmTimer(kLingerTime);
 }
 
 void CallerSession::BeginClose() {
   closing_ = true;
+  discard_until_ = base::TimePoint::clock::now() + kMaxDiscardTime;
   ArmTimer(delegate_.ingress_limits().idle_timeout + kIdleSlack);
   FlushWrites();
 }
@@ -202,6 +212,7 @@
     if (error && error != http::error::need_more)
       return OnParseError(error);
     if (!had_header && parser_->is_header_done() && !parser_->is_done()) {
+      body_at_timer_ = 0;
       ArmTimer(limits.idle_timeout);
       if (parser_->get()[http::field::expect] == "100-continue")
         Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -226,7 +237,12 @@
   keep_alive_ = false;
   in_request_ = true;
   head_request_ = false;
-  SendResponse(status, HttpFields(), "");
+  // The connection may stay open until its input ends.
+  parser_.reset();
+  HttpFields fields;
+  if (status == static_cast<int>(http::status::service_unavailable))
+    fields.set(http::field::retry_after, kRetryAfterSeconds);
+  SendResponse(status, fields, "");
 }
 
 void CallerSession::StartRequest() {
@@ -235,6 +251,12 @@
   timer_.cancel();
   CallerRequest request = parser_->release();
   parser_.reset();
+  // A copy is sent to the server.
+  request_bytes_ = 2 * request.body().size();
+  AccountInput();
+  if (holding_.ended())
+    return SendErrorResponse(
+        static_cast<int>(http::status::service_unavailable));
   keep_alive_ = request.keep_alive() && mode_ == SessionMode::kServe;
   head_request_ = request.method() == http::verb::head;
   if (std::exchange(user_timeout_extended_, false))
@@ -288,7 +310,9 @@
   unsent_.append("\r\n");
   if (has_body)
     unsent_.append(body);
+  buffered_bytes_ = 0;
   FlushWrites();
+  AccountOutput();
   EndResponse();
 }
 
@@ -336,6 +360,9 @@
   head_written_ = false;
   chunked_ = false;
   probes_ = 0;
+  request_bytes_ = 0;
+  buffered_bytes_ = 0;
+  AccountInput();
   // Destroyed after the stack has unwound: the request may be calling.
   boost::asio::post(socket_.get_executor(), [request = std::move(request_)] {});
   request_.reset();
@@ -358,6 +385,7 @@
   if (unsent_.size() > kMaxUnsentBytes)
     return Close("the caller does not read its response");
   FlushWrites();
+  AccountOutput();
 }
 
 void CallerSession::FlushWrites() {
@@ -406,6 +434,7 @@
     if (sending_.capacity() > kMaxKeptBufferBytes)
       sending_ = std::string();
     FlushWrites();
+    AccountOutput();
   }
   NotifyIfDrained();
 }
@@ -418,10 +447,10 @@
     Close(reason);
 }
 
-void CallerSession::EndRequest() {
+void CallerSession::EndRequest(std::string_view reason) {
   auto self = shared_from_this();
   if (auto request = request_)
-    request->OnProcessEnding();
+    request->OnEnding(reason);
 }
 
 void CallerSession::Close(std::string_view reason) {
--- a/packages/forwarding/src/caller_session_body.cc
+++ b/packages/forwarding/src/caller_session_body.cc
@@ -30,6 +30,7 @@
   AppendHead(status, fields, &unsent_);
   unsent_.append("Content-Length: " + std::to_string(length) + "\r\n\r\n");
   head_written_ = true;
+  buffered_bytes_ = 0;
   FlushWrites();
 }
 
@@ -38,6 +39,7 @@
     return false;
   unsent_.append(data);
   FlushWrites();
+  AccountOutput();
   return !BackPressured();
 }
 
--- a/packages/forwarding/src/forwarded_request_body.cc
+++ b/packages/forwarding/src/forwarded_request_body.cc
@@ -36,6 +36,7 @@
   if (response_mode_ == ResponseMode::kRelayed)
     return RelayBody(data);
   body_.append(data);
+  sink_->OnBuffered(body_.size());
   if (!relayed_length_) {
     if (body_.size() > context_.max_response_bytes)
       RejectResponse("the response is too large");
--- a/packages/forwarding/src/forwarded_request_failures.cc
+++ b/packages/forwarding/src/forwarded_request_failures.cc
@@ -33,9 +33,9 @@
   EndUnanswered("the time limit passed");
 }
 
-void ForwardedRequest::OnProcessEnding() {
+void ForwardedRequest::OnEnding(std::string_view reason) {
   if (!done_)
-    EndUnanswered("the gateway is stopping");
+    EndUnanswered(reason);
 }
 
 void ForwardedRequest::EndUnanswered(std::string_view reason) {
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -43,6 +43,7 @@
       tick_timer_(io),
       accept_timer_(io),
       metrics_(counters),
+      memory_(settings_.memory, counters),
       random_(seed),
       registry_(settings_.registry),
       placer_(settings_.placement, settings_.data_centre, random_.Next()),
@@ -250,6 +251,7 @@
     conversations_.Tick();
     origins_.DeleteExpired();
   }
+  memory_.Tick(now);
   peers_.ShareRates();
   origins_.SetLiveGateways(peers_.live() + 1);
   CheckIsolation();
@@ -291,7 +293,7 @@
     session->CloseIfIdle("draining");
   if (elapsed >= context_.stop_time && !std::exchange(requests_ended_, true)) {
     for (const auto& session : Sessions())
-      session->EndRequest();
+      session->EndRequest("the gateway is stopping");
   }
   std::size_t busy = sessions_.size();
   bool forced = elapsed >= settings_.grace - settings_.exit_margin;
--- a/packages/http/include/vanillalever/http/server.h
+++ b/packages/http/include/vanillalever/http/server.h
@@ -9,6 +9,7 @@
 #include "vanillalever/base/clock.h"
 #include "vanillalever/http/io_threads.h"
 #include "vanillalever/http/router.h"
+#include "vanillalever/memory/account_settings.h"
 
 namespace vanillalever::http {
 
@@ -32,6 +33,8 @@
   std::size_t max_unsent_bytes = 4 << 20;
   // Maximum number of open connections; further ones are refused with 503.
   std::size_t max_connections = 8192;
+  // Limits of what all connections hold together.
+  memory::AccountSettings memory;
 };
 
 class ServerState;
--- a/packages/http/src/server_state.cc
+++ b/packages/http/src/server_state.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr base::Duration kAcceptRetryInterval = base::milliseconds(100);
+constexpr base::Duration kAccountInterval = base::milliseconds(100);
 // Limits the connections that are kept only to send a refusal.
 constexpr std::size_t kMaxRefusedSessions = 256;
 
@@ -43,7 +44,9 @@
       router_(router),
       context_(threads.context()),
       acceptor_(context_),
-      accept_timer_(context_) {
+      accept_timer_(context_),
+      account_timer_(context_),
+      account_(settings_.memory) {
   tcp::endpoint endpoint = ParseEndpoint(settings_);
   try {
     acceptor_.open(endpoint.protocol());
@@ -69,6 +72,30 @@
       });
 }
 
+void ServerState::StartAccountTicks() {
+  std::lock_guard lock(mutex_);
+  if (!std::exchange(account_ticks_, true))
+    ArmAccountTimer();
+}
+
+void ServerState::ArmAccountTimer() {
+  account_timer_.expires_after(kAccountInterval);
+  account_timer_.async_wait(
+      [weak = weak_from_this()](boost::system::error_code error) {
+        auto self = weak.lock();
+        if (self && !error)
+          self->TickAccount();
+      });
+}
+
+void ServerState::TickAccount() {
+  bool again = account_.Tick(base::TimePoint::clock::now());
+  std::lock_guard lock(mutex_);
+  account_ticks_ = again;
+  if (again)
+    ArmAccountTimer();
+}
+
 void ServerState::OnAccept(boost::system::error_code error,
                            tcp::socket socket) {
   std::lock_guard lock(mutex_);
--- a/packages/http/src/server_state.h
+++ b/packages/http/src/server_state.h
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "session_account.h"
 #include "vanillalever/http/server.h"
 
 namespace vanillalever::http {
@@ -42,6 +43,9 @@
   boost::asio::ip::tcp::endpoint endpoint() const { return endpoint_; }
   const ServerSettings& settings() const { return settings_; }
   const Router& router() const { return router_; }
+  SessionAccount& account() { return account_; }
+  // Resumes sessions that wait for memory, from now on until none waits.
+  void StartAccountTicks();
 
  private:
   void OnAccept(boost::system::error_code error,
@@ -54,12 +58,17 @@
   // lock.
   void AddQueuedConnections();
   std::vector<std::shared_ptr<Session>> LockSessions() const;
+  void TickAccount();
+  // Requires the lock.
+  void ArmAccountTimer();
 
   ServerSettings settings_;
   const Router& router_;
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_timer_;
+  boost::asio::steady_timer account_timer_;
+  SessionAccount account_;
   boost::asio::ip::tcp::endpoint endpoint_;
 
   mutable std::mutex mutex_;
@@ -70,6 +79,7 @@
   std::optional<base::ErrorInfo> refusal_;
   std::size_t requests_in_flight_ = 0;
   bool stopping_ = false;
+  bool account_ticks_ = false;
 };
 
 }  // namespace vanillalever::http
--- a/packages/http/src/session.cc
+++ b/packages/http/src/session.cc
@@ -20,7 +20,7 @@
 // Limits for the input that is read and discarded after the last response.
 constexpr base::Duration kLingerTimeout = base::seconds(2);
 constexpr std::size_t kMaxLingerBytes = 16 << 20;
-constexpr std::size_t kDiscardBufferBytes = 64 << 10;
+constexpr std::size_t kDiscardBufferBytes = 8 << 10;
 
 std::string ToLower(beast::string_view text) {
   std::string result(text);
@@ -61,9 +61,11 @@
   stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), error);
   if (auto remote = stream_.socket().remote_endpoint(error); !error)
     peer_ = remote.address().to_string() + ":" + std::to_string(remote.port());
+  server_->account().Join(holding_, *this);
 }
 
 Session::~Session() {
+  server_->account().Leave(holding_);
   if (request_in_flight_)
     server_->RequestEnded();
   server_->SessionEnded(this);
@@ -165,6 +167,8 @@
             self->input_timer_.expiry() > std::chrono::steady_clock::now())
           return;
         self->timed_out_ = true;
+        if (std::exchange(self->body_waits_, false))
+          return self->OnInputError({});
         self->stream_.cancel();
       });
 }
@@ -216,16 +220,29 @@
 }
 
 void Session::ReadBody() {
-  bhttp::async_read(
+  parser_->eager(true);
+  if (parser_->is_done())
+    return OnBody({});
+  bhttp::async_read_some(
       stream_, buffer_, *parser_,
       [self = shared_from_this()](beast::error_code error, std::size_t) {
-        self->OnBody(error);
+        if (self->memory_ended_)
+          return self->RejectForMemory();
+        if (error || self->parser_->is_done())
+          return self->OnBody(error);
+        if (self->AccountBody(self->parser_->get().body().size()))
+          self->ReadBody();
       });
 }
 
 void Session::OnBody(beast::error_code error) {
   if (error)
     return OnInputError(error);
+  // Of the handler from now on.
+  memory_ended_ = !server_->account().Set(*holding_, memory::Purpose::kRequest,
+                                          0, base::TimePoint::clock::now());
+  if (memory_ended_)
+    return RejectForMemory();
   Dispatch();
 }
 
@@ -280,10 +297,17 @@
   info.code = status == 413 || status == 431 ? base::ErrorCode::kTooLarge
                                              : base::ErrorCode::kInvalidRequest;
   info.message = message;
+  if (status == 503) {
+    info.code = base::ErrorCode::kUnavailable;
+    info.retry_after = base::seconds(1);
+  }
   Response response = ErrorResponse(info);
   response.status = status;
   StopTimer();
   keep_alive_ = false;
+  // The connection may stay open until its input ends.
+  parser_.reset();
+  AccountBody(0);
   WriteMessage(std::move(response));
 }
 
@@ -326,6 +350,7 @@
   FillHead(*message, response);
   message->body() = std::move(response.body);
   message->prepare_payload();
+  AccountOutput(message->body().size());
   WriteSome(std::make_shared<bhttp::response_serializer<bhttp::string_body>>(
                 *message),
             message);
@@ -343,6 +368,7 @@
                             if (!error && !serializer->is_done())
                               return self->WriteSome(serializer, message);
                             self->stream_.expires_never();
+                            self->AccountOutput(0);
                             if (error)
                               self->OnWriteError(error.message());
                             self->OnResponseComplete();
@@ -368,6 +394,7 @@
   if (!connection_failed_) {
     unsent_bytes_ += data.size();
     unsent_.push_back(std::move(data));
+    AccountOutput(unsent_bytes_ + being_written_);
   }
   if (unsent_bytes_ > server_->settings().max_unsent_bytes) {
     OnWriteError("the client does not read its response");
@@ -394,6 +421,7 @@
     data->append(chunk);
   unsent_.clear();
   unsent_bytes_ = 0;
+  being_written_ = data->size();
   writing_ = true;
   stream_.expires_after(server_->settings().write_timeout);
   boost::asio::async_write(
@@ -405,6 +433,8 @@
 
 void Session::OnWritten(beast::error_code error) {
   writing_ = false;
+  being_written_ = 0;
+  AccountOutput(unsent_bytes_);
   stream_.expires_never();
   if (error)
     OnWriteError(error.message());
--- a/packages/http/src/session.h
+++ b/packages/http/src/session.h
@@ -21,6 +21,7 @@
 // One connection of the server. All members are only used on the connection's
 // strand; ResponseSink calls may come from any thread and are posted to it.
 class Session : public ResponseSink,
+                public memory::Holder,
                 public std::enable_shared_from_this<Session> {
  public:
   Session(std::shared_ptr<ServerState> server,
@@ -42,6 +43,10 @@
   void Write(std::string data) override;
   void Finish() override;
 
+  // memory::Holder, called with the account's lock held:
+  void OnResumed() override;
+  void OnEnded(memory::Purpose purpose) override;
+
  private:
   using Message = boost::beast::http::response<boost::beast::http::string_body>;
   using Head = boost::beast::http::response<boost::beast::http::empty_body>;
@@ -59,6 +64,11 @@
   void OnHead(boost::beast::error_code error);
   void ReadBody();
   void OnBody(boost::beast::error_code error);
+  // Accounts for the body that is being read. Returns whether to go on.
+  bool AccountBody(std::size_t bytes);
+  void AccountOutput(std::size_t bytes);
+  void ReleaseMemory();
+  void RejectForMemory();
   void Dispatch();
   Request TakeRequest();
   void SendErrorResponse(const std::shared_ptr<Exchange>& exchange,
@@ -105,7 +115,15 @@
   // Encoded chunks not yet written.
   std::deque<std::string> unsent_;
   std::size_t unsent_bytes_ = 0;
+  // Bytes of the chunks that are being written.
+  std::size_t being_written_ = 0;
   bool end_queued_ = false;
+  // The body is read on when memory is free.
+  bool body_waits_ = false;
+  // The account has ended this session.
+  bool memory_ended_ = false;
+  // Set from the constructor to the destructor.
+  std::optional<memory::Holding> holding_;
 };
 
 }  // namespace vanillalever::http
