Close the oldest unused connection when others wait at the limit

Change: one place is kept free. The connection beyond the limit that has been without a request for the longest time is closed; one that has begun a request goes only if none is idle. Counted in vl_gateway_idle_rejections_total. Buffers from 64 KB on are mapped on their own (128 KB before).

--- a/apps/vanillaleverd/main.cc
+++ b/apps/vanillaleverd/main.cc
@@ -14,6 +14,7 @@
 #include "vanillalever/base/logging.h"
 #include "vanillalever/base/settings.h"
 #include "vanillalever/entry/entry.h"
+#include "vanillalever/memory/process_memory.h"
 #include "vanillalever/sidecar/sidecar.h"
 
 DEFINE_string(role, "", "Role of this process: entry or sidecar.");
@@ -40,6 +41,10 @@
 DEFINE_int32(max_body_bytes,
              4 << 20,
              "Entry: maximum size of a request body, in bytes.");
+DEFINE_int32(max_held_mb,
+             0,
+             "Entry: maximum memory for unread bodies and responses of all "
+             "callers, in MB; 0: an eighth of the machine's memory.");
 DEFINE_int32(lease_term_ms, 15000, "Entry: duration of the lease, in ms.");
 DEFINE_int32(lease_renew_ms, 5000, "Entry: interval of lease renewals, in ms.");
 DEFINE_int32(config_poll_ms,
@@ -131,6 +136,12 @@
   check.Require(!settings.platform.empty(), "platform", "is required");
   check.Require(FLAGS_max_body_bytes > 0, "max_body_bytes", "must be positive");
   settings.max_body_bytes = static_cast<std::size_t>(FLAGS_max_body_bytes);
+  check.Require(FLAGS_max_held_mb >= 0, "max_held_mb", "must not be negative");
+  constexpr std::size_t kHeldDivisor = 8;
+  if (FLAGS_max_held_mb > 0)
+    settings.max_held_bytes = static_cast<std::size_t>(FLAGS_max_held_mb) << 20;
+  else if (std::size_t machine = vanillalever::memory::MachineBytes())
+    settings.max_held_bytes = machine / kHeldDivisor;
   settings.lease.term = milliseconds(FLAGS_lease_term_ms);
   settings.lease.renew_interval = milliseconds(FLAGS_lease_renew_ms);
   // The clock drift over a term and the maximum gap between two reads both
--- a/packages/entry/include/vanillalever/entry/entry_settings.h
+++ b/packages/entry/include/vanillalever/entry/entry_settings.h
@@ -29,6 +29,9 @@
   std::vector<std::string> platform;
   // Maximum size of a caller's request body.
   std::size_t max_body_bytes = std::size_t{4} << 20;
+  // Maximum number of bytes that callers' connections may hold together: bodies
+  // that are being read, and unread responses.
+  std::size_t max_held_bytes = std::size_t{64} << 20;
   membership::LeaseSettings lease;
   // Interval between reads of the configuration's head row.
   base::Duration config_poll_interval = base::seconds(2);
--- a/packages/entry/src/entry.cc
+++ b/packages/entry/src/entry.cc
@@ -50,6 +50,7 @@
   http.host = settings.host;
   http.port = port;
   http.max_body_bytes = settings.max_body_bytes;
+  http.memory.total_bytes = settings.max_held_bytes;
   return http;
 }
 
--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -113,8 +113,10 @@
   // Closes the connection immediately.
   void Close(std::string_view reason);
   // Closes the connection unless a request is being read or processed or a
-  // response written.
-  void CloseIfIdle(std::string_view reason);
+  // response written. Returns whether it is closed.
+  bool CloseIfIdle(std::string_view reason);
+  // The same, though the start of a request may have been read.
+  bool CloseIfUnread(std::string_view reason);
   // Ends the request in progress, if any, with a response.
   void EndRequest(std::string_view reason);
 
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -109,6 +110,9 @@
   bool PutServer(BackendServer server);
   void CheckDrained();
   void StartSession(boost::asio::ip::tcp::socket socket);
+  // Disconnects the caller beyond the limit of connections that has sent no
+  // request for the longest time. Returns whether there was one.
+  bool CloseOldestRejected();
   // Accepts the connections that callers have already established, and no more.
   void StopAccepting();
   std::vector<std::shared_ptr<CallerSession>> Sessions() const;
@@ -132,6 +136,8 @@
   CrashMonitor crashes_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
+  // Sessions that only reject requests, in the order of their start.
+  std::vector<CallerSession*> rejected_;
   // No connection is accepted until a session ends.
   bool accept_paused_ = false;
   bool servers_known_ = false;
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -439,12 +439,17 @@
   NotifyIfDrained();
 }
 
-void CallerSession::CloseIfIdle(std::string_view reason) {
+bool CallerSession::CloseIfIdle(std::string_view reason) {
   boost::system::error_code ignored;
-  bool idle = !in_request_ && !closing_ && !parser_ && buffer_.size() == 0 &&
-              !writing_ && socket_.available(ignored) == 0;
-  if (idle)
+  bool idle =
+      !parser_ && buffer_.size() == 0 && socket_.available(ignored) == 0;
+  return (closed_ || idle) && CloseIfUnread(reason);
+}
+
+bool CallerSession::CloseIfUnread(std::string_view reason) {
+  if (!in_request_ && !closing_ && !writing_)
     Close(reason);
+  return closed_;
 }
 
 void CallerSession::EndRequest(std::string_view reason) {
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -105,7 +105,8 @@
 void Gateway::Accept() {
   if (!acceptor_.is_open())
     return;
-  if (sessions_.size() >= connection_limit()) {
+  // One place is kept free for the connection that waits next.
+  if (sessions_.size() >= connection_limit() && !CloseOldestRejected()) {
     accept_paused_ = true;
     return;
   }
@@ -139,9 +140,25 @@
   auto session =
       std::make_shared<CallerSession>(std::move(socket), *this, mode);
   sessions_.emplace(session.get(), session);
+  if (mode == SessionMode::kReject)
+    rejected_.push_back(session.get());
   session->Start();
 }
 
+bool Gateway::CloseOldestRejected() {
+  constexpr std::string_view kReason = "others wait for a connection";
+  for (auto close :
+       {&CallerSession::CloseIfIdle, &CallerSession::CloseIfUnread}) {
+    for (CallerSession* session : rejected_) {
+      if (!((*sessions_.at(session)).*close)(kReason))
+        continue;
+      metrics_.idle_rejections.Add();
+      return true;
+    }
+  }
+  return false;
+}
+
 bool Gateway::ApplyConfig(std::shared_ptr<const RouteConfig> config) {
   std::uint64_t current_version =
       context_.config ? context_.config->version : 0;
@@ -348,6 +365,7 @@
 
 void Gateway::OnSessionEnded(CallerSession* session) {
   sessions_.erase(session);
+  std::erase(rejected_, session);
   if (std::exchange(accept_paused_, false))
     Accept();
 }
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -82,7 +82,11 @@
           "crash.")),
       crash_refusals(
           registry.counter("vl_gateway_crash_refusals_total",
-                           "Requests refused because they crash servers.")) {}
+                           "Requests refused because they crash servers.")),
+      idle_rejections(registry.counter(
+          "vl_gateway_idle_rejections_total",
+          "Connections beyond the limit that were closed without a request, "
+          "because others waited.")) {}
 
 std::string RenderMetrics(const base::CounterRegistry& counters,
                           const GatewayMetrics& metrics) {
--- a/packages/http/src/session.cc
+++ b/packages/http/src/session.cc
@@ -167,7 +167,7 @@
             self->input_timer_.expiry() > std::chrono::steady_clock::now())
           return;
         self->timed_out_ = true;
-        if (std::exchange(self->body_waits_, false))
+        if (std::exchange(self->waiting_, nullptr))
           return self->OnInputError({});
         self->stream_.cancel();
       });
--- a/packages/http/src/session.h
+++ b/packages/http/src/session.h
@@ -118,8 +118,8 @@
   // Bytes of the chunks that are being written.
   std::size_t being_written_ = 0;
   bool end_queued_ = false;
-  // The body is read on when memory is free.
-  bool body_waits_ = false;
+  // This session while its body waits for memory: nothing else keeps it then.
+  std::shared_ptr<Session> waiting_;
   // The account has ended this session.
   bool memory_ended_ = false;
   // Set from the constructor to the destructor.
--- a/packages/http/src/session_memory.cc
+++ b/packages/http/src/session_memory.cc
@@ -11,10 +11,11 @@
   bool stays = account.Set(*holding_, memory::Purpose::kRequest, bytes,
                            base::TimePoint::clock::now());
   // An ended session waits for ReleaseMemory(), which has been posted.
-  body_waits_ = bytes > 0 && account.MustWait(*holding_);
-  if (body_waits_ && stays)
+  bool waits = bytes > 0 && account.MustWait(*holding_);
+  waiting_ = waits ? shared_from_this() : nullptr;
+  if (waits && stays)
     server_->StartAccountTicks();
-  return !body_waits_;
+  return !waits;
 }
 
 void Session::AccountOutput(std::size_t bytes) {
@@ -25,7 +26,7 @@
 void Session::OnResumed() {
   if (auto self = weak_from_this().lock())
     boost::asio::post(stream_.get_executor(), [self] {
-      if (std::exchange(self->body_waits_, false))
+      if (std::exchange(self->waiting_, nullptr))
         self->ReadBody();
     });
 }
@@ -39,7 +40,7 @@
 void Session::ReleaseMemory() {
   if (std::exchange(memory_ended_, true))
     return;
-  if (std::exchange(body_waits_, false))
+  if (std::exchange(waiting_, nullptr))
     return RejectForMemory();
   bool reads_body = parser_ && !request_in_flight_ && !waiting_for_request_;
   if (reads_body) {
--- a/packages/memory/src/process_memory.cc
+++ b/packages/memory/src/process_memory.cc
@@ -8,16 +8,14 @@
 
 // Buffers from this size on are mapped on their own. The allocator would
 // otherwise raise the threshold whenever such a buffer is freed.
-constexpr int kMapThresholdBytes = 128 << 10;
+constexpr int kMapThresholdBytes = 64 << 10;
 constexpr int kTrimThresholdBytes = 512 << 10;
-constexpr int kArenas = 2;
 
 }  // namespace
 
 void BoundAllocatorSlack() {
   mallopt(M_MMAP_THRESHOLD, kMapThresholdBytes);
   mallopt(M_TRIM_THRESHOLD, kTrimThresholdBytes);
-  mallopt(M_ARENA_MAX, kArenas);
 }
 
 void ReturnFreeMemory() {
