--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +16,7 @@
 #include "vanillalever/base/counters.h"
 #include "vanillalever/forwarding/caller_session.h"
 #include "vanillalever/forwarding/forwarding_context.h"
+#include "vanillalever/forwarding/memory_monitor.h"
 
 namespace vanillalever::forwarding {
 
@@ -52,6 +54,7 @@
   std::optional<base::milliseconds> key_revocation;
   // Time in which callers notice that a gateway is not ready.
   base::milliseconds readiness_notice{2000};
+  memory::AccountSettings memory;
 };
 
 // Forwards callers' requests to backend servers. Runs on one event loop; not
@@ -108,6 +111,9 @@
   bool closing() const override {
     return draining_ || isolated_ || !keys_accepted();
   }
+  std::shared_ptr<memory::Account> memory() const override {
+    return memory_.account();
+  }
   void OnPeerPrompt(const ServerSlot& slot, const PromptChain& chain) override;
 
  private:
@@ -120,6 +126,9 @@
   bool PutServer(BackendServer server);
   void CheckDrained();
   void StartSession(boost::asio::ip::tcp::socket socket);
+  // Disconnects the caller beyond the limit of connections that has sent no
+  // request for the longest time. Returns whether there was one.
+  bool CloseOldestRejected();
   // Accepts the connections that callers have already established, and no more.
   void StopAccepting();
   std::vector<std::shared_ptr<CallerSession>> Sessions() const;
@@ -134,6 +143,7 @@
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer accept_timer_;
   GatewayMetrics metrics_;
+  MemoryMonitor memory_;
   base::Random random_;
   ServerRegistry registry_;
   Placer placer_;
@@ -146,6 +156,8 @@
   CrashMonitor crashes_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
+  // Sessions that only reject requests, in the order of their start.
+  std::vector<CallerSession*> rejected_;
   // No connection is accepted until a session ends.
   bool accept_paused_ = false;
   bool servers_known_ = false;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -50,6 +50,7 @@
   base::Counter& withdrawn_keys;
   base::Counter& organisations;
   base::Counter& keys;
+  base::Counter& idle_rejections;
   LatencyHistograms latency;
 };
 
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -46,6 +46,7 @@
       tick_timer_(io),
       accept_timer_(io),
       metrics_(counters),
+      memory_(settings_.memory, counters),
       random_(seed),
       registry_(settings_.registry),
       placer_(settings_.placement, settings_.data_centre, random_.Next()),
@@ -115,7 +116,8 @@
 void Gateway::Accept() {
   if (!acceptor_.is_open())
     return;
-  if (sessions_.size() >= connection_limit()) {
+  // One place is kept free for the connection that waits next.
+  if (sessions_.size() >= connection_limit() && !CloseOldestRejected()) {
     accept_paused_ = true;
     return;
   }
@@ -149,9 +151,25 @@
   auto session =
       std::make_shared<CallerSession>(std::move(socket), *this, mode);
   sessions_.emplace(session.get(), session);
+  if (mode == SessionMode::kReject)
+    rejected_.push_back(session.get());
   session->Start();
 }
 
+bool Gateway::CloseOldestRejected() {
+  constexpr std::string_view kReason = "others wait for a connection";
+  for (auto close :
+       {&CallerSession::CloseIfIdle, &CallerSession::CloseIfUnread}) {
+    for (CallerSession* session : rejected_) {
+      if (!((*sessions_.at(session)).*close)(kReason))
+        continue;
+      metrics_.idle_rejections.Add();
+      return true;
+    }
+  }
+  return false;
+}
+
 bool Gateway::ApplyConfig(std::shared_ptr<const RouteConfig> config) {
   std::uint64_t current_version =
       context_.config ? context_.config->version : 0;
@@ -287,6 +305,7 @@
     conversations_.Tick();
     origins_.DeleteExpired();
   }
+  memory_.Tick(now);
   peers_.ShareRates();
   origins_.SetLiveGateways(peers_.live() + 1);
   CheckIsolation();
@@ -329,7 +348,7 @@
     session->CloseIfIdle("draining");
   if (elapsed >= context_.stop_time && !std::exchange(requests_ended_, true)) {
     for (const auto& session : Sessions())
-      session->EndRequest();
+      session->EndRequest("the gateway is stopping");
   }
   std::size_t busy = sessions_.size();
   bool forced = elapsed >= settings_.grace - settings_.exit_margin;
@@ -384,6 +403,7 @@
 
 void Gateway::OnSessionEnded(CallerSession* session) {
   sessions_.erase(session);
+  std::erase(rejected_, session);
   if (std::exchange(accept_paused_, false))
     Accept();
 }
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -96,7 +96,11 @@
           "away.")),
       organisations(registry.gauge("vl_gateway_organisations",
                                    "Organisations in the configuration.")),
-      keys(registry.gauge("vl_gateway_keys", "Keys in the configuration.")) {}
+      keys(registry.gauge("vl_gateway_keys", "Keys in the configuration.")),
+      idle_rejections(registry.counter(
+          "vl_gateway_idle_rejections_total",
+          "Connections beyond the limit that were closed without a request, "
+          "because others waited.")) {}
 
 std::string RenderMetrics(const base::CounterRegistry& counters,
                           const GatewayMetrics& metrics) {
