--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -204,7 +204,7 @@
   // not serve this gateway.
   static forwarding::TableWatcherSettings MakeConfigWatcherSettings(
       const adapter::NodeSettings& node) {
-    constexpr int kPollsPerRevocation = 5;
+    constexpr int kPollsPerRevocation = 10;
     forwarding::TableWatcherSettings settings = MakeWatcherSettings(node);
     if (node.key_revocation) {
       base::milliseconds interval = *node.key_revocation / kPollsPerRevocation;
--- a/packages/forwarding/include/vanillalever/forwarding/table_watcher.h
+++ b/packages/forwarding/include/vanillalever/forwarding/table_watcher.h
@@ -81,6 +81,9 @@
                  std::uint64_t generation,
                  base::BootTime sent);
   void OnResponse(base::BootTime sent);
+  // Whether the view is older than polls leave it, for example because the
+  // process stood still: then the next call does not wait for changes.
+  bool view_aged() const;
   // The store serves this gateway.
   void OnReachable();
   // Lists or awaits again after the delay.
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -249,9 +249,14 @@
 }
 
 bool Gateway::keys_accepted() const {
-  return !context_.config || !context_.config->requires_keys ||
-         context_.revocation.MayInvite(context_.config_confirmed_at(),
-                                       base::BootClock::now());
+  if (!context_.config || !context_.config->requires_keys)
+    return true;
+  auto confirmed_at = context_.config_confirmed_at();
+  auto now = base::BootClock::now();
+  // Callers that go elsewhere are served longer only where the store is
+  // reached.
+  return peers_.store_lost() ? context_.revocation.MaySend(confirmed_at, now)
+                             : context_.revocation.MayInvite(confirmed_at, now);
 }
 
 void Gateway::CheckKeys() {
--- a/packages/forwarding/src/table_watcher.cc
+++ b/packages/forwarding/src/table_watcher.cc
@@ -70,7 +70,7 @@
 void TableWatcher::Await() {
   std::uint64_t generation = ++generation_;
   base::milliseconds wait =
-      connected_ ? settings_.max_wait : base::milliseconds(0);
+      connected_ && !view_aged() ? settings_.max_wait : base::milliseconds(0);
   table_.AwaitChanges(name_, version_, wait,
                       [this, generation, sent = base::BootClock::now()](
                           const ChangesResult& result) {
@@ -100,6 +100,11 @@
   Await();
 }
 
+bool TableWatcher::view_aged() const {
+  return !confirmed_at_ ||
+         base::BootClock::now() - *confirmed_at_ > 2 * settings_.max_wait;
+}
+
 // A poll shows the rows as they were at some time after it was sent.
 void TableWatcher::OnResponse(base::BootTime sent) {
   confirmed_at_ = std::max(confirmed_at_.value_or(sent), sent);
--- a/packages/forwarding/tests/table_watcher_test.cc
+++ b/packages/forwarding/tests/table_watcher_test.cc
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -111,6 +112,18 @@
   CHECK(*world.watcher.confirmed_at() == confirmed);
 }
 
+// A gateway that had stood still refused keys until its next poll had waited.
+TEST_CASE("a view that grew old is confirmed without waiting for changes") {
+  constexpr milliseconds kMaxWait{300};
+  Fixture world({.max_wait = kMaxWait});
+  CHECK(world.table.waits.back() == kMaxWait);
+  std::this_thread::sleep_for(milliseconds(650));
+  world.table.AnswerPoll(StoreOutcome::kDone);
+  CHECK(world.table.waits.back() == milliseconds(0));
+  world.table.AnswerPoll(StoreOutcome::kDone);
+  CHECK(world.table.waits.back() == kMaxWait);
+}
+
 TEST_CASE("a view is confirmed through others while the store does not serve") {
   Fixture world({.relayed_list_interval = milliseconds(1)});
   world.table.AnswerPoll(StoreOutcome::kUnknown);
