Move the rate that gateways share into a package of its own

Cause: allotments of organisations need the same counting over all gateways that the rates of servers have. Change: rate::SharedRate holds it, with credit for bursts, places given back, and a loss of contact that charges what was taken before it was noticed. RequestRateLimit uses it and decides as before.

--- a/packages/forwarding/include/vanillalever/forwarding/request_rate_limit.h
+++ b/packages/forwarding/include/vanillalever/forwarding/request_rate_limit.h
@@ -3,10 +3,10 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 
 #include "vanillalever/base/clock.h"
+#include "vanillalever/rate/shared_rate.h"
 
 namespace vanillalever::forwarding {
 
@@ -19,11 +19,10 @@
 };
 
 // Spaces the requests of all gateways to one server by the rate that the server
-// states (generic cell rate algorithm). Each gateway counts its own requests
-// and those that the others announce; requests that crossed on the way delay
-// the following ones. So that few can cross, only some of the gateways use a
-// server with a low limit. Intended for overloaded servers, which get all the
-// requests that they ask for and no more. Not thread-safe.
+// states; see rate::SharedRate. So that few requests can cross on the way, only
+// some of the gateways use a server with a low limit. Intended for overloaded
+// servers, which get all the requests that they ask for and no more. Not
+// thread-safe.
 class RequestRateLimit {
  public:
   // Ignores statements that are older than the current one. Returns whether the
@@ -37,7 +36,7 @@
                    base::TimePoint now);
   // Fraction of the gateways that this one can reach, itself included: the
   // others may use the rest of the rate.
-  void SetReachableShare(double share) { reachable_share_ = share; }
+  void SetReachableShare(double share) { rate_.SetReachableShare(share); }
 
   // Rank of this gateway for the server among the live gateways, from zero;
   // different for each server, and the same in the view of all gateways.
@@ -57,17 +56,12 @@
   std::uint32_t sends() const { return sends_; }
 
  private:
-  void Add(std::uint32_t requests, base::TimePoint now);
-
   std::optional<RateStatement> statement_;
   // End of the last limit.
   std::optional<base::TimePoint> ended_at_;
-  double reachable_share_ = 1;
   std::size_t rank_ = 0;
   std::uint32_t sends_ = 0;
-  // Requests sent by other gateways, as last announced.
-  std::map<std::uint64_t, std::uint32_t> peer_sends_;
-  base::TimePoint next_send_at_{};
+  rate::SharedRate rate_;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/request_rate_limit.cc
+++ b/packages/forwarding/src/request_rate_limit.cc
@@ -30,44 +30,30 @@
   statement_ = statement;
   if (statement.per_second == before)
     return false;
-  if (!before)
-    next_send_at_ = statement.stated_at;
   if (!statement.per_second) {
     ended_at_ = statement.stated_at;
-    peer_sends_.clear();
+    rate_.RemovePeers();
+    return true;
   }
+  rate_.SetLimit({std::max(*statement.per_second, kMinRatePerSecond),
+                  kMaxCredit, kMaxDebt},
+                 statement.stated_at);
+  if (!before)
+    rate_.Restart(statement.stated_at);
   return true;
 }
 
 void RequestRateLimit::OnSend(base::TimePoint now) {
   ++sends_;
-  Add(1, now);
+  if (per_second())
+    rate_.Take(now);
 }
 
 void RequestRateLimit::OnPeerSends(std::uint64_t peer,
                                    std::uint32_t total,
                                    base::TimePoint now) {
-  if (!per_second())
-    return;
-  auto [found, added] = peer_sends_.try_emplace(peer, total);
-  // Messages may arrive out of order.
-  auto sent = static_cast<std::int32_t>(total - found->second);
-  if (added || sent <= 0)
-    return;
-  found->second = total;
-  Add(static_cast<std::uint32_t>(sent), now);
-}
-
-void RequestRateLimit::Add(std::uint32_t requests, base::TimePoint now) {
-  if (!per_second())
-    return;
-  double rate = std::max(*per_second(), kMinRatePerSecond) * reachable_share_;
-  std::chrono::duration<double> interval(1 / rate);
-  base::TimePoint start =
-      std::max<base::TimePoint>(next_send_at_, now - kMaxCredit);
-  next_send_at_ = std::min<base::TimePoint>(
-      start + std::chrono::duration_cast<base::Duration>(requests * interval),
-      now + kMaxDebt);
+  if (per_second())
+    rate_.OnPeerTotals(peer, {total, 0}, 0, rate::PeerContact::kSteady, now);
 }
 
 bool RequestRateLimit::accepts_requests() const {
@@ -76,7 +62,7 @@
 }
 
 base::TimePoint RequestRateLimit::next_send_at() const {
-  return per_second() ? next_send_at_ : base::TimePoint{};
+  return per_second() ? rate_.next_at() : base::TimePoint{};
 }
 
 std::optional<RateStatement> RequestRateLimit::recent_statement(
