Keep the allotments of organisations over all gateways

Cause: nothing counted the requests of an organisation; one at 8 times its rate ran 1,600 requests in 5 s where 284 are allowed. Change: rate::AllotmentBook decides without I/O; the uses travel with the load messages; a request over its allotment gets 429 with the time at which it may come back. A part of the gateways uses its share; a fresh process has no credit.

--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -83,6 +83,8 @@
   bool AdmitUnderLoad();
   // Counts the request toward the allotment of its organisation.
   bool TakeAllotment();
+  // The request has not run, and will not.
+  void ReturnAllotment();
   // Looks up the version that began the stream, if the caller takes one up.
   void FindOrigin();
   void OnOrigin(OriginLookup outcome, const std::string& version);
@@ -195,6 +197,8 @@
   const Route* route_ = nullptr;
   // Null if the request needs no key.
   const organisation::Organisation* organisation_ = nullptr;
+  // The request counts toward the allotment of its organisation.
+  bool counted_ = false;
   const Service* service_ = nullptr;
   // Computed when first needed; see fingerprint().
   std::string fingerprint_;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "vanillalever/base/random.h"
+#include "vanillalever/forwarding/allotment_service.h"
 #include "vanillalever/forwarding/budget_service.h"
 #include "vanillalever/forwarding/conversation_service.h"
 #include "vanillalever/forwarding/crash_monitor.h"
@@ -38,6 +39,7 @@
   ConversationService& conversations;
   StreamOrigins& origins;
   CrashMonitor& crashes;
+  AllotmentService& allotments;
   PeerLink& peers;
   GatewayMetrics& metrics;
   base::Random& random;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -45,6 +45,7 @@
   RegistrySettings registry;
   BudgetSettings budget;
   ConversationSettings conversations;
+  rate::AllotmentSettings allotments;
 };
 
 // Forwards callers' requests to backend servers. Runs on one event loop; not
@@ -124,6 +125,7 @@
   ConversationService conversations_;
   StreamOrigins origins_;
   CrashMonitor crashes_;
+  AllotmentService allotments_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   // No connection is accepted until a session ends.
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -8,6 +8,7 @@
 #include <prometheus/registry.h>
 
 #include "vanillalever/base/counters.h"
+#include "vanillalever/forwarding/allotment_service.h"
 #include "vanillalever/forwarding/route_config.h"
 
 namespace vanillalever::forwarding {
@@ -45,6 +46,7 @@
   base::Counter& malformed_rows;
   base::Counter& requests_in_crashes;
   base::Counter& crash_refusals;
+  AllotmentCounters allotments;
   LatencyHistograms latency;
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
@@ -34,7 +34,7 @@
   explicit PeerDirectory(PeerDirectorySettings settings = {});
 
   // Adds an address at which a gateway is registered.
-  void AddAddress(const std::string& address);
+  void AddAddress(const std::string& address, base::TimePoint now);
   // A message arrived. Returns whether it is newer than all earlier messages of
   // this run of the sender.
   bool OnMessage(const std::string& address,
@@ -66,6 +66,12 @@
   // Fraction of the gateways that sent a message within the retention time
   // which is live, this gateway included.
   double ReachableShare(base::TimePoint now) const;
+  // Number of gateways that may be at work, this one included: those that sent
+  // a message within the retention time, and those that were first listed
+  // within it and have not been heard from.
+  std::size_t PossiblyActive(base::TimePoint now) const;
+  // Those of them that sent a message within `silence`, and this gateway.
+  std::size_t InContact(base::Duration silence, base::TimePoint now) const;
   // Number of live gateways.
   std::size_t live() const;
   // Whether the live gateways know all programs in use, where those that had
@@ -85,6 +91,7 @@
     PeerId id = 0;
     std::uint64_t sequence = 0;
     int cpu_millicores = 0;
+    base::TimePoint added_at{};
     base::TimePoint last_message_at{};
     bool live = false;
     bool reaches_store = false;
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -15,6 +15,7 @@
 
 #include "peer.capnp.h"
 
+#include "vanillalever/forwarding/allotment_peers.h"
 #include "vanillalever/forwarding/budget_peers.h"
 #include "vanillalever/forwarding/load_update.h"
 #include "vanillalever/forwarding/peer_directory.h"
@@ -55,7 +56,8 @@
 class PeerLink final : public BudgetPeers,
                        public StorePeers,
                        public StoreView,
-                       public StrikePeers {
+                       public StrikePeers,
+                       public AllotmentPeers {
  public:
   PeerLink(boost::asio::io_context& context,
            PeerLinkSettings settings,
@@ -66,6 +68,9 @@
   // Call before Start().
   void SetBudgetHandler(BudgetHandler& handler) { budgets_ = &handler; }
   void SetStrikeHandler(StrikeHandler& handler) { strikes_ = &handler; }
+  void SetAllotmentHandler(AllotmentHandler& handler) {
+    allotments_ = &handler;
+  }
 
   RunId run() const override { return id_; }
   PreviousExit previous_exit() const override { return previous_exit_; }
@@ -95,6 +100,10 @@
 
   void SendStrikes(const std::vector<StrikeReport>& reports) override;
 
+  void OnAllotmentsChanged() override { ScheduleSend(); }
+  rate::GatewayReach Reach(base::Duration silence,
+                           base::TimePoint now) const override;
+
   // Binds the address. Throws base::Error when it cannot be bound.
   void Start();
 
@@ -132,8 +141,9 @@
   void OnDatagram(std::size_t size);
   void ScheduleSend();
   base::Duration BatchDelay() const;
-  // Messages with this gateway's load at `slots`.
+  // Messages with this gateway's load at `slots` and its use of allotments.
   std::vector<std::string> PackLoad(const std::vector<ServerSlotPtr>& slots,
+                                    std::vector<OriginUse> uses,
                                     bool complete);
   // Sends this gateway's whole load to all gateways.
   void SendFullLoad();
@@ -158,6 +168,13 @@
   std::string PackTransfer(const TokenTransfer& transfer);
   void OnBudgetMessage(const protocol::peer::Message::Reader& message);
   void OnStrikes(const protocol::peer::Message::Reader& message);
+  void OnAllotments(const protocol::peer::Message::Reader& message,
+                    bool relays);
+  // Moves the first of `uses` into the message.
+  static void PackUses(std::vector<OriginUse>& uses,
+                       protocol::peer::Message::Builder message);
+  // The uses to relay, as many as fit into one message.
+  std::vector<OriginUse> TakeRelayedUses();
   static std::string AddressText(
       const boost::asio::ip::udp::endpoint& endpoint);
   void SendTo(const std::string& address, const std::string& datagram);
@@ -173,6 +190,7 @@
   PeerDirectory directory_;
   BudgetHandler* budgets_ = nullptr;
   StrikeHandler* strikes_ = nullptr;
+  AllotmentHandler* allotments_ = nullptr;
   PromptObserver* prompts_ = nullptr;
   const PeerId id_;
   std::uint64_t sequence_ = 0;
@@ -185,6 +203,8 @@
   LoadUpdate LocalLoad(const ServerSlot& slot, base::TimePoint now) const;
   // Loads to relay, by origin and hash of the server's id.
   std::map<std::pair<PeerId, std::uint64_t>, LoadUpdate> relayed_loads_;
+  // Uses of allotments to relay, by origin and hash of the organisation's name.
+  std::map<std::pair<PeerId, std::uint32_t>, rate::AllotmentUse> relayed_uses_;
   // A prompt and the hash of the id of the server that processes it.
   struct PromptUpdate {
     std::uint64_t server = 0;
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -398,6 +398,7 @@
                               base::Duration retry_after) {
   if (possible_runs_ > 0 || relaying_)
     return Fail(502, reason);
+  ReturnAllotment();
   context_.metrics.refused.Add();
   SendLocalReply(503, reason, retry_after);
 }
@@ -451,6 +452,8 @@
     EndSend(false);
   timer_.cancel();
   wait_timer_.cancel();
+  if (sends_ == 0)
+    ReturnAllotment();
   if (std::exchange(budget_reserved_, false)) {
     std::int64_t event_tokens = service_->engine->event_tokens;
     context_.budgets.End(profile_.program, profile_.max_output_tokens,
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -53,6 +53,10 @@
       conversations_(io, table, random_.Next(), settings_.conversations),
       origins_(io, table, registry_, peers_),
       crashes_(io, table, peers_, metrics_.requests_in_crashes),
+      allotments_(peers_,
+                  settings_.allotments,
+                  metrics_.allotments,
+                  random_.Next()),
       context_{io,
                codec,
                nullptr,
@@ -63,6 +67,7 @@
                conversations_,
                origins_,
                crashes_,
+               allotments_,
                peers_,
                metrics_,
                random_,
@@ -96,6 +101,7 @@
   peers_.SetBudgetHandler(budgets_);
   peers_.SetPromptObserver(*this);
   peers_.SetStrikeHandler(crashes_);
+  peers_.SetAllotmentHandler(allotments_);
   peers_.Start();
   Accept();
   Tick();
@@ -151,6 +157,7 @@
                   {"previous", std::to_string(current_version)},
                   {"routes", std::to_string(config->routes.size())}});
   context_.config = std::move(config);
+  allotments_.ApplyConfig(*context_.config);
   return true;
 }
 
@@ -232,6 +239,7 @@
     if (!error)
       Tick();
   });
+  allotments_.Tick();
   auto now = base::TimePoint::clock::now();
   std::vector<std::string> expired = registry_.RemoveExpired(now);
   for (const std::string& id : expired) {
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -82,7 +82,18 @@
           "crash.")),
       crash_refusals(
           registry.counter("vl_gateway_crash_refusals_total",
-                           "Requests refused because they crash servers.")) {}
+                           "Requests refused because they crash servers.")),
+      allotments{
+          registry.counter("vl_gateway_allotment_requests_total",
+                           "Requests counted toward an allotment."),
+          registry.counter("vl_gateway_allotment_refusals_total",
+                           "Requests over their organisation's allotment."),
+          registry.counter("vl_gateway_allotment_returns_total",
+                           "Requests counted toward an allotment that did not "
+                           "run."),
+          registry.gauge("vl_gateway_organisations_over_allotment",
+                         "Organisations that ask for more than their "
+                         "allotment.")} {}
 
 std::string RenderMetrics(const base::CounterRegistry& counters,
                           const GatewayMetrics& metrics) {
--- a/packages/forwarding/src/peer_directory.cc
+++ b/packages/forwarding/src/peer_directory.cc
@@ -8,8 +8,10 @@
 PeerDirectory::PeerDirectory(PeerDirectorySettings settings)
     : settings_(settings) {}
 
-void PeerDirectory::AddAddress(const std::string& address) {
-  peers_.try_emplace(address);
+void PeerDirectory::AddAddress(const std::string& address,
+                               base::TimePoint now) {
+  if (auto [peer, added] = peers_.try_emplace(address); added)
+    peer->second.added_at = now;
 }
 
 bool PeerDirectory::OnMessage(const std::string& address,
@@ -100,6 +102,23 @@
   return recent;
 }
 
+std::size_t PeerDirectory::PossiblyActive(base::TimePoint now) const {
+  std::size_t active = 1;
+  for (const auto& [address, peer] : peers_) {
+    base::TimePoint since = peer.id != 0 ? peer.last_message_at : peer.added_at;
+    active += now - since <= settings_.retention ? 1 : 0;
+  }
+  return active;
+}
+
+std::size_t PeerDirectory::InContact(base::Duration silence,
+                                     base::TimePoint now) const {
+  std::size_t in_contact = 1;
+  for (const auto& [address, peer] : peers_)
+    in_contact += peer.id != 0 && now - peer.last_message_at <= silence ? 1 : 0;
+  return in_contact;
+}
+
 bool PeerDirectory::InMinority(base::TimePoint now) const {
   return 2 * (live() + 1) <= Recent(now);
 }
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -160,6 +160,7 @@
 
 std::vector<std::string> PeerLink::PackLoad(
     const std::vector<ServerSlotPtr>& slots,
+    std::vector<OriginUse> uses,
     bool complete) {
   auto now = base::TimePoint::clock::now();
   std::vector<std::string> datagrams;
@@ -180,9 +181,10 @@
         update.outcomes = {};
       WriteLoad(ServerKey(slot.server.id), update, now, servers[i]);
     }
+    PackUses(uses, message);
     datagrams.push_back(Pack(builder));
     first += count;
-  } while (first < slots.size());
+  } while (first < slots.size() || !uses.empty());
   return datagrams;
 }
 
@@ -206,7 +208,13 @@
 
 void PeerLink::SendFullLoad() {
   auto now = base::TimePoint::clock::now();
-  for (const std::string& datagram : PackLoad(registry_.announced(now), true))
+  std::vector<OriginUse> uses;
+  if (allotments_ != nullptr) {
+    for (const rate::AllotmentUse& use : allotments_->Repeated(now))
+      uses.push_back({0, use});
+  }
+  for (const std::string& datagram :
+       PackLoad(registry_.announced(now), std::move(uses), true))
     SendToEach(directory_.addresses(), datagram);
 }
 
@@ -216,16 +224,24 @@
     if (ServerSlotPtr slot = registry_.find(id))
       slots.push_back(std::move(slot));
   }
-  if (slots.empty())
+  std::vector<OriginUse> uses;
+  if (allotments_ != nullptr) {
+    for (const rate::AllotmentUse& use : allotments_->TakeChanges())
+      uses.push_back({0, use});
+  }
+  if (slots.empty() && uses.empty())
     return;
   auto now = base::TimePoint::clock::now();
   std::string relay = RelayAddress();
   if (relay == settings_.address) {
+    for (const OriginUse& own : uses)
+      relayed_uses_[{id_, own.use.organisation}] = own.use;
     for (const ServerSlotPtr& slot : slots)
       ReplaceLoad(LocalLoad(*slot, now),
                   &relayed_loads_[{id_, ServerKey(slot->server.id)}]);
   } else {
-    for (const std::string& datagram : PackLoad(slots, false)) {
+    for (const std::string& datagram :
+         PackLoad(slots, std::move(uses), false)) {
       if (relay.empty())
         SendToEach(directory_.addresses(), datagram);
       else
@@ -288,7 +304,8 @@
 
 void PeerLink::SendRelayed() {
   auto now = base::TimePoint::clock::now();
-  while (!relayed_loads_.empty() || !relayed_prompts_.empty()) {
+  while (!relayed_loads_.empty() || !relayed_prompts_.empty() ||
+         !relayed_uses_.empty()) {
     capnp::MallocMessageBuilder builder;
     auto message = StartMessage(builder);
     // Loads are ordered by origin.
@@ -310,6 +327,8 @@
         WriteLoad(next->first.second, next->second, now, servers[k]);
     }
     relayed_loads_.erase(relayed_loads_.begin(), next);
+    std::vector<OriginUse> uses = TakeRelayedUses();
+    PackUses(uses, message);
     PackPrompts(relayed_prompts_,
                 message.initRelayedPrompts(static_cast<unsigned>(
                     CountFittingPrompts(relayed_prompts_))));
@@ -391,7 +410,9 @@
       for (auto prompt : message.getPrompts())
         relayed_prompts_.push_back({prompt.getServer(), ReadChain(prompt)});
     }
-    if (!relayed_loads_.empty() || !relayed_prompts_.empty())
+    OnAllotments(message, relays);
+    if (!relayed_loads_.empty() || !relayed_prompts_.empty() ||
+        !relayed_uses_.empty())
       ScheduleSend();
     for (auto relayed : message.getRelayed()) {
       if (relayed.getOrigin() == id_)
--- a/packages/forwarding/src/peer_link_registration.cc
+++ b/packages/forwarding/src/peer_link_registration.cc
@@ -46,9 +46,10 @@
     return;
   if (!std::exchange(listed_, true))
     next_list_ = base::TimePoint::clock::now() + settings_.list_interval;
+  auto now = base::TimePoint::clock::now();
   for (const TableRow& row : result.rows) {
     if (row.name.key != settings_.address && http::ParseAddress(row.name.key))
-      directory_.AddAddress(row.name.key);
+      directory_.AddAddress(row.name.key, now);
   }
   SendFullLoad();
 }
--- a/packages/forwarding/tests/model/budget_world.cc
+++ b/packages/forwarding/tests/model/budget_world.cc
@@ -18,7 +18,7 @@
       : world_(world), timer_(timer), run_(std::move(run)), address_(address) {
     for (int other = 0; other < world.settings.gateways; ++other) {
       if (other != address)
-        directory_.AddAddress(AddressOf(other));
+        directory_.AddAddress(AddressOf(other), world.schedule.now());
     }
   }
 
--- a/packages/protocol/schema/peer.capnp
+++ b/packages/protocol/schema/peer.capnp
@@ -35,6 +35,22 @@
   strikes @11 :List(Strike);
   # Row of a budget, just written.
   budgetRow @12 :BudgetKnowledge;
+  # Requests that count toward the allotments of organisations.
+  allotments @13 :List(AllotmentUse);
+}
+
+# Requests of one gateway that count toward the allotment of an organisation.
+struct AllotmentUse {
+  # Hash of the organisation's name.
+  organisation @0 :UInt32;
+  # Requests counted since the gateway's start, and those of them that have not
+  # run; modulo 2^32.
+  taken @1 :UInt32;
+  returned @2 :UInt32;
+  # Those counted since the gateway's last announcement.
+  recent @3 :UInt16;
+  # The gateway, if the sender relays its announcement; 0 for the sender itself.
+  origin @4 :UInt64;
 }
 
 # A request that was at work when a server crashed, or that has completed since.
