--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -170,10 +170,9 @@
   void OnStrikes(const protocol::peer::Message::Reader& message);
   void OnAllotments(const protocol::peer::Message::Reader& message,
                     bool relays);
-  // Moves the first of `uses` into the message.
-  static void PackUses(std::vector<OriginUse>& uses,
-                       protocol::peer::Message::Builder message);
-  // The uses to relay, as many as fit into one message.
+  // This gateway's own uses.
+  static std::vector<OriginUse> OwnUses(
+      const std::vector<rate::AllotmentUse>& uses);
   std::vector<OriginUse> TakeRelayedUses();
   static std::string AddressText(
       const boost::asio::ip::udp::endpoint& endpoint);
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -14,6 +14,7 @@
 #include "vanillalever/base/error.h"
 #include "vanillalever/base/hash.h"
 #include "vanillalever/base/logging.h"
+#include "vanillalever/forwarding/allotment_codec.h"
 #include "vanillalever/forwarding/server_log.h"
 #include "vanillalever/http/address.h"
 #include "vanillalever/protocol/packed_message.h"
@@ -181,7 +182,7 @@
         update.outcomes = {};
       WriteLoad(ServerKey(slot.server.id), update, now, servers[i]);
     }
-    PackUses(uses, message);
+    MoveUses(uses, message);
     datagrams.push_back(Pack(builder));
     first += count;
   } while (first < slots.size() || !uses.empty());
@@ -209,10 +210,8 @@
 void PeerLink::SendFullLoad() {
   auto now = base::TimePoint::clock::now();
   std::vector<OriginUse> uses;
-  if (allotments_ != nullptr) {
-    for (const rate::AllotmentUse& use : allotments_->Repeated(now))
-      uses.push_back({0, use});
-  }
+  if (allotments_ != nullptr)
+    uses = OwnUses(allotments_->Repeated(now));
   for (const std::string& datagram :
        PackLoad(registry_.announced(now), std::move(uses), true))
     SendToEach(directory_.addresses(), datagram);
@@ -225,10 +224,8 @@
       slots.push_back(std::move(slot));
   }
   std::vector<OriginUse> uses;
-  if (allotments_ != nullptr) {
-    for (const rate::AllotmentUse& use : allotments_->TakeChanges())
-      uses.push_back({0, use});
-  }
+  if (allotments_ != nullptr)
+    uses = OwnUses(allotments_->TakeChanges());
   if (slots.empty() && uses.empty())
     return;
   auto now = base::TimePoint::clock::now();
@@ -304,8 +301,9 @@
 
 void PeerLink::SendRelayed() {
   auto now = base::TimePoint::clock::now();
+  std::vector<OriginUse> uses = TakeRelayedUses();
   while (!relayed_loads_.empty() || !relayed_prompts_.empty() ||
-         !relayed_uses_.empty()) {
+         !uses.empty()) {
     capnp::MallocMessageBuilder builder;
     auto message = StartMessage(builder);
     // Loads are ordered by origin.
@@ -327,8 +325,7 @@
         WriteLoad(next->first.second, next->second, now, servers[k]);
     }
     relayed_loads_.erase(relayed_loads_.begin(), next);
-    std::vector<OriginUse> uses = TakeRelayedUses();
-    PackUses(uses, message);
+    MoveUses(uses, message);
     PackPrompts(relayed_prompts_,
                 message.initRelayedPrompts(static_cast<unsigned>(
                     CountFittingPrompts(relayed_prompts_))));
--- a/packages/forwarding/src/peer_link_allotments.cc
+++ b/packages/forwarding/src/peer_link_allotments.cc
@@ -1,28 +1,14 @@
 // Messages about the allotments of organisations.
 
-#include <algorithm>
-#include <limits>
+#include <utility>
 
+#include "vanillalever/forwarding/allotment_codec.h"
 #include "vanillalever/forwarding/peer_link.h"
 
 namespace vanillalever::forwarding {
 
 namespace wire = protocol::peer;
 
-namespace {
-
-// Uses in one message, so that it fits into one packet beside the loads.
-constexpr std::size_t kMaxUses = 24;
-constexpr std::uint32_t kMaxRecent = std::numeric_limits<std::uint16_t>::max();
-
-rate::AllotmentUse ReadUse(const wire::AllotmentUse::Reader& from) {
-  return {from.getOrganisation(),
-          {from.getTaken(), from.getReturned()},
-          from.getRecent()};
-}
-
-}  // namespace
-
 rate::GatewayReach PeerLink::Reach(base::Duration silence,
                                    base::TimePoint now) const {
   rate::GatewayReach reach;
@@ -34,45 +20,18 @@
   return reach;
 }
 
-void PeerLink::PackUses(std::vector<OriginUse>& uses,
-                        wire::Message::Builder message) {
-  auto count = static_cast<unsigned>(std::min(uses.size(), kMaxUses));
-  if (count == 0)
-    return;
-  auto list = message.initAllotments(count);
-  for (unsigned i = 0; i < count; ++i) {
-    const auto& [origin, use] = uses[i];
-    list[i].setOrigin(origin);
-    list[i].setOrganisation(use.organisation);
-    list[i].setTaken(use.totals.taken);
-    list[i].setReturned(use.totals.returned);
-    list[i].setRecent(
-        static_cast<std::uint16_t>(std::min(use.recent, kMaxRecent)));
-  }
-  uses.erase(uses.begin(), uses.begin() + count);
-}
-
-std::vector<OriginUse> PeerLink::TakeRelayedUses() {
-  std::vector<OriginUse> uses;
-  while (!relayed_uses_.empty() && uses.size() < kMaxUses) {
-    auto first = relayed_uses_.begin();
-    uses.push_back({first->first.first, first->second});
-    relayed_uses_.erase(first);
-  }
-  return uses;
-}
-
 void PeerLink::OnAllotments(const wire::Message::Reader& message, bool relays) {
   if (allotments_ == nullptr)
     return;
   auto now = base::TimePoint::clock::now();
   allotments_->OnPeerMessage(message.getSender(), now);
   for (auto entry : message.getAllotments()) {
-    bool own = entry.getOrigin() == 0;
-    PeerId origin = own ? message.getSender() : entry.getOrigin();
+    auto [origin, use] = ReadUse(entry);
+    bool own = origin == 0;
+    if (own)
+      origin = message.getSender();
     if (origin == id_)
       continue;
-    rate::AllotmentUse use = ReadUse(entry);
     allotments_->OnPeerUse(origin, use, now);
     if (own && relays) {
       rate::AllotmentUse& pending = relayed_uses_[{origin, use.organisation}];
@@ -82,4 +41,20 @@
   }
 }
 
+std::vector<OriginUse> PeerLink::TakeRelayedUses() {
+  std::vector<OriginUse> uses;
+  for (const auto& [key, use] : std::exchange(relayed_uses_, {}))
+    uses.push_back({key.first, use});
+  return uses;
+}
+
+std::vector<OriginUse> PeerLink::OwnUses(
+    const std::vector<rate::AllotmentUse>& uses) {
+  std::vector<OriginUse> own;
+  own.reserve(uses.size());
+  for (const rate::AllotmentUse& use : uses)
+    own.push_back({0, use});
+  return own;
+}
+
 }  // namespace vanillalever::forwarding
--- a/packages/rate/src/allotment_book.cc
+++ b/packages/rate/src/allotment_book.cc
@@ -221,14 +221,16 @@
 
 std::vector<AllotmentUse> AllotmentBook::Repeated(base::TimePoint now) const {
   std::vector<AllotmentUse> uses;
-  base::Duration age =
-      now < apart_until_ ? settings_.repeated_apart : settings_.repeated;
+  bool apart = now < apart_until_;
+  base::Duration age = apart ? settings_.repeated_apart : settings_.repeated;
   for (const auto& [name, entry] : entries_) {
-    if (entry.last_taken_at != base::TimePoint{} &&
-        now - entry.last_taken_at <= age) {
-      uses.push_back(Use(entry));
-      uses.back().recent = 0;
-    }
+    // A lost announcement makes no difference far from the limit.
+    bool matters = apart || !entry.rate.plentiful(now);
+    if (!matters || entry.last_taken_at == base::TimePoint{} ||
+        now - entry.last_taken_at > age)
+      continue;
+    uses.push_back(Use(entry));
+    uses.back().recent = 0;
   }
   return uses;
 }
