--- a/packages/forwarding/bench/allotment_bench.cc
+++ b/packages/forwarding/bench/allotment_bench.cc
@@ -28,11 +28,15 @@
 // Organisations differ in size as in Zipf's law with this exponent.
 constexpr double kSkew = 1.2;
 
+constexpr double kRate = 1000;
+
 class Organisations {
  public:
-  explicit Organisations(std::int64_t count) {
+  // `burst`: with a large one the credit takes long to fill up, as if the
+  // organisations were near their limits.
+  Organisations(std::int64_t count, double burst) {
     for (std::int64_t i = 0; i < count; ++i) {
-      limits_.push_back({"organisation-" + std::to_string(i), 1000, 1000});
+      limits_.push_back({"organisation-" + std::to_string(i), kRate, burst});
       sum_ += std::pow(static_cast<double>(i + 1), -kSkew);
       bounds_.push_back(sum_);
     }
@@ -82,12 +86,14 @@
   return added;
 }
 
-// Arguments: gateways, organisations, requests a second of all gateways.
-// Counters: bytes a second that a gateway sends, and that the relaying one
-// sends, for allotments; uses in a complete message.
+// Arguments: gateways, organisations, requests a second of all gateways,
+// whether the organisations are near their limits. Counters: bytes a second
+// that a gateway sends, and that the relaying one sends, for allotments; uses
+// in a complete message.
 void BM_Messages(benchmark::State& state) {
   const auto gateways = static_cast<double>(state.range(0));
-  const Organisations organisations(state.range(1));
+  const Organisations organisations(state.range(1),
+                                    state.range(3) == 0 ? kRate : 1000 * kRate);
   const double per_step = static_cast<double>(state.range(2)) / gateways *
                           std::chrono::duration<double>(kStep).count();
   double own = 0;
@@ -125,15 +131,13 @@
   state.counters["uses_per_complete_message"] = repeated / complete;
 }
 BENCHMARK(BM_Messages)
-    ->Args({26, 74, 300})
-    ->Args({26, 260, 300})
-    ->Args({410, 74, 5400})
-    ->Args({410, 260, 5400})
+    ->ArgsProduct({{26}, {74, 260}, {300}, {0, 1}})
+    ->ArgsProduct({{410}, {74, 260}, {5400}, {0, 1}})
     ->Iterations(1);
 
 // Counts a request; argument: organisations.
 void BM_Take(benchmark::State& state) {
-  Organisations organisations(state.range(0));
+  Organisations organisations(state.range(0), kRate);
   rate::AllotmentBook book({}, 1);
   book.SetReach({1, 26}, kStart);
   book.SetLimits(organisations.limits(), kStart);
