Tell refused callers times of their own, the first ones soon

Cause: gateway_allotment_test, with keys put in by hand, saw a Retry-After of 5.2 s with a window of 5 s; an organisation just over its allotment was sent away for as long as one at 8 times it. Change: the spacing of returning callers grows with the refusals, up to the part of the rate that the gateway has used; none is told more than one window.

--- a/packages/rate/src/allotment_book.cc
+++ b/packages/rate/src/allotment_book.cc
@@ -121,25 +121,27 @@
     return refusal;
   }
   CountRecent(entry, 0, 0, now);
-  // Each refused caller is told a time of its own, at the rate at which this
-  // gateway has taken the organisation's requests.
+  // Each refused caller is told a time of its own. The first ones may use the
+  // whole rate; when there are many, at other gateways too, this one leaves
+  // them the part of the rate that it has used itself.
   double least = 1 / static_cast<double>(reach_.gateways);
   double fraction =
       std::max(least, (entry.own_recent + least) / (entry.all_recent + 1));
+  double spacing =
+      std::min(static_cast<double>(entry.episode_refused), 1 / fraction);
   base::Duration interval =
-      FromSeconds(1 / (entry.per_second * reach_.share * fraction));
+      std::min(FromSeconds(spacing / (entry.per_second * reach_.share)),
+               settings_.window);
   entry.returns_until =
       std::max({entry.returns_until, entry.rate.next_at(), now});
   base::TimePoint latest = now + settings_.window;
-  if (entry.returns_until > latest)
-    refusal.retry_after = FromSeconds(Seconds(settings_.window) *
-                                      (0.5 + 0.5 * random_.Uniform()));
-  else
-    refusal.retry_after =
-        entry.returns_until - now +
-        FromSeconds(Seconds(std::min(interval, settings_.window)) *
-                    random_.Uniform());
-  entry.returns_until = std::min(entry.returns_until, latest) + interval;
+  bool in_window = entry.returns_until + interval <= latest;
+  refusal.retry_after =
+      in_window ? entry.returns_until - now +
+                      FromSeconds(Seconds(interval) * random_.Uniform())
+                : FromSeconds(Seconds(settings_.window) *
+                              (0.5 + 0.5 * random_.Uniform()));
+  entry.returns_until = std::min(entry.returns_until + interval, latest);
   return refusal;
 }
 
--- /dev/null
+++ b/packages/rate/tests/allotment_book_test.cc
@@ -0,0 +1,115 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <vector>
+
+#include "vanillalever/rate/allotment_book.h"
+
+namespace vanillalever::rate {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+
+constexpr base::TimePoint kStart = base::TimePoint(std::chrono::hours(1));
+constexpr base::TimePoint kNow = kStart + seconds(20);
+const std::vector<AllotmentLimit> limits{{"acme", 10, 5}, {"free", 0, 0}};
+
+// A book that has run for long, of one gateway in full contact.
+AllotmentBook Settled(std::size_t gateways) {
+  AllotmentBook book({}, 1);
+  book.SetReach({1, gateways}, kStart);
+  book.SetLimits(limits, kStart);
+  for (milliseconds before{10000}; before >= seconds(0);
+       before -= milliseconds(500))
+    book.SetReach({1, gateways}, kNow - before);
+  return book;
+}
+int CountTaken(AllotmentBook& book, int requests, base::TimePoint now) {
+  int taken = 0;
+  for (int i = 0; i < requests; ++i)
+    taken += book.Take("acme", now) ? 0 : 1;
+  return taken;
+}
+
+// Guards against organisations without a limit that are counted or refused.
+TEST_CASE("only organisations with a limit are limited") {
+  AllotmentBook book = Settled(1);
+  for (int i = 0; i < 1000; ++i) {
+    CHECK_FALSE(book.Take("free", kNow));
+    CHECK_FALSE(book.Take("unknown", kNow));
+  }
+  CHECK(CountTaken(book, 1000, kNow) == 6);
+  CHECK(book.TakeChanges().size() == 1);
+}
+
+// Guards against a burst that is granted to each process that starts, and
+// against requests before the other gateways are known.
+TEST_CASE("a fresh process has no credit") {
+  AllotmentBook book({}, 1);
+  book.SetReach({0, 1}, kStart);
+  book.SetLimits(limits, kStart);
+  CHECK(CountTaken(book, 10, kStart + seconds(5)) == 0);
+  book.SetReach({1, 2}, kStart + milliseconds(300));
+  CHECK(CountTaken(book, 10, kStart + milliseconds(390)) == 0);
+  CHECK(CountTaken(book, 10, kStart + milliseconds(400)) == 1);
+}
+
+// Guards against a process that wakes and uses what others have used meanwhile.
+TEST_CASE("a process that was paused uses the share of one gateway at first") {
+  AllotmentBook book = Settled(10);
+  base::TimePoint woken = kNow + seconds(4);
+  book.SetReach({1, 10}, woken);
+  CHECK(CountTaken(book, 10, woken) == 1);
+  book.SetReach({1, 10}, woken + milliseconds(300));
+  CHECK(CountTaken(book, 10, woken + milliseconds(300)) == 0);
+}
+
+// Guards against an allotment that is new and refuses its first callers.
+TEST_CASE("an organisation that gets its first limit has its burst") {
+  AllotmentBook book = Settled(1);
+  book.SetLimits({{"free", 10, 5}}, kNow);
+  CHECK_FALSE(book.limits("acme"));
+  int taken = 0;
+  for (int i = 0; i < 10; ++i)
+    taken += book.Take("free", kNow) ? 0 : 1;
+  CHECK(taken == 6);
+}
+
+// Guards against callers that are sent away for longer than needed, and against
+// those that return together.
+TEST_CASE("refused callers are told different times, the first ones soon") {
+  AllotmentBook book = Settled(28);
+  CountTaken(book, 6, kNow);
+  std::vector<base::Duration> waits;
+  for (int i = 0; i < 200; ++i) {
+    auto refusal = book.Take("acme", kNow);
+    REQUIRE(refusal);
+    CHECK(refusal->begins == (i == 0));
+    waits.push_back(refusal->retry_after);
+  }
+  CHECK(waits.front() <= milliseconds(200));
+  CHECK(*std::max_element(waits.begin(), waits.end()) <= seconds(5));
+  std::sort(waits.begin(), waits.end());
+  CHECK(std::adjacent_find(waits.begin(), waits.end()) == waits.end());
+  CHECK(book.TakeEnded(kNow + seconds(4)).empty());
+  std::vector<AllotmentEpisode> ended = book.TakeEnded(kNow + seconds(5));
+  REQUIRE(ended.size() == 1);
+  CHECK(ended.front().refused == 200);
+}
+
+// Guards against a lost announcement that is never made up for.
+TEST_CASE("totals near the limit are repeated, all of them after a loss") {
+  AllotmentBook book = Settled(2);
+  CountTaken(book, 1, kNow);
+  CHECK(book.Repeated(kNow).empty());
+  CountTaken(book, 4, kNow);
+  CHECK(book.Repeated(kNow).size() == 1);
+  CHECK(book.Repeated(kNow + seconds(2)).empty());
+  book.SetReach({0.5, 2}, kNow + milliseconds(600));
+  book.SetReach({1, 2}, kNow + milliseconds(1200));
+  CHECK(book.Repeated(kNow + milliseconds(1400)).size() == 1);
+}
+
+}  // namespace
+}  // namespace vanillalever::rate
