--- a/packages/forwarding/bench/allotment_bench.cc
+++ b/packages/forwarding/bench/allotment_bench.cc
@@ -35,6 +35,8 @@
   // `burst`: with a large one the credit takes long to fill up, as if the
   // organisations were near their limits.
   Organisations(std::int64_t count, double burst) {
+    bounds_.reserve(static_cast<std::size_t>(count));
+    limits_.reserve(static_cast<std::size_t>(count));
     for (std::int64_t i = 0; i < count; ++i) {
       limits_.push_back({"organisation-" + std::to_string(i), kRate, burst});
       sum_ += std::pow(static_cast<double>(i + 1), -kSkew);
