--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -55,6 +55,7 @@
   // Time in which callers notice that a gateway is not ready.
   base::milliseconds readiness_notice{2000};
   memory::AccountSettings memory;
+  rate::AllotmentSettings allotments;
 };
 
 // Forwards callers' requests to backend servers. Runs on one event loop; not
@@ -154,6 +155,7 @@
   ConversationService conversations_;
   StreamOrigins origins_;
   CrashMonitor crashes_;
+  AllotmentService allotments_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   // Sessions that only reject requests, in the order of their start.
