--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -81,6 +81,10 @@
   bool IdentifyOrganisation();
   // Whether the servers can complete the request in time.
   bool AdmitUnderLoad();
+  // The same for all requests of a program at all gateways.
+  std::uint64_t program_hash() const;
+  // Records how long the current server took for the request.
+  void RecordServiceTime();
   // Counts the request toward the allotment of its organisation.
   bool TakeAllotment();
   // Looks up the version that began the stream, if the caller takes one up.
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "vanillalever/admission/admission_control.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/budget_service.h"
 #include "vanillalever/forwarding/conversation_service.h"
@@ -45,6 +46,7 @@
   QueuePolicy queue;
   StopPolicy stops;
   RecentDurations durations;
+  admission::AdmissionControl& admission;
   // Limit of a response that is relayed only when complete.
   std::size_t max_response_bytes = 16 << 20;
   // Time from the stop signal to the end of the process, whatever is open then.
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -124,6 +124,7 @@
   ConversationService conversations_;
   StreamOrigins origins_;
   CrashMonitor crashes_;
+  admission::AdmissionControl admission_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   // No connection is accepted until a session ends.
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -45,6 +45,7 @@
   base::Counter& malformed_rows;
   base::Counter& requests_in_crashes;
   base::Counter& crash_refusals;
+  base::Counter& overload_refusals;
   LatencyHistograms latency;
 };
 
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -70,6 +70,8 @@
           arrived_at_ - *context_.stopping_since, limit, context_.stop_time,
           context_.durations.longest(route_->name, arrived_at_)))
     return Refuse("the gateway is stopping", kStoppingRetryAfter);
+  if (service_->engine)
+    chain_ = MakePromptChain(profile_.prompt_parts);
   if (!AdmitUnderLoad() || !TakeAllotment())
     return;
   timer_.expires_at(deadline_);
@@ -77,8 +79,6 @@
     if (auto self = weak.lock(); !error && self)
       self->OnTimeout();
   });
-  if (service_->engine)
-    chain_ = MakePromptChain(profile_.prompt_parts);
   FindOrigin();
 }
 
@@ -332,6 +332,7 @@
 
 void ForwardedRequest::RecordFirstOutput() {
   first_output_ = base::TimePoint::clock::now();
+  context_.admission.OnBegun(program_hash(), *first_output_);
   context_.metrics.latency.first_event_seconds.Observe(
       Seconds(*first_output_ - sent_at_));
 }
@@ -368,6 +369,7 @@
   }
   RecordOutcome(status_ >= kFirstServerErrorStatus);
   RecordCompletion();
+  RecordServiceTime();
   EndSend(true);
   if (response_mode_ == ResponseMode::kRelayed)
     return FinishBody();
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -70,6 +70,7 @@
                QueuePolicy(),
                StopPolicy(),
                RecentDurations(),
+               admission_,
                settings_.max_response_bytes,
                std::max(settings_.grace - settings_.stop_margin,
                         settings_.grace / 4)} {}
@@ -215,6 +216,8 @@
 void Gateway::OnPeerPrompt(const ServerSlot& slot, const PromptChain& chain) {
   if (!context_.config)
     return;
+  if (!chain.links.empty())
+    admission_.OnBegun(chain.links.back().key, base::TimePoint::clock::now());
   const auto& services = context_.config->services;
   if (auto service = services.find(slot.server.service);
       service != services.end())
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -82,7 +82,11 @@
           "crash.")),
       crash_refusals(
           registry.counter("vl_gateway_crash_refusals_total",
-                           "Requests refused because they crash servers.")) {}
+                           "Requests refused because they crash servers.")),
+      overload_refusals(registry.counter(
+          "vl_gateway_overload_refusals_total",
+          "Requests refused because the servers would complete them too "
+          "late.")) {}
 
 std::string RenderMetrics(const base::CounterRegistry& counters,
                           const GatewayMetrics& metrics) {
