Pace and combine writes to the store; programs begin by the wait for them too

Change: each gateway keeps to a part of the store's stated rate; rows that wait share transactions, for which turns and budgets now share their partitions.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -27,6 +27,7 @@
 #include "vanillalever/base/logging.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/gateway.h"
+#include "vanillalever/forwarding/paced_table.h"
 #include "vanillalever/forwarding/relayed_table.h"
 #include "vanillalever/forwarding/table_watcher.h"
 #include "vanillalever/http/server.h"
@@ -76,10 +77,17 @@
                counters_.counter("vl_gateway_relayed_store_calls_total",
                                  "Calls to the store made through another "
                                  "gateway.")),
+        loop_timer_(threads_.context()),
+        paced_table_(loop_timer_,
+                     table_,
+                     settings_.store_writes_per_second,
+                     counters_.counter("vl_gateway_delayed_writes_total",
+                                       "Writes to the store that waited "
+                                       "because of its rate.")),
         gateway_(threads_.context(),
                  MakeGatewaySettings(settings_),
                  codec_,
-                 table_,
+                 paced_table_,
                  counters_,
                  seed_),
         config_feed_(gateway_),
@@ -240,6 +248,7 @@
   void CheckStore() {
     gateway_.OnStoreState(config_watcher_.connected() ||
                           server_watcher_.connected());
+    paced_table_.SetGateways(gateway_.store_peers().live() + 1);
     store_timer_.expires_after(kStoreCheckInterval);
     store_timer_.async_wait([this](boost::system::error_code error) {
       if (!error)
@@ -283,6 +292,8 @@
   adapter::HeaderCodec codec_;
   adapter::StoreClient store_;
   forwarding::RelayedTable table_;
+  forwarding::AsioLoopTimer loop_timer_;
+  forwarding::PacedTable paced_table_;
   forwarding::Gateway gateway_;
   adapter::ConfigFeed config_feed_;
   adapter::ServerFeed server_feed_;
--- a/packages/admission/include/vanillalever/admission/admission_control.h
+++ b/packages/admission/include/vanillalever/admission/admission_control.h
@@ -26,6 +26,8 @@
   // Objective of the response, and the caller's time left.
   base::Duration goal{0};
   base::Duration time_left{0};
+  // Expected wait beside that for a slot.
+  base::Duration other_wait{0};
 };
 
 // What one gateway knows beside the servers' load when it admits requests: the
--- a/packages/admission/include/vanillalever/admission/admission_policy.h
+++ b/packages/admission/include/vanillalever/admission/admission_policy.h
@@ -13,10 +13,10 @@
 struct AdmissionSettings {
   // Expected wait up to which every program may begin, and from which on none
   // of the most urgent kind does. In between their share falls linearly.
-  double free_wait = 0.33;
+  double free_wait = 0;
   double longest_wait = 1.0;
   // The same limit for programs of less urgent kinds.
-  double longest_wait_less_urgent = 0.75;
+  double longest_wait_less_urgent = 0.8;
   // Least admitted share of a less urgent kind, as a part of the most urgent
   // kind's share, so that no kind is starved by another.
   double least_part = 0.25;
@@ -25,7 +25,7 @@
   double bearable_share = 0.15;
   // Share of its time left up to which a caller honours a delay.
   double honoured_share = 0.33;
-  base::milliseconds min_retry_after{250};
+  base::milliseconds min_retry_after{500};
 };
 
 // A request before its server is chosen.
@@ -39,12 +39,14 @@
   // Objective of the response, and the caller's time left.
   base::Duration goal{0};
   base::Duration time_left{0};
+  // Expected wait beside that for a slot.
+  base::Duration other_wait{0};
 };
 
 // Verdict on one request.
 struct AdmissionDecision {
   bool admitted = true;
-  // Expected wait for a slot.
+  // Expected wait.
   base::Duration wait{0};
   // Delay before the caller's next attempt; zero if admitted.
   base::milliseconds retry_after{0};
--- a/packages/admission/src/admission_control.cc
+++ b/packages/admission/src/admission_control.cc
@@ -24,6 +24,7 @@
   request.less_urgent = IsLessUrgent(offered, now);
   request.goal = offered.goal;
   request.time_left = offered.time_left;
+  request.other_wait = offered.other_wait;
   return policy_.Decide(request, load, service_times_.mean(offered.service),
                         random);
 }
--- a/packages/admission/src/admission_policy.cc
+++ b/packages/admission/src/admission_policy.cc
@@ -28,7 +28,7 @@
                                           base::Duration service_time,
                                           base::Random& random) const {
   AdmissionDecision decision;
-  decision.wait = ExpectedWait(load, service_time);
+  decision.wait = ExpectedWait(load, service_time) + request.other_wait;
   bool in_time = decision.wait + service_time < request.time_left;
   if (decision.wait == base::Duration(0) || (request.begun && in_time))
     return decision;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -83,6 +83,8 @@
   bool AdmitUnderLoad();
   // The same for all requests of a program at all gateways.
   std::uint64_t program_hash() const;
+  // Time that the request waits for its writes to the shared table.
+  base::Duration StoreWait() const;
   // Records how long the current server took for the request.
   void RecordServiceTime();
   // Counts the request toward the allotment of its organisation.
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -47,6 +47,8 @@
   StopPolicy stops;
   RecentDurations durations;
   admission::AdmissionControl& admission;
+  // The shared table, whose rate of writes limits how many turns end.
+  const SharedTable& table;
   // Limit of a response that is relayed only when complete.
   std::size_t max_response_bytes = 16 << 20;
   // Time from the stop signal to the end of the process, whatever is open then.
--- a/packages/forwarding/include/vanillalever/forwarding/shared_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/shared_table.h
@@ -12,6 +12,11 @@
 
 namespace vanillalever::forwarding {
 
+// Rows of programs, turns and streams are spread over this many partitions,
+// which the store writes independently of each other. The tables share them, so
+// that rows of several tables fit into one transaction.
+inline constexpr std::size_t kTablePartitions = 8;
+
 // Name of one row. Rows of one partition can be written in one transaction.
 struct RowName {
   std::string table;
@@ -127,6 +132,9 @@
                             base::milliseconds wait,
                             std::function<void(ChangesResult)> done) = 0;
 
+  // Time that a transaction which begins now waits before it is sent.
+  virtual base::Duration expected_wait() const { return base::Duration(0); }
+
   // Transaction of a single write.
   void Write(TableWrite write, std::function<void(WriteResult)> done);
   void Read(RowName name, std::function<void(ReadResult)> done);
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -13,8 +13,7 @@
 using base::milliseconds;
 
 constexpr const char* kBudgetTable = "budgets";
-// Rows are spread over partitions, which the store writes independently.
-constexpr std::uint64_t kPartitions = 16;
+constexpr std::uint64_t kPartitions = kTablePartitions;
 // The store normally responds within about 10 ms; turns do not wait longer than
 // this before they look for another way.
 constexpr milliseconds kStoreTimeout{100};
--- a/packages/forwarding/src/forwarded_request_overload.cc
+++ b/packages/forwarding/src/forwarded_request_overload.cc
@@ -27,6 +27,12 @@
                                                : profile_.program);
 }
 
+base::Duration ForwardedRequest::StoreWait() const {
+  bool limited = service_->engine && profile_.token_budget.has_value();
+  int writes = (limited ? 1 : 0) + (route_->stateful ? 1 : 0);
+  return writes * context_.table.expected_wait();
+}
+
 bool ForwardedRequest::AdmitUnderLoad() {
   auto now = base::TimePoint::clock::now();
   admission::OfferedRequest offered;
@@ -43,6 +49,7 @@
                          : route_->priority;
   offered.goal = route_->goal;
   offered.time_left = time_left();
+  offered.other_wait = StoreWait();
   admission::ServiceLoad load =
       LoadOf(context_.registry.servers(service_->name), now);
   admission::AdmissionDecision decision =
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -71,6 +71,7 @@
                StopPolicy(),
                RecentDurations(),
                admission_,
+               table,
                settings_.max_response_bytes,
                std::max(settings_.grace - settings_.stop_margin,
                         settings_.grace / 4)} {}
--- a/packages/forwarding/src/record_writer.cc
+++ b/packages/forwarding/src/record_writer.cc
@@ -14,8 +14,6 @@
 
 using base::milliseconds;
 
-// The store writes partitions independently of each other.
-constexpr std::size_t kPartitions = 16;
 // Limit of one transaction; the store's is 1 MB, and values grow by a third in
 // its encoding.
 constexpr std::size_t kMaxBytes = 640 << 10;
@@ -25,11 +23,7 @@
 constexpr milliseconds kMaxRetryDelay{150};
 
 std::size_t PartitionOf(const std::string& id) {
-  return base::Hash64(id) % kPartitions;
-}
-
-std::string PartitionName(const std::string& table, std::size_t index) {
-  return table + "-" + std::to_string(index);
+  return base::Hash64(id) % kTablePartitions;
 }
 
 }  // namespace
@@ -37,7 +31,7 @@
 RowName RecordRowName(const std::string& table,
                       const std::string& id,
                       std::size_t index) {
-  RowName name{table, PartitionName(table, PartitionOf(id)), id};
+  RowName name{table, std::to_string(PartitionOf(id)), id};
   if (index > 0) {
     // Padded, so that the rows are in order of their keys.
     std::string number = std::to_string(index);
@@ -50,7 +44,7 @@
 
 TableRange RecordRowRange(const std::string& table, const std::string& id) {
   constexpr char kAfterSeparator = kRowSeparator + 1;
-  return {table, PartitionName(table, PartitionOf(id)), id,
+  return {table, std::to_string(PartitionOf(id)), id,
           id + kAfterSeparator};
 }
 
@@ -62,7 +56,7 @@
       table_(table),
       name_(std::move(name)),
       random_(seed),
-      partitions_(kPartitions) {}
+      partitions_(kTablePartitions) {}
 
 void RecordWriter::Write(const std::string& id,
                          std::vector<std::string> rows,
