Let gateways' write rates follow their use; smooth the expected wait

Cause: at the start of a burst all gateways wrote at up to three equal parts of the store's rate, and short dips of the load admitted all returning callers.

--- a/packages/admission/include/vanillalever/admission/admission_control.h
+++ b/packages/admission/include/vanillalever/admission/admission_control.h
@@ -8,7 +8,9 @@
 
 #include "vanillalever/admission/admission_policy.h"
 #include "vanillalever/admission/begun_programs.h"
+#include "vanillalever/admission/service_load.h"
 #include "vanillalever/admission/service_times.h"
+#include "vanillalever/admission/smoothed_wait.h"
 
 namespace vanillalever::admission {
 
@@ -37,6 +39,7 @@
  public:
   explicit AdmissionControl(AdmissionSettings settings = {});
 
+  // Nothing is refused while slots are free and no other wait is expected.
   AdmissionDecision Decide(const OfferedRequest& request,
                            const ServiceLoad& load,
                            base::TimePoint now,
@@ -67,6 +70,7 @@
   ServiceTimes service_times_;
   BegunPrograms begun_;
   std::map<std::string, Urgency, std::less<>> most_urgent_;
+  std::map<std::string, SmoothedWait, std::less<>> waits_;
 };
 
 }  // namespace vanillalever::admission
--- a/packages/admission/include/vanillalever/admission/admission_policy.h
+++ b/packages/admission/include/vanillalever/admission/admission_policy.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 
-#include "vanillalever/admission/service_load.h"
 #include "vanillalever/base/clock.h"
 #include "vanillalever/base/random.h"
 
@@ -25,7 +24,7 @@
   double bearable_share = 0.15;
   // Share of its time left up to which a caller honours a delay.
   double honoured_share = 0.33;
-  base::milliseconds min_retry_after{500};
+  base::milliseconds min_retry_after{250};
 };
 
 // A request before its server is chosen.
@@ -39,15 +38,15 @@
   // Objective of the response, and the caller's time left.
   base::Duration goal{0};
   base::Duration time_left{0};
-  // Expected wait beside that for a slot.
-  base::Duration other_wait{0};
+  // Expected wait until the response begins.
+  base::Duration wait{0};
+  // Mean time that a request occupies a slot; zero if unknown.
+  base::Duration service_time{0};
 };
 
 // Verdict on one request.
 struct AdmissionDecision {
   bool admitted = true;
-  // Expected wait.
-  base::Duration wait{0};
   // Delay before the caller's next attempt; zero if admitted.
   base::milliseconds retry_after{0};
 };
@@ -63,16 +62,12 @@
  public:
   explicit AdmissionPolicy(AdmissionSettings settings = {});
 
-  // `service_time`: mean time that a request occupies a slot; zero if unknown.
   AdmissionDecision Decide(const AdmissionRequest& request,
-                           const ServiceLoad& load,
-                           base::Duration service_time,
                            base::Random& random) const;
 
  private:
   // Share of the programs that may begin.
-  double AdmittedShare(const AdmissionRequest& request,
-                       base::Duration wait) const;
+  double AdmittedShare(const AdmissionRequest& request) const;
 
   AdmissionSettings settings_;
 };
--- a/packages/admission/include/vanillalever/admission/call_rate.h
+++ b/packages/admission/include/vanillalever/admission/call_rate.h
@@ -8,9 +8,10 @@
 namespace vanillalever::admission {
 
 // Calls that one of several gateways may make to a service that takes a stated
-// number a second from all of them together. Each gateway starts above an equal
-// part, since demand is uneven; it yields when the service refuses a call, and
-// takes more again while none is refused. No messages pass. Not thread-safe.
+// number a second from all of them together. A gateway yields when the service
+// refuses a call, and takes more again while none is refused, so that those
+// with more demand get more than an equal part. No messages pass. Not
+// thread-safe.
 class CallRate {
  public:
   // `limit_per_second`: of all gateways together; zero for no limit.
@@ -37,6 +38,8 @@
   const double limit_per_second_;
   std::size_t gateways_ = 1;
   double rate_ = 0;
+  // Calls made lately, a second.
+  double used_ = 0;
   // Calls that may be made now.
   double ready_ = 0;
   base::TimePoint advanced_at_{};
--- a/packages/admission/include/vanillalever/admission/service_load.h
+++ b/packages/admission/include/vanillalever/admission/service_load.h
@@ -1,6 +1,8 @@
 #ifndef VANILLALEVER_ADMISSION_SERVICE_LOAD_H_
 #define VANILLALEVER_ADMISSION_SERVICE_LOAD_H_
 
+#include "vanillalever/base/clock.h"
+
 namespace vanillalever::admission {
 
 // Load of all servers of one service, as one gateway estimates it.
@@ -11,6 +13,11 @@
   int open = 0;
 };
 
+// Expected wait for a slot, if the open requests are spread evenly.
+// `service_time`: mean time that a request occupies a slot.
+base::Duration ExpectedWait(const ServiceLoad& load,
+                            base::Duration service_time);
+
 }  // namespace vanillalever::admission
 
 #endif  // VANILLALEVER_ADMISSION_SERVICE_LOAD_H_
--- a/packages/admission/src/admission_control.cc
+++ b/packages/admission/src/admission_control.cc
@@ -24,9 +24,13 @@
   request.less_urgent = IsLessUrgent(offered, now);
   request.goal = offered.goal;
   request.time_left = offered.time_left;
-  request.other_wait = offered.other_wait;
-  return policy_.Decide(request, load, service_times_.mean(offered.service),
-                        random);
+  request.service_time = service_times_.mean(offered.service);
+  base::Duration wait =
+      ExpectedWait(load, request.service_time) + offered.other_wait;
+  base::Duration smoothed = waits_[std::string(offered.service)].Add(wait, now);
+  if (wait > base::Duration(0))
+    request.wait = smoothed;
+  return policy_.Decide(request, random);
 }
 
 void AdmissionControl::OnBegun(std::uint64_t hash, base::TimePoint now) {
--- a/packages/admission/src/admission_policy.cc
+++ b/packages/admission/src/admission_policy.cc
@@ -9,54 +9,39 @@
   return std::chrono::duration_cast<base::Duration>(factor * duration);
 }
 
-// Expected wait for a slot, if the open requests are spread evenly.
-base::Duration ExpectedWait(const ServiceLoad& load,
-                            base::Duration service_time) {
-  if (load.slots <= 0 || load.open < load.slots)
-    return base::Duration(0);
-  double rounds = static_cast<double>(load.open + 1 - load.slots) / load.slots;
-  return Scaled(rounds, service_time);
-}
-
 }  // namespace
 
 AdmissionPolicy::AdmissionPolicy(AdmissionSettings settings)
     : settings_(settings) {}
 
 AdmissionDecision AdmissionPolicy::Decide(const AdmissionRequest& request,
-                                          const ServiceLoad& load,
-                                          base::Duration service_time,
                                           base::Random& random) const {
   AdmissionDecision decision;
-  decision.wait = ExpectedWait(load, service_time) + request.other_wait;
-  bool in_time = decision.wait + service_time < request.time_left;
-  if (decision.wait == base::Duration(0) || (request.begun && in_time))
+  bool in_time = request.wait + request.service_time < request.time_left;
+  if (request.wait == base::Duration(0) || (request.begun && in_time))
     return decision;
   double position = static_cast<double>(request.program_hash >> 11) * 0x1.0p-53;
-  if (in_time && position < AdmittedShare(request, decision.wait))
+  if (in_time && position < AdmittedShare(request))
     return decision;
   decision.admitted = false;
   // Random, so that the callers do not return together.
-  base::Duration longest =
-      std::max<base::Duration>(settings_.min_retry_after,
-                               Scaled(settings_.honoured_share,
-                                      request.time_left));
-  base::Duration shortest =
-      std::clamp<base::Duration>(decision.wait, settings_.min_retry_after,
-                                 longest);
+  base::Duration longest = std::max<base::Duration>(
+      settings_.min_retry_after,
+      Scaled(settings_.honoured_share, request.time_left));
+  base::Duration shortest = std::clamp<base::Duration>(
+      request.wait, settings_.min_retry_after, longest);
   decision.retry_after = std::chrono::duration_cast<base::milliseconds>(
       shortest + Scaled(random.Uniform(), longest - shortest));
   return decision;
 }
 
-double AdmissionPolicy::AdmittedShare(const AdmissionRequest& request,
-                                      base::Duration wait) const {
+double AdmissionPolicy::AdmittedShare(const AdmissionRequest& request) const {
   base::Duration bearable = std::max(
       request.goal, Scaled(settings_.bearable_share, request.time_left));
-  double position = wait / std::chrono::duration<double>(bearable);
+  double position = request.wait / std::chrono::duration<double>(bearable);
   auto share = [&](double longest) {
-    return std::clamp(
-        (longest - position) / (longest - settings_.free_wait), 0.0, 1.0);
+    return std::clamp((longest - position) / (longest - settings_.free_wait),
+                      0.0, 1.0);
   };
   double most_urgent = share(settings_.longest_wait);
   if (!request.less_urgent)
--- a/packages/admission/src/call_rate.cc
+++ b/packages/admission/src/call_rate.cc
@@ -1,6 +1,7 @@
 #include "vanillalever/admission/call_rate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace vanillalever::admission {
 namespace {
@@ -8,10 +9,15 @@
 // Bounds of a gateway's rate, as multiples of an equal part.
 constexpr double kLeastParts = 0.5;
 constexpr double kMostParts = 3;
-constexpr double kFirstParts = 1.5;
+constexpr double kFirstParts = 1;
+// A gateway that has made few calls gets no more than this multiple of them, or
+// an equal part: together the gateways could exceed the limit far otherwise
+// when all of them need more.
+constexpr double kMostOfUsed = 2;
+constexpr double kUsedSeconds = 1;
 // What remains of the rate when a call is refused, at most once an interval:
 // calls in progress are refused together.
-constexpr double kYield = 0.85;
+constexpr double kYield = 0.92;
 constexpr base::milliseconds kYieldInterval{100};
 // Equal parts regained a second.
 constexpr double kRegained = 0.25;
@@ -46,8 +52,11 @@
 void CallRate::Advance(base::TimePoint now) {
   double elapsed = std::clamp(Seconds(now - advanced_at_), 0.0, 1.0);
   advanced_at_ = now;
-  rate_ = std::min({rate_ + kRegained * equal_part() * elapsed,
-                    kMostParts * equal_part(), limit_per_second_});
+  used_ *= std::exp(-elapsed / kUsedSeconds);
+  double most = std::max(equal_part(), kMostOfUsed * used_);
+  rate_ =
+      std::min({rate_ + kRegained * equal_part() * elapsed,
+                std::min(most, kMostParts * equal_part()), limit_per_second_});
   ready_ = std::min(ready_ + rate_ * elapsed,
                     std::max(kLeastBurst, kBurstSeconds * rate_));
 }
@@ -59,6 +68,7 @@
   if (ready_ < 1)
     return false;
   ready_ -= 1;
+  used_ += 1 / kUsedSeconds;
   return true;
 }
 
--- a/packages/forwarding/src/forwarded_request_overload.cc
+++ b/packages/forwarding/src/forwarded_request_overload.cc
@@ -57,14 +57,16 @@
   if (decision.admitted)
     return true;
   context_.metrics.overload_refusals.Add();
+  base::Duration service_time =
+      context_.admission.service_times().mean(service_->name);
   base::LogEvent(
       base::LogLevel::kInfo, "overload_refused",
       {{"request", profile_.request_id},
        {"program", profile_.program},
        {"service", service_->name},
-       {"wait_ms", Ms(decision.wait)},
-       {"service_ms",
-        Ms(context_.admission.service_times().mean(service_->name))},
+       {"slot_wait_ms", Ms(admission::ExpectedWait(load, service_time))},
+       {"store_wait_ms", Ms(offered.other_wait)},
+       {"service_ms", Ms(service_time)},
        {"open", std::to_string(load.open)},
        {"slots", std::to_string(load.slots)},
        {"retry_after_ms", std::to_string(decision.retry_after.count())}});
@@ -73,9 +75,9 @@
 }
 
 void ForwardedRequest::RecordServiceTime() {
-  context_.admission.OnCompleted(
-      service_->name, base::TimePoint::clock::now() - sent_at_,
-      placement_.open, slot_->server.slots);
+  context_.admission.OnCompleted(service_->name,
+                                 base::TimePoint::clock::now() - sent_at_,
+                                 placement_.open, slot_->server.slots);
 }
 
 }  // namespace vanillalever::forwarding
