--- a/packages/admission/src/call_rate.cc
+++ b/packages/admission/src/call_rate.cc
@@ -13,7 +13,7 @@
 // A gateway that has made few calls gets no more than this multiple of them, or
 // an equal part: together the gateways could exceed the limit far otherwise
 // when all of them need more.
-constexpr double kMostOfUsed = 2;
+constexpr double kMostOfUsed = 1.5;
 constexpr double kUsedSeconds = 1;
 // What remains of the rate when a call is refused, at most once an interval:
 // calls in progress are refused together.
