--- a/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -50,6 +51,10 @@
 
   // Call before Start().
   void SetPeers(StorePeers& peers) { peers_ = &peers; }
+  // Calls `observer` whenever the store serves this gateway again.
+  void SetReturnObserver(std::function<void()> observer) {
+    on_return_ = std::move(observer);
+  }
   // Starts the calls that find out whether the store responds again.
   void Start();
 
@@ -83,13 +88,16 @@
   template <typename Result>
   void OnResult(const PendingPtr<Result>& call, Result result);
   void AnnounceReachable(std::string_view reason);
-  void RecordDirect(StoreOutcome outcome, std::string_view reason);
+  // Records the outcome of a direct call.
+  template <typename Result>
+  void RecordDirect(const Result& result);
   void Tick();
 
   http::Client client_;
   boost::asio::io_context& context_;
   SharedTable& direct_;
   StorePeers* peers_ = nullptr;
+  std::function<void()> on_return_;
   StorePath path_;
   base::Random random_;
   base::Counter& relayed_calls_;
--- a/packages/forwarding/src/paced_table.cc
+++ b/packages/forwarding/src/paced_table.cc
@@ -38,13 +38,13 @@
 
 bool Conflicts(const std::vector<TableWrite>& writes,
                const std::map<RowKey, TableRow>& current) {
-  return std::any_of(
-      writes.begin(), writes.end(), [&current](const TableWrite& write) {
-        auto found = current.find(KeyOf(write.name));
-        std::uint64_t version =
-            found == current.end() ? 0 : found->second.version;
-        return version != write.expected_version;
-      });
+  return std::any_of(writes.begin(), writes.end(),
+                     [&current](const TableWrite& write) {
+                       auto found = current.find(KeyOf(write.name));
+                       std::uint64_t version =
+                           found == current.end() ? 0 : found->second.version;
+                       return version != write.expected_version;
+                     });
 }
 
 }  // namespace
@@ -110,9 +110,8 @@
   }
   if (waiting_.empty() || std::exchange(timer_set_, true))
     return;
-  base::Duration delay =
-      std::max<base::Duration>(base::milliseconds(1),
-                               rate_.until_next(timer_.now()));
+  base::Duration delay = std::max<base::Duration>(
+      base::milliseconds(1), rate_.until_next(timer_.now()));
   timer_.RunAfter(delay, [this] {
     timer_set_ = false;
     SendWaiting();
@@ -156,7 +155,7 @@
 }
 
 void PacedTable::OnResult(Jobs batch, const TransactionResult& result) {
-  if (result.outcome == StoreOutcome::kNotDone)
+  if (result.throttled)
     rate_.OnRefused(timer_.now());
   if (result.outcome == StoreOutcome::kConflict && batch.size() > 1)
     return OnConflict(std::move(batch), result);
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -102,7 +102,7 @@
                            path_.OnPollResponse(sent,
                                                 base::TimePoint::clock::now());
                          else
-                           RecordDirect(result.outcome, result.reason);
+                           RecordDirect(result);
                          done(result);
                        });
 }
@@ -121,7 +121,7 @@
   path_.OnCall(base::TimePoint::clock::now());
   auto done = [this, call](Result result) {
     path_.OnCallEnded();
-    RecordDirect(result.outcome, result.reason);
+    RecordDirect(result);
     OnResult(call, std::move(result));
   };
   if constexpr (std::is_same_v<Result, TransactionResult>)
@@ -180,7 +180,8 @@
     call->unknown |= result.outcome == StoreOutcome::kUnknown;
     call->reason = result.reason;
     // The other way may still succeed.
-    if (CallThroughPeer(call) || call->open > 0)
+    bool elsewhere = !result.throttled || !path_.reachable();
+    if ((elsewhere && CallThroughPeer(call)) || call->open > 0)
       return;
     result.outcome =
         call->unknown ? StoreOutcome::kUnknown : StoreOutcome::kNotDone;
@@ -189,14 +190,17 @@
   std::exchange(call->done, nullptr)(std::move(result));
 }
 
-void RelayedTable::RecordDirect(StoreOutcome outcome, std::string_view reason) {
+template <typename Result>
+void RelayedTable::RecordDirect(const Result& result) {
   bool reached = path_.reachable();
-  if (Answered(outcome))
+  if (Answered(result.outcome))
     path_.OnResponse(base::TimePoint::clock::now());
+  else if (result.throttled)
+    path_.OnThrottled(base::TimePoint::clock::now());
   else
     path_.OnFailure();
   if (reached != path_.reachable())
-    AnnounceReachable(reason);
+    AnnounceReachable(result.reason);
 }
 
 void RelayedTable::AnnounceReachable(std::string_view reason) {
@@ -205,6 +209,8 @@
                   {"reason", std::string(path_.reachable() ? "" : reason)}});
   if (peers_ != nullptr)
     peers_->SetStoreReachable(path_.reachable());
+  if (path_.reachable() && on_return_)
+    on_return_();
 }
 
 void RelayedTable::Tick() {
@@ -218,7 +224,7 @@
     direct_.Read({kProbeTable, "", kProbeKey},
                  [this](const ReadResult& result) {
                    path_.OnCallEnded();
-                   RecordDirect(result.outcome, result.reason);
+                   RecordDirect(result);
                  });
   }
   probe_timer_.expires_after(kTickInterval);
@@ -231,7 +237,7 @@
 void RelayedTable::Serve(const std::shared_ptr<http::Exchange>& exchange) {
   auto reply = [this, exchange](const auto& result) {
     path_.OnCallEnded();
-    RecordDirect(result.outcome, result.reason);
+    RecordDirect(result);
     http::Response response;
     response.content_type = "application/octet-stream";
     response.body = EncodeTableReply(result);
--- a/packages/forwarding/tests/paced_table_test.cc
+++ b/packages/forwarding/tests/paced_table_test.cc
@@ -65,8 +65,10 @@
  private:
   TransactionResult Apply(const std::vector<TableWrite>& writes) {
     TransactionResult result;
-    if (refuses)
+    if (refuses) {
+      result.throttled = true;
       return result;
+    }
     result.outcome = StoreOutcome::kDone;
     for (const TableWrite& write : writes) {
       if (versions[write.name.key] != write.expected_version)
