--- a/packages/admission/tests/admission_test.cc
+++ b/packages/admission/tests/admission_test.cc
@@ -7,7 +7,7 @@
 
 using base::milliseconds;
 
-const base::TimePoint kStart = base::ManualClock().now();
+const base::TimePoint start = base::ManualClock().now();
 constexpr ServiceLoad kHalfFull{60, 30};
 // Ten rounds of the slots wait.
 constexpr ServiceLoad kOverrun{60, 660};
@@ -33,7 +33,7 @@
   base::Random random(1);
   AdmissionControl control = Learned();
   for (std::uint64_t i = 0; i < 100; ++i)
-    CHECK(control.Decide(Turn(random.Next()), kHalfFull, kStart, random)
+    CHECK(control.Decide(Turn(random.Next()), kHalfFull, start, random)
               .admitted);
 }
 
@@ -41,12 +41,12 @@
 TEST_CASE("an overrun service completes what has begun and begins nothing") {
   base::Random random(1);
   AdmissionControl control = Learned();
-  CHECK_FALSE(control.Decide(Turn(1), kOverrun, kStart, random).admitted);
-  control.OnBegun(1, kStart);
-  CHECK(control.Decide(Turn(1), kOverrun, kStart, random).admitted);
+  CHECK_FALSE(control.Decide(Turn(1), kOverrun, start, random).admitted);
+  control.OnBegun(1, start);
+  CHECK(control.Decide(Turn(1), kOverrun, start, random).admitted);
   OfferedRequest next = Turn(2);
   next.follows_earlier_work = true;
-  CHECK(control.Decide(next, kOverrun, kStart, random).admitted);
+  CHECK(control.Decide(next, kOverrun, start, random).admitted);
 }
 
 // Guards against a request that is held until its time limit passes.
@@ -56,7 +56,7 @@
   OfferedRequest late = Turn(1);
   late.follows_earlier_work = true;
   late.time_left = milliseconds(900);
-  AdmissionDecision decision = control.Decide(late, kOverrun, kStart, random);
+  AdmissionDecision decision = control.Decide(late, kOverrun, start, random);
   CHECK_FALSE(decision.admitted);
 }
 
@@ -68,7 +68,7 @@
   milliseconds longest{0};
   constexpr ServiceLoad kBusy{60, 240};
   for (int i = 0; i < 200; ++i) {
-    auto decision = control.Decide(Turn(~0ULL), kBusy, kStart, random);
+    auto decision = control.Decide(Turn(~0ULL), kBusy, start, random);
     REQUIRE_FALSE(decision.admitted);
     shortest = std::min(shortest, decision.retry_after);
     longest = std::max(longest, decision.retry_after);
@@ -88,8 +88,8 @@
   int admitted = 0;
   for (int i = 0; i < 200; ++i) {
     OfferedRequest turn = Turn(random.Next());
-    bool first = one.Decide(turn, kBusy, kStart, random).admitted;
-    CHECK(first == other.Decide(turn, kBusy, kStart, random).admitted);
+    bool first = one.Decide(turn, kBusy, start, random).admitted;
+    CHECK(first == other.Decide(turn, kBusy, start, random).admitted);
     admitted += first ? 1 : 0;
   }
   CHECK(admitted > 0);
@@ -105,10 +105,10 @@
   int other = 0;
   for (int i = 0; i < 2000; ++i) {
     OfferedRequest turn = Turn(random.Next());
-    urgent += control.Decide(turn, kBusy, kStart, random).admitted ? 1 : 0;
+    urgent += control.Decide(turn, kBusy, start, random).admitted ? 1 : 0;
     turn.program_hash = random.Next();
     turn.priority = 1;
-    other += control.Decide(turn, kBusy, kStart, random).admitted ? 1 : 0;
+    other += control.Decide(turn, kBusy, start, random).admitted ? 1 : 0;
   }
   CHECK(urgent > other);
   CHECK(other >= urgent / 5);
@@ -125,9 +125,9 @@
 // Guards against a set of programs that grows without bound.
 TEST_CASE("programs are forgotten after a while") {
   BegunPrograms programs;
-  programs.Add(1, kStart);
-  CHECK(programs.Contains(1, kStart + BegunPrograms::kWindow));
-  CHECK_FALSE(programs.Contains(1, kStart + 3 * BegunPrograms::kWindow));
+  programs.Add(1, start);
+  CHECK(programs.Contains(1, start + BegunPrograms::kWindow));
+  CHECK_FALSE(programs.Contains(1, start + 3 * BegunPrograms::kWindow));
 }
 
 }  // namespace
