--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -94,6 +94,12 @@
   std::string BudgetKey() const;
   // Whether the servers can complete the request in time.
   bool AdmitUnderLoad();
+  // The same for all requests of a program at all gateways.
+  std::uint64_t program_hash() const;
+  // Time that the request waits for its writes to the shared table.
+  base::Duration StoreWait() const;
+  // Records how long the current server took for the request.
+  void RecordServiceTime();
   // Counts the request toward the allotment of its organisation.
   bool TakeAllotment();
   // The request has not run, and will not.
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "vanillalever/admission/admission_control.h"
 #include "vanillalever/base/boot_clock.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/allotment_service.h"
@@ -50,6 +51,9 @@
   QueuePolicy queue;
   StopPolicy stops;
   RecentDurations durations;
+  admission::AdmissionControl& admission;
+  // The shared table, whose rate of writes limits how many turns end.
+  const SharedTable& table;
   // Limit of a response that is relayed only when complete.
   std::size_t max_response_bytes = 16 << 20;
   // Time from the stop signal to the end of the process, whatever is open then.
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -156,6 +156,7 @@
   StreamOrigins origins_;
   CrashMonitor crashes_;
   AllotmentService allotments_;
+  admission::AdmissionControl admission_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
   // Sessions that only reject requests, in the order of their start.
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -83,6 +83,10 @@
       crash_refusals(
           registry.counter("vl_gateway_crash_refusals_total",
                            "Requests refused because they crash servers.")),
+      overload_refusals(registry.counter(
+          "vl_gateway_overload_refusals_total",
+          "Requests refused because the servers would complete them too "
+          "late.")),
       unknown_keys(registry.counter(
           "vl_gateway_unknown_keys_total",
           "Requests refused for a key that is missing, unknown or malformed.")),
