Choose servers by the level that unseen requests will raise them to

Cause: news of other gateways' requests is 30 ms old or more, and all gateways chose the server that looked best in it. Change: packages/balance holds the choice (no I/O): known requests age, as many unseen ones are expected to level the servers, and servers below that level are drawn in proportion to what they take. It also learns the speeds of a service and of its servers from responses. Placer uses both; a request's own preference (cached prompt, distance) counts as before.

--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -153,6 +153,8 @@
   void RecordOutcome(bool failed);
   void RecordFirstOutput();
   void RecordResponse();
+  // Feeds the times of a whole response to placement.
+  void RecordSpeed();
   void StartRelay();
   void Refuse(std::string_view reason, base::Duration retry_after);
   void SendLocalReply(int status,
@@ -213,6 +215,8 @@
   // Times of the latest send and of its first output.
   base::TimePoint sent_at_{};
   std::optional<base::TimePoint> first_output_;
+  // Events that had arrived with the first output.
+  std::int64_t first_output_events_ = 0;
   // See ends_before_first_event(), of any send.
   bool ended_without_event_ = false;
   // Software version of the server that sent the stream's first event, to this
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -112,6 +112,8 @@
   void OnOutcome(const ServerSlot& slot, bool failed);
   // The server has just reported its slowness.
   void OnSlowness(const ServerSlot& slot, double slowness);
+  // Expected age of what the other gateways have announced when it arrives.
+  base::Duration news_age() const;
 
   // Removes this gateway's registration.
   void Unregister();
--- a/packages/forwarding/include/vanillalever/forwarding/placement.h
+++ b/packages/forwarding/include/vanillalever/forwarding/placement.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <vector>
 
+#include "vanillalever/balance/level_choice.h"
+#include "vanillalever/balance/service_speed.h"
 #include "vanillalever/base/clock.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/forwarding/prompt_index.h"
@@ -18,12 +20,13 @@
 
 // Parameters of the time model of servers and network.
 struct PlacementSettings {
-  // Duration of one decoding step, and the increment per running request; from
-  // the engines' data sheet.
+  // Duration of one decoding step, and the increment per running request. The
+  // step, like the next three, holds until the service's speeds are learned.
   double step_ms = 3.79;
   double step_ms_per_request = 0.0893;
-  // Prefill throughput; from the engines' data sheet.
+  // Prefill throughput, and the time to the first output without prefill.
   double prefill_tokens_per_ms = 56.6;
+  double first_output_ms = 16;
   // Average output of a turn as a fraction of its maximum output.
   double output_share = 0.4;
   // Average service time of a request to a plain (non-engine) server.
@@ -60,6 +63,20 @@
   bool resumable = false;
   // The request must not meet another one that was at work in several crashes.
   bool apart = false;
+  // Age of what this gateway knows of the other gateways' requests.
+  base::Duration news_age{0};
+};
+
+// What a completed request brought.
+struct RequestOutput {
+  // Time from the send to the end.
+  base::Duration elapsed{0};
+  // Time from the first output to the end.
+  base::Duration after_first{0};
+  // Tokens of all events, and of the events after the first.
+  std::int64_t tokens = 0;
+  std::int64_t tokens_after_first = 0;
+  std::int64_t max_tokens = 0;
 };
 
 // Result of a placement.
@@ -76,6 +93,11 @@
   int open = 0;
   // Slowdown factor of the chosen server at the time of the decision.
   double slowness = 1;
+  // Learned time of the server relative to the others of its service.
+  double relative_time = 1;
+  // Requests that other gateways have presumably sent to the candidates since
+  // the last news from them.
+  double unseen = 0;
   // Time until the server takes another request, by the rate that it states.
   base::Duration rate_wait{0};
   // Number of servers compared.
@@ -84,7 +106,9 @@
 
 // Chooses the server at which a request costs the least time: the time to its
 // completion, including the wait for a server that limits its requests, plus
-// the delay that it causes to the requests running there.
+// the delay that it causes to the requests running there. Servers between which
+// the requests of other gateways, still unseen, leave no difference are chosen
+// at random; see balance::ChooseByLevel(). Speeds are learned from responses.
 // Intended for workloads in which prefill takes much of the servers' time.
 // Not thread-safe.
 class Placer {
@@ -103,19 +127,50 @@
                     const PromptChain& chain);
   void RemoveServer(const std::string& id);
 
+  // The placed request's first output arrived after `elapsed`.
+  void OnFirstOutput(const Placement& placement,
+                     const Service& service,
+                     base::Duration elapsed,
+                     base::TimePoint now);
+  // The placed request ended whole.
+  void OnCompleted(const Placement& placement,
+                   const Service& service,
+                   const RequestOutput& output,
+                   base::TimePoint now);
+
  private:
-  struct Estimate {
-    double total_ms = 0;
-    std::int64_t prefill_tokens = 0;
+  // What an estimate depends on beside the server.
+  struct Context {
+    const PlacementRequest& request;
+    balance::ServiceSpeed& speed;
+    balance::Speeds speeds;
+    base::TimePoint now{};
+    // Expected for a typical request.
+    std::int64_t least_prefill_tokens = 0;
+    const ServerSlot* preferred = nullptr;
+  };
+  // A server's open requests, without those that have ended since the news.
+  struct OpenRequests {
+    double left = 0;
+    // Share of the known ones that is left.
+    double share = 1;
+    double ended = 0;
   };
 
-  Estimate EstimateEngine(const ServerSlot& slot,
-                          const PlacementRequest& request,
-                          base::TimePoint now) const;
-  Estimate EstimatePlain(const ServerSlot& slot,
-                         const PlacementRequest& request,
-                         bool preferred,
-                         base::TimePoint now) const;
+  std::int64_t PrefillTokens(const ServerSlot& slot,
+                             const PlacementRequest& request) const;
+  static OpenRequests EstimateOpen(const ServerSlot& slot,
+                                   const Context& context);
+  static bool MayTake(const ServerSlot& slot,
+                      const PlacementRequest& request,
+                      base::TimePoint now);
+  balance::Candidate EstimateEngine(const ServerSlot& slot,
+                                    const Context& context,
+                                    const OpenRequests& open) const;
+  balance::Candidate EstimatePlain(const ServerSlot& slot,
+                                   const Context& context,
+                                   const OpenRequests& open) const;
+  balance::ServiceSpeed& SpeedOf(const Service& service);
   double RoundTripMs(const ServerSlot& slot) const;
   static base::Duration RateWait(const ServerSlot& slot, base::TimePoint now);
   // Expected cost of a failure at the server. Added like any other cost, so
@@ -127,6 +182,8 @@
   base::Random random_;
   // By server id.
   std::map<std::string, PromptIndex, std::less<>> prompt_indexes_;
+  // By service.
+  std::map<std::string, balance::ServiceSpeed, std::less<>> speeds_;
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -155,6 +155,7 @@
     request.software_version = &*stream_version_;
   request.resumable = may_be_resumed();
   request.apart = admission != guard::Admission::kNormal;
+  request.news_age = context_.peers.news_age();
   Placement placement = context_.placer.Place(
       context_.registry.servers(service_->name), request, now);
   if (!placement.slot || excluded_.size() >= kMaxConsecutiveRefusals)
@@ -334,6 +335,7 @@
   first_output_ = base::TimePoint::clock::now();
   context_.metrics.latency.first_event_seconds.Observe(
       Seconds(*first_output_ - sent_at_));
+  first_output_events_ = framer_.events();
 }
 
 void ForwardedRequest::RecordResponse() {
@@ -368,6 +370,7 @@
   }
   RecordOutcome(status_ >= kFirstServerErrorStatus);
   RecordCompletion();
+  RecordSpeed();
   EndSend(true);
   if (response_mode_ == ResponseMode::kRelayed)
     return FinishBody();
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -144,6 +144,12 @@
   return std::max<base::Duration>(settings_.batch_delay, bounded);
 }
 
+base::Duration PeerLink::news_age() const {
+  // A relay adds half of its own batch delay on average.
+  bool relayed = directory_.live() > settings_.max_direct_peers;
+  return relayed ? BatchDelay() * 3 / 2 : BatchDelay();
+}
+
 void PeerLink::ScheduleSend() {
   if (std::exchange(send_scheduled_, true))
     return;
--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <utility>
+#include <vector>
 
 #include "vanillalever/base/hash.h"
 
@@ -15,9 +16,16 @@
 // Ranks suspect and full servers behind all others.
 constexpr double kLastResortPenaltyMs = 1e6;
 
+// Least increase of a server's cost with another request.
+constexpr double kLeastStepMs = 0.01;
+
 // Wait for a server that is left to other gateways.
 constexpr base::seconds kUnavailableWait{3600};
 
+double Ms(base::Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 bool HasVersion(const ServerSlot& slot, const PlacementRequest& request) {
   return request.software_version == nullptr ||
          slot.server.software_version == *request.software_version;
@@ -53,60 +61,71 @@
 Placement Placer::Place(const std::vector<ServerSlotPtr>& servers,
                         const PlacementRequest& request,
                         base::TimePoint now) {
+  balance::ServiceSpeed& speed = SpeedOf(request.service);
+  Context context{request, speed, speed.speeds(now), now};
   // All gateways prefer the same server for a session, so that a turn that
   // arrives at another gateway still finds its cached prefix.
   std::string_view object = request.service.engine
                                 ? request.profile.session
                                 : request.profile.affinity_key;
-  const ServerSlot* preferred = nullptr;
   if (request.sticky && !object.empty())
-    preferred = PreferredServer(servers, object);
+    context.preferred = PreferredServer(servers, object);
 
-  Placement best;
-  double best_ms = 0;
-  std::uint64_t ties = 1;
+  Placement placement;
+  std::vector<const ServerSlotPtr*> slots;
   for (const ServerSlotPtr& slot : servers) {
-    const auto& excluded = request.excluded;
-    if (request.apart && slot->load.suspects(now) > 0)
-      continue;
-    if (!slot->accepts_requests() || !HasVersion(*slot, request) ||
-        std::find(excluded.begin(), excluded.end(), slot->server.id) !=
-            excluded.end())
+    if (!MayTake(*slot, request, now))
       continue;
-    ++best.candidates;
-    Estimate estimate =
-        request.service.engine
-            ? EstimateEngine(*slot, request, now)
-            : EstimatePlain(*slot, request, slot.get() == preferred, now);
-    if (best.candidates == 1 ||
-        estimate.prefill_tokens < best.least_prefill_tokens)
-      best.least_prefill_tokens = estimate.prefill_tokens;
-    // A small bonus breaks ties between servers without a cached prefix.
-    if (slot.get() == preferred && request.service.engine)
-      estimate.total_ms -= 2 * kTieThresholdMs;
-    base::Duration rate_wait = RateWait(*slot, now);
-    estimate.total_ms +=
+    std::int64_t prefill = PrefillTokens(*slot, request);
+    if (slots.empty() || prefill < context.least_prefill_tokens)
+      context.least_prefill_tokens = prefill;
+    slots.push_back(&slot);
+  }
+  if (slots.empty())
+    return placement;
+
+  std::vector<balance::Candidate> candidates;
+  candidates.reserve(slots.size());
+  for (const ServerSlotPtr* slot : slots) {
+    OpenRequests open = EstimateOpen(**slot, context);
+    placement.unseen += open.ended;
+    balance::Candidate& candidate = candidates.emplace_back(
+        request.service.engine ? EstimateEngine(**slot, context, open)
+                               : EstimatePlain(**slot, context, open));
+    candidate.own_ms += RoundTripMs(**slot);
+    candidate.base_ms +=
         settings_.rate_wait_factor *
-        std::chrono::duration<double, std::milli>(rate_wait).count();
-    estimate.total_ms += FailurePenaltyMs(*slot, now);
-    bool version_unknown = request.resumable && !slot->version_stored;
-    if (slot->load.suspect(now) || slot->load.full(now) || version_unknown)
-      estimate.total_ms += kLastResortPenaltyMs;
-    if (best.slot && estimate.total_ms > best_ms + kTieThresholdMs)
-      continue;
-    bool tie = best.slot && estimate.total_ms > best_ms - kTieThresholdMs;
-    ties = tie ? ties + 1 : 1;
-    if (tie && random_.Below(ties) != 0)
-      continue;
-    best.slot = slot;
-    best_ms = estimate.total_ms;
-    best.estimate_ms = estimate.total_ms;
-    best.prefill_tokens = estimate.prefill_tokens;
-    best.rate_wait = rate_wait;
-    best.open = slot->load.open(now);
-    best.slowness = slot->load.slowness(now);
+            Ms(RateWait(**slot, now)) +
+        FailurePenaltyMs(**slot, now);
+    bool version_unknown = request.resumable && !(*slot)->version_stored;
+    if ((*slot)->load.suspect(now) || (*slot)->load.full(now) ||
+        version_unknown)
+      candidate.base_ms += kLastResortPenaltyMs;
   }
-  return best;
+  auto [index, level_ms] = balance::ChooseByLevel(candidates, placement.unseen,
+                                                  kTieThresholdMs, random_);
+  placement.slot = *slots[index];
+  placement.candidates = static_cast<int>(slots.size());
+  placement.prefill_tokens = PrefillTokens(*placement.slot, request);
+  placement.least_prefill_tokens = context.least_prefill_tokens;
+  placement.estimate_ms = candidates[index].own_ms +
+                          std::max(candidates[index].base_ms, level_ms);
+  placement.rate_wait = RateWait(*placement.slot, now);
+  placement.open = placement.slot->load.open(now);
+  placement.slowness = placement.slot->load.slowness(now);
+  placement.relative_time = speed.slowness(placement.slot->server.id, now);
+  return placement;
+}
+
+bool Placer::MayTake(const ServerSlot& slot,
+                     const PlacementRequest& request,
+                     base::TimePoint now) {
+  const auto& excluded = request.excluded;
+  if (request.apart && slot.load.suspects(now) > 0)
+    return false;
+  return slot.accepts_requests() && HasVersion(slot, request) &&
+         std::find(excluded.begin(), excluded.end(), slot.server.id) ==
+             excluded.end();
 }
 
 void Placer::OnPromptSent(const ServerSlot& slot,
@@ -121,57 +140,138 @@
 
 void Placer::RemoveServer(const std::string& id) {
   prompt_indexes_.erase(id);
+  for (auto& [service, speed] : speeds_)
+    speed.RemoveServer(id);
 }
 
-Placer::Estimate Placer::EstimateEngine(const ServerSlot& slot,
-                                        const PlacementRequest& request,
-                                        base::TimePoint now) const {
+void Placer::OnFirstOutput(const Placement& placement,
+                           const Service& service,
+                           base::Duration elapsed,
+                           base::TimePoint now) {
+  // A wait for a place tells nothing of the server's speed.
+  if (!service.engine || placement.open >= placement.slot->server.slots)
+    return;
+  double slowness = placement.slowness * placement.relative_time;
+  SpeedOf(service).OnFirstOutput(
+      static_cast<double>(placement.prefill_tokens),
+      std::max(0.0, Ms(elapsed) - RoundTripMs(*placement.slot)) / slowness,
+      now);
+}
+
+void Placer::OnCompleted(const Placement& placement,
+                         const Service& service,
+                         const RequestOutput& output,
+                         base::TimePoint now) {
+  balance::ServiceSpeed& speed = SpeedOf(service);
+  if (service.engine && output.max_tokens > 0) {
+    speed.OnOutputEnd(static_cast<double>(output.tokens) /
+                          static_cast<double>(output.max_tokens),
+                      now);
+    speed.OnOutput(placement.slot->server.id,
+                   static_cast<double>(output.tokens_after_first),
+                   Ms(output.after_first) / placement.slowness, now);
+  }
+  if (placement.open < placement.slot->server.slots)
+    speed.OnCompleted(
+        Ms(output.elapsed) / placement.slowness / placement.relative_time, now);
+}
+
+balance::ServiceSpeed& Placer::SpeedOf(const Service& service) {
+  balance::Speeds priors;
+  priors.token_ms = settings_.step_ms;
+  priors.first_output_ms = settings_.first_output_ms;
+  priors.prefill_ms_per_token = 1 / settings_.prefill_tokens_per_ms;
+  priors.output_share = settings_.output_share;
+  priors.request_ms = settings_.plain_work_ms;
+  return speeds_.try_emplace(service.name, priors).first->second;
+}
+
+std::int64_t Placer::PrefillTokens(const ServerSlot& slot,
+                                   const PlacementRequest& request) const {
+  if (!request.service.engine)
+    return 0;
   std::int64_t cached = 0;
   if (auto found = prompt_indexes_.find(slot.server.id);
       found != prompt_indexes_.end())
     cached = found->second.CachedTokens(request.chain);
-  Estimate estimate;
-  estimate.prefill_tokens =
-      std::max<std::int64_t>(0, request.profile.prompt_tokens - cached);
-  int open = slot.load.open(now);
-  int slots = std::max(1, slot.server.slots);
-  double output = settings_.output_share *
-                  static_cast<double>(request.profile.max_output_tokens);
-  double decode = output * (settings_.step_ms + settings_.step_ms_per_request *
-                                                    std::min(open + 1, slots));
-  double request_prefill = static_cast<double>(estimate.prefill_tokens) /
-                           settings_.prefill_tokens_per_ms;
-  double backlog = static_cast<double>(slot.load.prefill_tokens(now)) /
-                   settings_.prefill_tokens_per_ms;
+  return std::max<std::int64_t>(0, request.profile.prompt_tokens - cached);
+}
+
+Placer::OpenRequests Placer::EstimateOpen(const ServerSlot& slot,
+                                          const Context& context) {
+  OpenRequests open;
+  double known = slot.load.open(context.now);
+  if (known <= 0)
+    return open;
+  // The gateway's own requests are known exactly.
+  double others = known - slot.load.local_open();
+  double left = balance::OpenAfter(known, slot.server.slots,
+                                   context.request.news_age,
+                                   context.speeds.request_ms);
+  open.ended = (known - left) * others / known;
+  open.left = known - open.ended;
+  open.share = open.left / known;
+  return open;
+}
+
+balance::Candidate Placer::EstimateEngine(const ServerSlot& slot,
+                                          const Context& context,
+                                          const OpenRequests& open) const {
+  const RequestProfile& profile = context.request.profile;
+  const balance::Speeds& speeds = context.speeds;
+  double slots = std::max(1, slot.server.slots);
+  double output =
+      speeds.output_share * static_cast<double>(profile.max_output_tokens);
+  double decode =
+      output * (speeds.token_ms + settings_.step_ms_per_request *
+                                      std::min(open.left + 1, slots));
+  double typical_prefill = static_cast<double>(context.least_prefill_tokens) *
+                           speeds.prefill_ms_per_token;
+  double prefill =
+      static_cast<double>(PrefillTokens(slot, context.request)) *
+      speeds.prefill_ms_per_token;
+  double backlog = static_cast<double>(slot.load.prefill_tokens(context.now)) *
+                   open.share * speeds.prefill_ms_per_token;
   // Prefill stalls all running requests, and each further request in the batch
   // lengthens the decoding step.
-  double delay_to_others =
-      open * (request_prefill + output * settings_.step_ms_per_request);
-  double wait = 0;
-  if (open >= slots)
-    wait = decode * (open - slots + 1) / slots;
-  double total = wait + backlog + request_prefill + decode + delay_to_others;
-  estimate.total_ms = total * slot.load.slowness(now) + RoundTripMs(slot);
-  return estimate;
-}
-
-Placer::Estimate Placer::EstimatePlain(const ServerSlot& slot,
-                                       const PlacementRequest&,
-                                       bool preferred,
-                                       base::TimePoint now) const {
-  Estimate estimate;
-  int slots = std::max(1, slot.server.slots);
-  int open = slot.load.open(now);
-  double work = settings_.plain_work_ms;
-  if (preferred)
-    work *= settings_.preferred_work_factor;
-  double wait = open >= slots ? work * (open - slots + 1) / slots : 0;
+  double delay_to_each =
+      typical_prefill + output * settings_.step_ms_per_request;
+  double wait = decode * std::max(0.0, open.left - slots + 1) / slots;
+  double slowness = slot.load.slowness(context.now) *
+                    context.speed.slowness(slot.server.id, context.now);
+  balance::Candidate candidate;
+  candidate.base_ms = (wait + backlog + typical_prefill + decode +
+                       open.left * delay_to_each) *
+                      slowness;
+  candidate.own_ms = (prefill - typical_prefill) * (1 + open.left) * slowness;
+  candidate.free_places = std::max(0.0, slots - 1 - open.left);
+  candidate.step_ms = std::max(kLeastStepMs, delay_to_each * slowness);
+  candidate.full_step_ms =
+      std::max(kLeastStepMs, (delay_to_each + decode / slots) * slowness);
+  // A small bonus breaks ties between servers without a cached prefix.
+  if (&slot == context.preferred)
+    candidate.own_ms -= 2 * kTieThresholdMs;
+  return candidate;
+}
+
+balance::Candidate Placer::EstimatePlain(const ServerSlot& slot,
+                                         const Context& context,
+                                         const OpenRequests& open) const {
+  double slots = std::max(1, slot.server.slots);
+  double work = context.speeds.request_ms;
+  double wait = work * std::max(0.0, open.left - slots + 1) / slots;
   // A cost proportional to the open requests keeps the servers evenly loaded.
-  double spread =
-      static_cast<double>(open) / slots * settings_.plain_work_ms / 10;
-  estimate.total_ms =
-      (wait + work + spread) * slot.load.slowness(now) + RoundTripMs(slot);
-  return estimate;
+  double spread = work / slots / 10;
+  double slowness = slot.load.slowness(context.now);
+  balance::Candidate candidate;
+  candidate.base_ms = (wait + work + open.left * spread) * slowness;
+  if (&slot == context.preferred)
+    candidate.own_ms -= work * (1 - settings_.preferred_work_factor) * slowness;
+  candidate.free_places = std::max(0.0, slots - 1 - open.left);
+  candidate.step_ms = std::max(kLeastStepMs, spread * slowness);
+  candidate.full_step_ms =
+      std::max(kLeastStepMs, (spread + work / slots) * slowness);
+  return candidate;
 }
 
 double Placer::FailurePenaltyMs(const ServerSlot& slot,
