Remember the usual slowness of a server

Cause: the slowdown factor that a server reports counted for 1.2 s; servers of a slower kind, of which few responses tell, were taken for normal ones again and again, and fast ones too. Change: between reports the factor falls back to the decayed mean of a server's reports, and to 1 only without any. A server's own report goes before a speed that this gateway measures. Result: the class before gives 1.000 for a server that reported 1.6 ten times, 3.5 s after the last report; the test asks for more than 1.4. vl_forwarding_test and vl_balance_test pass.

--- a/packages/balance/bench/balance_model_main.cc
+++ b/packages/balance/bench/balance_model_main.cc
@@ -20,13 +20,14 @@
 namespace {
 
 void PrintTable() {
-  std::printf("p99 of waiting in ms; in brackets the share of servers over "
-              "their slots beside free ones\n");
+  std::printf(
+      "p99 of waiting in ms; in brackets the share of servers over "
+      "their slots beside free ones\n");
   std::printf("%-9s %-7s", "gateways", "news_ms");
   for (std::size_t i = 0; i < kModelPolicies; ++i)
-    std::printf(" %18s", std::string(kModelPolicyNames.name(
-                                         static_cast<ModelPolicy>(i)))
-                             .c_str());
+    std::printf(" %18s",
+                std::string(kModelPolicyNames.name(static_cast<ModelPolicy>(i)))
+                    .c_str());
   std::printf("\n");
   for (int gateways : {1, 5, 30, 110, 410}) {
     for (double news_ms : {0.0, 20.0, 50.0, 100.0, 400.0, 1000.0, 2000.0}) {
--- a/packages/balance/include/vanillalever/balance/service_speed.h
+++ b/packages/balance/include/vanillalever/balance/service_speed.h
@@ -38,10 +38,13 @@
                      double elapsed_ms,
                      base::TimePoint now);
   // `tokens` followed the first output within `elapsed_ms`.
-  void OnOutput(const std::string& server,
-                double tokens,
-                double elapsed_ms,
-                base::TimePoint now);
+  void OnOutput(double tokens, double elapsed_ms, base::TimePoint now);
+  // The same at a server that does not report its slowdown factor, which is
+  // learned then.
+  void OnServerOutput(const std::string& server,
+                      double tokens,
+                      double elapsed_ms,
+                      base::TimePoint now);
   // A request ended; `output_share` of its maximum output.
   void OnOutputEnd(double output_share, base::TimePoint now);
   // A request took `elapsed_ms` at a server with free places.
--- a/packages/balance/src/service_speed.cc
+++ b/packages/balance/src/service_speed.cc
@@ -44,16 +44,22 @@
   first_output_ms_.Add(prefill_tokens, std::min(elapsed_ms, most), now);
 }
 
-void ServiceSpeed::OnOutput(const std::string& server,
-                            double tokens,
+void ServiceSpeed::OnOutput(double tokens,
                             double elapsed_ms,
                             base::TimePoint now) {
+  if (tokens > 0 && elapsed_ms > 0)
+    token_ms_.Add(Bounded(elapsed_ms / tokens, priors_.token_ms), now);
+}
+
+void ServiceSpeed::OnServerOutput(const std::string& server,
+                                  double tokens,
+                                  double elapsed_ms,
+                                  base::TimePoint now) {
   if (tokens <= 0 || elapsed_ms <= 0)
     return;
-  double token_ms = elapsed_ms / tokens;
-  double ratio = std::clamp(token_ms / speeds(now).token_ms,
+  double ratio = std::clamp(elapsed_ms / tokens / speeds(now).token_ms,
                             1 / kMaxServerFactor, kMaxServerFactor);
-  token_ms_.Add(Bounded(token_ms, priors_.token_ms), now);
+  OnOutput(tokens, elapsed_ms, now);
   slowness_.try_emplace(server, 0.0, kServerPriorWeight, kHalfLife)
       .first->second.Add(std::log(ratio), now);
 }
--- a/packages/balance/tests/even_load_model.cc
+++ b/packages/balance/tests/even_load_model.cc
@@ -176,8 +176,8 @@
     for (std::size_t i = 0; i < servers_.size(); ++i) {
       double others = Others(gateway, i);
       double known = own_[gateway][i].open + others;
-      double ended = known - OpenAfter(known, settings_.slots, age,
-                                       settings_.mean_ms);
+      double ended =
+          known - OpenAfter(known, settings_.slots, age, settings_.mean_ms);
       if (known > 0)
         ended *= others / known;
       unseen += ended;
--- a/packages/balance/tests/even_load_model.h
+++ b/packages/balance/tests/even_load_model.h
@@ -32,16 +32,17 @@
 
 inline constexpr std::size_t kModelPolicies = 8;
 
-inline constexpr base::NameTable<ModelPolicy, kModelPolicies> kModelPolicyNames({
-    "random",
-    "least_known",
-    "two_choices",
-    "join_idle",
-    "weighted",
-    "subset",
-    "level",
-    "perfect",
-});
+inline constexpr base::NameTable<ModelPolicy, kModelPolicies> kModelPolicyNames(
+    {
+        "random",
+        "least_known",
+        "two_choices",
+        "join_idle",
+        "weighted",
+        "subset",
+        "level",
+        "perfect",
+    });
 
 struct ModelSettings {
   ModelPolicy policy = ModelPolicy::kLevel;
--- a/packages/balance/tests/level_choice_test.cc
+++ b/packages/balance/tests/level_choice_test.cc
@@ -24,8 +24,8 @@
 }
 
 Candidate AtCost(double base_ms) {
-  return {.base_ms = base_ms, .free_places = 2, .step_ms = 5,
-          .full_step_ms = 20};
+  return {
+      .base_ms = base_ms, .free_places = 2, .step_ms = 5, .full_step_ms = 20};
 }
 
 // Guards against all gateways choosing the server that looked best to them.
@@ -61,7 +61,8 @@
 
 TEST_CASE("known requests end as news gets older") {
   CHECK(OpenAfter(4, 6, milliseconds(0), 150) == Approx(4));
-  CHECK(OpenAfter(4, 6, milliseconds(150), 150) == Approx(4 / 2.718).epsilon(0.01));
+  CHECK(OpenAfter(4, 6, milliseconds(150), 150) ==
+        Approx(4 / 2.718).epsilon(0.01));
   // Twelve wait behind six that run; two of them start every 50 ms.
   CHECK(OpenAfter(18, 6, milliseconds(50), 150) == Approx(16));
   CHECK(OpenAfter(18, 6, milliseconds(300), 150) == Approx(6));
--- a/packages/balance/tests/service_speed_test.cc
+++ b/packages/balance/tests/service_speed_test.cc
@@ -23,7 +23,7 @@
     base::TimePoint now = kStart + milliseconds(20 * i);
     double tokens = 200 * (i % 20);
     speed.OnFirstOutput(tokens, 26 + tokens / 157, now);
-    speed.OnOutput("a", 10, 10 * 7.0, now);
+    speed.OnOutput(10, 10 * 7.0, now);
     speed.OnOutputEnd(0.2, now);
     speed.OnCompleted(60, now);
   }
@@ -45,9 +45,9 @@
   ServiceSpeed speed(kPriors);
   for (int i = 0; i < 12; ++i) {
     base::TimePoint now = kStart + milliseconds(200 * i);
-    speed.OnOutput("fast", 20, 20 * 0.6 * 3.55, now);
-    speed.OnOutput("usual", 20, 20 * 3.55, now);
-    speed.OnOutput("slow", 20, 20 * 1.6 * 3.55, now);
+    speed.OnServerOutput("fast", 20, 20 * 0.6 * 3.55, now);
+    speed.OnServerOutput("usual", 20, 20 * 3.55, now);
+    speed.OnServerOutput("slow", 20, 20 * 1.6 * 3.55, now);
   }
   base::TimePoint now = kStart + seconds(3);
   CHECK(speed.slowness("slow", now) / speed.slowness("usual", now) ==
@@ -62,12 +62,12 @@
 // Guards against one stalled or empty response that spoils what was learned.
 TEST_CASE("absurd measurements have a bounded effect") {
   ServiceSpeed speed(kPriors);
-  speed.OnOutput("a", 0, 100, kStart);
-  speed.OnOutput("a", 10, 0, kStart);
+  speed.OnServerOutput("a", 0, 100, kStart);
+  speed.OnServerOutput("a", 10, 0, kStart);
   CHECK(speed.slowness("a", kStart) == 1);
   for (int i = 0; i < 500; ++i) {
     speed.OnFirstOutput(0, 1e9, kStart);
-    speed.OnOutput("a", 1, 1e9, kStart);
+    speed.OnServerOutput("a", 1, 1e9, kStart);
     speed.OnCompleted(1e9, kStart);
   }
   Speeds speeds = speed.speeds(kStart);
--- a/packages/forwarding/include/vanillalever/forwarding/placement.h
+++ b/packages/forwarding/include/vanillalever/forwarding/placement.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,10 +70,11 @@
 
 // What a completed request brought.
 struct RequestOutput {
-  // Time from the send to the end.
+  // Times from the send to the first output, only of an engine, and to the end.
+  base::Duration first_output{0};
   base::Duration elapsed{0};
-  // Time from the first output to the end.
-  base::Duration after_first{0};
+  // Slowdown factor that the server stated in the response.
+  std::optional<double> reported_slowness;
   // Tokens of all events, and of the events after the first.
   std::int64_t tokens = 0;
   std::int64_t tokens_after_first = 0;
@@ -127,11 +129,6 @@
                     const PromptChain& chain);
   void RemoveServer(const std::string& id);
 
-  // The placed request's first output arrived after `elapsed`.
-  void OnFirstOutput(const Placement& placement,
-                     const Service& service,
-                     base::Duration elapsed,
-                     base::TimePoint now);
   // The placed request ended whole.
   void OnCompleted(const Placement& placement,
                    const Service& service,
--- a/packages/forwarding/include/vanillalever/forwarding/server_load.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_load.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 
+#include "vanillalever/balance/decayed_fit.h"
 #include "vanillalever/base/clock.h"
 
 namespace vanillalever::forwarding {
@@ -40,6 +41,8 @@
 // reports. Not thread-safe.
 class ServerLoad {
  public:
+  ServerLoad();
+
   // A request with `prefill_tokens` uncached prompt tokens was sent.
   void OnSend(std::int64_t prefill_tokens);
   // Its first output arrived, so its prefill is complete.
@@ -76,7 +79,8 @@
   std::int64_t local_prefill_tokens() const { return local_prefill_tokens_; }
   // Prompt tokens queued for prefill at the server.
   std::int64_t prefill_tokens(base::TimePoint now) const;
-  // Slowdown factor; falls back to 1 as the last report ages.
+  // Slowdown factor; falls back to the server's usual one as the last report
+  // ages, and to 1 without reports.
   double slowness(base::TimePoint now) const;
   // Connections failed recently: other servers are preferred.
   bool suspect(base::TimePoint now) const;
@@ -98,6 +102,8 @@
   base::TimePoint report_received_at_{};
   double slowness_ = 1;
   base::TimePoint slowness_updated_at_{};
+  // Logarithm of the reported slowness.
+  balance::DecayedMean usual_slowness_;
   std::optional<base::TimePoint> last_refusal_;
   std::optional<base::TimePoint> suspect_until_;
   int consecutive_failures_ = 0;
--- a/packages/forwarding/src/forwarded_request_speed.cc
+++ b/packages/forwarding/src/forwarded_request_speed.cc
@@ -13,12 +13,12 @@
     return;
   auto now = base::TimePoint::clock::now();
   RequestOutput output;
+  if (reported_)
+    output.reported_slowness = reported_->slowness;
   output.elapsed = now - sent_at_;
   if (service_->engine) {
-    context_.placer.OnFirstOutput(placement_, *service_,
-                                  *first_output_ - sent_at_, now);
+    output.first_output = *first_output_ - sent_at_;
     std::int64_t event_tokens = service_->engine->event_tokens;
-    output.after_first = now - *first_output_;
     output.tokens = framer_.events() * event_tokens;
     output.tokens_after_first =
         (framer_.events() - first_output_events_) * event_tokens;
--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -94,8 +94,7 @@
                                : EstimatePlain(**slot, context, open));
     candidate.own_ms += RoundTripMs(**slot);
     candidate.base_ms +=
-        settings_.rate_wait_factor *
-            Ms(RateWait(**slot, now)) +
+        settings_.rate_wait_factor * Ms(RateWait(**slot, now)) +
         FailurePenaltyMs(**slot, now);
     bool version_unknown = request.resumable && !(*slot)->version_stored;
     if ((*slot)->load.suspect(now) || (*slot)->load.full(now) ||
@@ -108,8 +107,8 @@
   placement.candidates = static_cast<int>(slots.size());
   placement.prefill_tokens = PrefillTokens(*placement.slot, request);
   placement.least_prefill_tokens = context.least_prefill_tokens;
-  placement.estimate_ms = candidates[index].own_ms +
-                          std::max(candidates[index].base_ms, level_ms);
+  placement.estimate_ms =
+      candidates[index].own_ms + std::max(candidates[index].base_ms, level_ms);
   placement.rate_wait = RateWait(*placement.slot, now);
   placement.open = placement.slot->load.open(now);
   placement.slowness = placement.slot->load.slowness(now);
@@ -144,36 +143,38 @@
     speed.RemoveServer(id);
 }
 
-void Placer::OnFirstOutput(const Placement& placement,
-                           const Service& service,
-                           base::Duration elapsed,
-                           base::TimePoint now) {
-  // A wait for a place tells nothing of the server's speed.
-  if (!service.engine || placement.open >= placement.slot->server.slots)
-    return;
-  double slowness = placement.slowness * placement.relative_time;
-  SpeedOf(service).OnFirstOutput(
-      static_cast<double>(placement.prefill_tokens),
-      std::max(0.0, Ms(elapsed) - RoundTripMs(*placement.slot)) / slowness,
-      now);
-}
-
 void Placer::OnCompleted(const Placement& placement,
                          const Service& service,
                          const RequestOutput& output,
                          base::TimePoint now) {
   balance::ServiceSpeed& speed = SpeedOf(service);
-  if (service.engine && output.max_tokens > 0) {
-    speed.OnOutputEnd(static_cast<double>(output.tokens) /
-                          static_cast<double>(output.max_tokens),
-                      now);
-    speed.OnOutput(placement.slot->server.id,
-                   static_cast<double>(output.tokens_after_first),
-                   Ms(output.after_first) / placement.slowness, now);
+  const ServerSlot& slot = *placement.slot;
+  double slowness = output.reported_slowness.value_or(placement.slowness *
+                                                      placement.relative_time);
+  // A wait for a place tells nothing of the server's speed.
+  bool at_once = placement.open < slot.server.slots;
+  if (at_once)
+    speed.OnCompleted(Ms(output.elapsed) / slowness, now);
+  if (!service.engine || output.max_tokens <= 0)
+    return;
+  speed.OnOutputEnd(static_cast<double>(output.tokens) /
+                        static_cast<double>(output.max_tokens),
+                    now);
+  if (at_once) {
+    speed.OnFirstOutput(
+        static_cast<double>(placement.prefill_tokens),
+        std::max(0.0, Ms(output.first_output) - RoundTripMs(slot)) / slowness,
+        now);
   }
-  if (placement.open < placement.slot->server.slots)
-    speed.OnCompleted(
-        Ms(output.elapsed) / placement.slowness / placement.relative_time, now);
+  double rest_ms = Ms(output.elapsed - output.first_output);
+  auto rest_tokens = static_cast<double>(output.tokens_after_first);
+  // The server's own word on its speed goes before what can be measured beside
+  // other requests.
+  if (output.reported_slowness)
+    speed.OnOutput(rest_tokens, rest_ms / slowness, now);
+  else
+    speed.OnServerOutput(slot.server.id, rest_tokens,
+                         rest_ms / placement.slowness, now);
 }
 
 balance::ServiceSpeed& Placer::SpeedOf(const Service& service) {
@@ -205,9 +206,9 @@
     return open;
   // The gateway's own requests are known exactly.
   double others = known - slot.load.local_open();
-  double left = balance::OpenAfter(known, slot.server.slots,
-                                   context.request.news_age,
-                                   context.speeds.request_ms);
+  double left =
+      balance::OpenAfter(known, slot.server.slots, context.request.news_age,
+                         context.speeds.request_ms);
   open.ended = (known - left) * others / known;
   open.left = known - open.ended;
   open.share = open.left / known;
@@ -223,13 +224,12 @@
   double output =
       speeds.output_share * static_cast<double>(profile.max_output_tokens);
   double decode =
-      output * (speeds.token_ms + settings_.step_ms_per_request *
-                                      std::min(open.left + 1, slots));
+      output * (speeds.token_ms +
+                settings_.step_ms_per_request * std::min(open.left + 1, slots));
   double typical_prefill = static_cast<double>(context.least_prefill_tokens) *
                            speeds.prefill_ms_per_token;
-  double prefill =
-      static_cast<double>(PrefillTokens(slot, context.request)) *
-      speeds.prefill_ms_per_token;
+  double prefill = static_cast<double>(PrefillTokens(slot, context.request)) *
+                   speeds.prefill_ms_per_token;
   double backlog = static_cast<double>(slot.load.prefill_tokens(context.now)) *
                    open.share * speeds.prefill_ms_per_token;
   // Prefill stalls all running requests, and each further request in the batch
@@ -240,9 +240,9 @@
   double slowness = slot.load.slowness(context.now) *
                     context.speed.slowness(slot.server.id, context.now);
   balance::Candidate candidate;
-  candidate.base_ms = (wait + backlog + typical_prefill + decode +
-                       open.left * delay_to_each) *
-                      slowness;
+  candidate.base_ms =
+      (wait + backlog + typical_prefill + decode + open.left * delay_to_each) *
+      slowness;
   candidate.own_ms = (prefill - typical_prefill) * (1 + open.left) * slowness;
   candidate.free_places = std::max(0.0, slots - 1 - open.left);
   candidate.step_ms = std::max(kLeastStepMs, delay_to_each * slowness);
--- a/packages/forwarding/src/server_load.cc
+++ b/packages/forwarding/src/server_load.cc
@@ -14,6 +14,11 @@
 // A quarter of the time in which a reported slowness loses its effect. Short,
 // because the load on a server's machine changes many times a second.
 constexpr milliseconds kSlownessLifetime{300};
+// Half-life of the usual slowness of a server: many of the changes above. A
+// server that was slow is then tried again from time to time.
+constexpr base::seconds kUsualSlownessHalfLife{10};
+// Least slowness that counts; a malformed report may hold zero.
+constexpr double kLeastSlowness = 0.05;
 // After this time, about that of one short request, the counts that a server
 // reported are ignored in favour of the gateways' counts.
 constexpr milliseconds kReportedCountLifetime{100};
@@ -34,6 +39,9 @@
 
 }  // namespace
 
+ServerLoad::ServerLoad()
+    : usual_slowness_(0, /*prior_weight=*/1, kUsualSlownessHalfLife) {}
+
 void ServerLoad::OnSend(std::int64_t prefill_tokens) {
   ++local_open_;
   local_prefill_tokens_ += prefill_tokens;
@@ -64,8 +72,9 @@
 }
 
 void ServerLoad::OnSlowness(double slowness, base::TimePoint now) {
-  slowness_ = slowness;
+  slowness_ = std::max(slowness, kLeastSlowness);
   slowness_updated_at_ = now;
+  usual_slowness_.Add(std::log(slowness_), now);
 }
 
 void ServerLoad::RemovePeer(std::uint64_t peer) {
@@ -122,7 +131,8 @@
       std::chrono::duration<double>(now - slowness_updated_at_).count();
   double lifetime = std::chrono::duration<double>(kSlownessLifetime).count();
   double trust = std::max(0.0, 1 - age / (4 * lifetime));
-  return 1 + trust * (slowness_ - 1);
+  double usual = std::exp(usual_slowness_.value(now));
+  return usual + trust * (slowness_ - usual);
 }
 
 void ServerLoad::OnOutcomes(const RequestOutcomes& outcomes,
--- a/packages/forwarding/tests/placement_test.cc
+++ b/packages/forwarding/tests/placement_test.cc
@@ -357,6 +357,48 @@
   CHECK(fixture.Place().slot->server.id == "c");
 }
 
+// Guards against slow machines that get requests again and again because the
+// gateway forgets between two reports that they are slow.
+TEST_CASE("a server is known as usually slow when its last report is old") {
+  PlacementFixture fixture;
+  for (int i = 0; i < 10; ++i) {
+    base::TimePoint now = kStart + milliseconds(500 * i);
+    fixture.registry.find("a")->load.OnSlowness(1.6, now);
+    fixture.registry.find("b")->load.OnSlowness(0.6, now);
+  }
+  base::TimePoint later = kStart + base::seconds(8);
+  CHECK(fixture.registry.find("a")->load.slowness(later) > 1.4);
+  CHECK(fixture.registry.find("b")->load.slowness(later) < 0.75);
+  CHECK(fixture.registry.find("c")->load.slowness(later) == 1);
+  CHECK(fixture.registry.find("a")->load.slowness(later + base::seconds(120)) ==
+        Approx(1).margin(0.01));
+}
+
+// Guards against gateways that all send to the server that was least loaded
+// when they heard of each other last.
+TEST_CASE("gateways with the same old news choose different servers") {
+  PlacementFixture fixture;
+  fixture.registry.find("a")->load.OnPeerLoad(
+      9, {.open = 2, .received_at = kStart});
+  fixture.registry.find("b")->load.OnPeerLoad(
+      9, {.open = 2, .received_at = kStart});
+  PlacementRequest request{fixture.profile, fixture.chain, fixture.service,
+                           false, fixture.excluded};
+  const auto& servers = fixture.registry.servers("tools");
+  int fresh = 0;
+  int old = 0;
+  for (std::uint64_t gateway = 0; gateway < 200; ++gateway) {
+    Placer placer({}, "here", gateway);
+    request.news_age = milliseconds(0);
+    fresh += placer.Place(servers, request, kStart).slot->server.id == "c";
+    request.news_age = milliseconds(400);
+    old += placer.Place(servers, request, kStart).slot->server.id == "c";
+  }
+  CHECK(fresh == 200);
+  CHECK(old > 200 / 3);
+  CHECK(old < 160);
+}
+
 // Sends 40 requests per second, of 100 ms each, to five servers, `bad` of which
 // fail 40 % of their requests. Returns the share of failed requests.
 double SimulateFailures(int bad, std::uint64_t seed) {
