Ignore short disturbances in the usual slowness; count the whole hold of a place

The wait at a full engine counted only the decoding of those before. Change: the usual slowness moves by a tenth at most towards each report. A request holds its place from its send to its end.

--- a/packages/balance/include/vanillalever/balance/decayed_fit.h
+++ b/packages/balance/include/vanillalever/balance/decayed_fit.h
@@ -26,6 +26,23 @@
   base::TimePoint updated_at_{};
 };
 
+// Usual one of measurements that are now and then far off: moves by at most
+// `step` towards each, and decays to 0 with time. Not thread-safe.
+class DecayedUsual {
+ public:
+  DecayedUsual(double step, base::Duration half_life)
+      : step_(step), half_life_(half_life) {}
+
+  void Add(double value, base::TimePoint now);
+  double value(base::TimePoint now) const;
+
+ private:
+  double step_;
+  base::Duration half_life_;
+  double usual_ = 0;
+  base::TimePoint updated_at_{};
+};
+
 // Line through measurements, by least squares, with the same weights. The prior
 // is a line and the range of x in which it counts. Not thread-safe.
 class DecayedLine {
--- a/packages/balance/src/decayed_fit.cc
+++ b/packages/balance/src/decayed_fit.cc
@@ -36,6 +36,16 @@
   return weight_ > 0 ? DecayOver(now - updated_at_, half_life_) : 0;
 }
 
+void DecayedUsual::Add(double value, base::TimePoint now) {
+  double usual = this->value(now);
+  usual_ = usual + std::clamp(value - usual, -step_, step_);
+  updated_at_ = now;
+}
+
+double DecayedUsual::value(base::TimePoint now) const {
+  return usual_ == 0 ? 0 : usual_ * DecayOver(now - updated_at_, half_life_);
+}
+
 DecayedLine::DecayedLine(Coefficients prior,
                          double prior_range,
                          double prior_weight,
--- a/packages/balance/tests/service_speed_test.cc
+++ b/packages/balance/tests/service_speed_test.cc
@@ -78,5 +78,14 @@
   CHECK(speed.slowness("a", kStart) <= 2.5);
 }
 
+TEST_CASE("the usual value follows a change and ignores single deviations") {
+  DecayedUsual usual(0.1, seconds(10));
+  CHECK(usual.value(kStart) == 0);
+  for (int i = 0; i < 100; ++i)
+    usual.Add(i % 7 == 0 ? 2 : 0.5, kStart + milliseconds(20 * i));
+  CHECK(usual.value(kStart + seconds(2)) == Approx(0.5).margin(0.1));
+  CHECK(usual.value(kStart + seconds(120)) < 0.01);
+}
+
 }  // namespace
 }  // namespace vanillalever::balance
--- a/packages/forwarding/include/vanillalever/forwarding/server_load.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_load.h
@@ -103,7 +103,7 @@
   double slowness_ = 1;
   base::TimePoint slowness_updated_at_{};
   // Logarithm of the reported slowness.
-  balance::DecayedMean usual_slowness_;
+  balance::DecayedUsual usual_slowness_;
   std::optional<base::TimePoint> last_refusal_;
   std::optional<base::TimePoint> suspect_until_;
   int consecutive_failures_ = 0;
--- a/packages/forwarding/src/forwarded_request_log.cc
+++ b/packages/forwarding/src/forwarded_request_log.cc
@@ -59,6 +59,7 @@
        {"reported", ReportText(reported_)},
        {"rate_wait_ms", Ms(rate_waited_)},
        {"limit", stated_limit_ ? Decimal(*stated_limit_) : "-"},
+       {"sent_ms", sends_ > 0 ? Ms(sent_at_ - arrived_at_) : "-"},
        {"first_ms", first_output_ ? Ms(*first_output_ - sent_at_) : "-"},
        {"took_ms", Ms(now - arrived_at_)}});
 }
--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -236,18 +236,19 @@
   // lengthens the decoding step.
   double delay_to_each =
       typical_prefill + output * settings_.step_ms_per_request;
-  double wait = decode * std::max(0.0, open.left - slots + 1) / slots;
+  // Time for which a typical request holds its place.
+  double hold = speeds.first_output_ms + typical_prefill + decode;
+  double wait = hold * std::max(0.0, open.left - slots + 1) / slots;
   double slowness = slot.load.slowness(context.now) *
                     context.speed.slowness(slot.server.id, context.now);
   balance::Candidate candidate;
   candidate.base_ms =
-      (wait + backlog + typical_prefill + decode + open.left * delay_to_each) *
-      slowness;
+      (wait + backlog + hold + open.left * delay_to_each) * slowness;
   candidate.own_ms = (prefill - typical_prefill) * (1 + open.left) * slowness;
   candidate.free_places = std::max(0.0, slots - 1 - open.left);
   candidate.step_ms = std::max(kLeastStepMs, delay_to_each * slowness);
   candidate.full_step_ms =
-      std::max(kLeastStepMs, (delay_to_each + decode / slots) * slowness);
+      std::max(kLeastStepMs, (delay_to_each + hold / slots) * slowness);
   // A small bonus breaks ties between servers without a cached prefix.
   if (&slot == context.preferred)
     candidate.own_ms -= 2 * kTieThresholdMs;
--- a/packages/forwarding/src/server_load.cc
+++ b/packages/forwarding/src/server_load.cc
@@ -17,6 +17,9 @@
 // Half-life of the usual slowness of a server: many of the changes above. A
 // server that was slow is then tried again from time to time.
 constexpr base::seconds kUsualSlownessHalfLife{10};
+// A report changes the usual slowness by at most this factor (a logarithm), so
+// that short disturbances have little effect.
+constexpr double kUsualSlownessStep = 0.1;
 // Least slowness that counts; a malformed report may hold zero.
 constexpr double kLeastSlowness = 0.05;
 // After this time, about that of one short request, the counts that a server
@@ -40,7 +43,7 @@
 }  // namespace
 
 ServerLoad::ServerLoad()
-    : usual_slowness_(0, /*prior_weight=*/1, kUsualSlownessHalfLife) {}
+    : usual_slowness_(kUsualSlownessStep, kUsualSlownessHalfLife) {}
 
 void ServerLoad::OnSend(std::int64_t prefill_tokens) {
   ++local_open_;
