Let the level spread requests over data centres

Change: distance and the tie-breaker of sessions count in the cost that the level compares. Also: the stated goals that the choice does not reach are tests of their own, listed in KNOWN-RED.txt.

--- a/packages/balance/tests/even_load_test.cc
+++ b/packages/balance/tests/even_load_test.cc
@@ -46,6 +46,30 @@
   CHECK(level < least_known);
 }
 
+// The same if peers are heard of as late as servers' reports: not reached, see
+// KNOWN-RED.txt.
+TEST_CASE("30 gateways come near perfect knowledge with all news 400 ms old",
+          "[.][late_news]") {
+  ModelSettings settings = Burst();
+  settings.news_ms = 400;
+  double level = P99Wait(settings, ModelPolicy::kLevel);
+  double perfect = P99Wait(settings, ModelPolicy::kPerfect);
+  INFO("level " << level << " perfect " << perfect);
+  CHECK(level <= 1.2 * perfect);
+}
+
+// 23 requests in 20 ms are unseen by every gateway here; perfect knowledge
+// hardly waits.
+TEST_CASE("30 gateways come near perfect knowledge in a steady load",
+          "[.][steady_load]") {
+  ModelSettings settings;
+  settings.news_ms = 30;
+  double level = P99Wait(settings, ModelPolicy::kLevel);
+  double perfect = P99Wait(settings, ModelPolicy::kPerfect);
+  INFO("level " << level << " perfect " << perfect);
+  CHECK(level <= 1.2 * perfect);
+}
+
 TEST_CASE("the choice by level is not worse than a random one at any age") {
   for (int gateways : {1, 30, 410}) {
     for (double news_ms : {0.0, 30.0, 100.0, 400.0, 1000.0, 2000.0}) {
--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -92,7 +92,8 @@
     balance::Candidate& candidate = candidates.emplace_back(
         request.service.engine ? EstimateEngine(**slot, context, open)
                                : EstimatePlain(**slot, context, open));
-    candidate.own_ms += RoundTripMs(**slot);
+    // Counts as load, so that the level spreads requests over data centres too.
+    candidate.base_ms += RoundTripMs(**slot);
     candidate.base_ms +=
         settings_.rate_wait_factor * Ms(RateWait(**slot, now)) +
         FailurePenaltyMs(**slot, now);
@@ -251,7 +252,7 @@
       std::max(kLeastStepMs, (delay_to_each + hold / slots) * slowness);
   // A small bonus breaks ties between servers without a cached prefix.
   if (&slot == context.preferred)
-    candidate.own_ms -= 2 * kTieThresholdMs;
+    candidate.base_ms -= 2 * kTieThresholdMs;
   return candidate;
 }
 
