--- a/packages/balance/include/vanillalever/balance/decayed_fit.h
+++ b/packages/balance/include/vanillalever/balance/decayed_fit.h
@@ -26,18 +26,19 @@
   base::TimePoint updated_at_{};
 };
 
-// Usual one of measurements that are now and then far off: moves by at most
-// `step` towards each, and decays to 0 with time. Not thread-safe.
+// Usual one of measurements that are far off for short times: moves towards
+// each at a bounded speed, and decays to 0 with time. Not thread-safe.
 class DecayedUsual {
  public:
-  DecayedUsual(double step, base::Duration half_life)
-      : step_(step), half_life_(half_life) {}
+  // `speed`: largest change per second between measurements.
+  DecayedUsual(double speed, base::Duration half_life)
+      : speed_(speed), half_life_(half_life) {}
 
   void Add(double value, base::TimePoint now);
   double value(base::TimePoint now) const;
 
  private:
-  double step_;
+  double speed_;
   base::Duration half_life_;
   double usual_ = 0;
   base::TimePoint updated_at_{};
--- a/packages/balance/src/decayed_fit.cc
+++ b/packages/balance/src/decayed_fit.cc
@@ -6,6 +6,9 @@
 namespace vanillalever::balance {
 namespace {
 
+// A measurement after a longer gap moves the usual value no further.
+constexpr base::milliseconds kLongestGap{500};
+
 double DecayOver(base::Duration elapsed, base::Duration half_life) {
   double half_lives = std::chrono::duration<double>(elapsed) /
                       std::chrono::duration<double>(half_life);
@@ -38,7 +41,11 @@
 
 void DecayedUsual::Add(double value, base::TimePoint now) {
   double usual = this->value(now);
-  usual_ = usual + std::clamp(value - usual, -step_, step_);
+  double seconds = std::chrono::duration<double>(
+                       std::min<base::Duration>(now - updated_at_, kLongestGap))
+                       .count();
+  double most = speed_ * std::max(0.0, seconds);
+  usual_ = usual + std::clamp(value - usual, -most, most);
   updated_at_ = now;
 }
 
--- a/packages/balance/tests/service_speed_test.cc
+++ b/packages/balance/tests/service_speed_test.cc
@@ -78,12 +78,17 @@
   CHECK(speed.slowness("a", kStart) <= 2.5);
 }
 
-TEST_CASE("the usual value follows a change and ignores single deviations") {
-  DecayedUsual usual(0.1, seconds(10));
+// Guards against a short disturbance that counts as a slow machine because many
+// responses tell of it.
+TEST_CASE("the usual value follows a change and ignores short deviations") {
+  DecayedUsual usual(0.25, seconds(10));
   CHECK(usual.value(kStart) == 0);
   for (int i = 0; i < 100; ++i)
-    usual.Add(i % 7 == 0 ? 2 : 0.5, kStart + milliseconds(20 * i));
-  CHECK(usual.value(kStart + seconds(2)) == Approx(0.5).margin(0.1));
+    usual.Add(i % 7 == 0 ? 2 : 0.5, kStart + milliseconds(50 * i));
+  CHECK(usual.value(kStart + seconds(5)) == Approx(0.5).margin(0.1));
+  for (int i = 0; i < 100; ++i)
+    usual.Add(2, kStart + seconds(5) + milliseconds(4 * i));
+  CHECK(usual.value(kStart + milliseconds(5400)) < 0.65);
   CHECK(usual.value(kStart + seconds(120)) < 0.01);
 }
 
--- a/packages/forwarding/src/server_load.cc
+++ b/packages/forwarding/src/server_load.cc
@@ -17,9 +17,12 @@
 // Half-life of the usual slowness of a server: many of the changes above. A
 // server that was slow is then tried again from time to time.
 constexpr base::seconds kUsualSlownessHalfLife{10};
-// A report changes the usual slowness by at most this factor (a logarithm), so
-// that short disturbances have little effect.
-constexpr double kUsualSlownessStep = 0.1;
+// Change of the usual slowness in a second (a logarithm): slow against the
+// disturbances of a server's machine.
+constexpr double kUsualSlownessSpeed = 0.25;
+// A usual slowness closer to 1 than this (a logarithm) is taken for noise,
+// which must not keep requests from a server.
+constexpr double kSlownessNoise = 0.2;
 // Least slowness that counts; a malformed report may hold zero.
 constexpr double kLeastSlowness = 0.05;
 // After this time, about that of one short request, the counts that a server
@@ -43,7 +46,7 @@
 }  // namespace
 
 ServerLoad::ServerLoad()
-    : usual_slowness_(kUsualSlownessStep, kUsualSlownessHalfLife) {}
+    : usual_slowness_(kUsualSlownessSpeed, kUsualSlownessHalfLife) {}
 
 void ServerLoad::OnSend(std::int64_t prefill_tokens) {
   ++local_open_;
@@ -134,7 +137,8 @@
       std::chrono::duration<double>(now - slowness_updated_at_).count();
   double lifetime = std::chrono::duration<double>(kSlownessLifetime).count();
   double trust = std::max(0.0, 1 - age / (4 * lifetime));
-  double usual = std::exp(usual_slowness_.value(now));
+  double logarithm = usual_slowness_.value(now);
+  double usual = std::abs(logarithm) < kSlownessNoise ? 1 : std::exp(logarithm);
   return usual + trust * (slowness_ - usual);
 }
 
--- a/packages/forwarding/tests/placement_test.cc
+++ b/packages/forwarding/tests/placement_test.cc
@@ -370,12 +370,12 @@
   CHECK(fixture.registry.find("a")->load.slowness(later) > 1.4);
   CHECK(fixture.registry.find("b")->load.slowness(later) < 0.75);
   CHECK(fixture.registry.find("c")->load.slowness(later) == 1);
-  // Short disturbances of a normal server.
-  for (int i = 0; i < 40; ++i) {
-    base::TimePoint now = kStart + milliseconds(100 * i);
-    fixture.registry.find("c")->load.OnSlowness(i % 6 == 0 ? 2.5 : 1.0, now);
+  // A disturbance of 0.6 s at a normal server, of which all gateways tell.
+  for (int i = 0; i < 60; ++i) {
+    fixture.registry.find("c")->load.OnSlowness(
+        2.5, kStart + base::seconds(2) + milliseconds(10 * i));
   }
-  CHECK(fixture.registry.find("c")->load.slowness(later) < 1.1);
+  CHECK(fixture.registry.find("c")->load.slowness(later) == 1);
   CHECK(fixture.registry.find("a")->load.slowness(later + base::seconds(120)) ==
         Approx(1).margin(0.01));
 }
