--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -94,9 +94,10 @@
                                : EstimatePlain(**slot, context, open));
     // Counts as load, so that the level spreads requests over data centres too.
     candidate.base_ms += RoundTripMs(**slot);
-    candidate.base_ms +=
-        settings_.rate_wait_factor * Ms(RateWait(**slot, now)) +
-        FailurePenaltyMs(**slot, now);
+    // Servers that limit their requests or fail are avoided also below the
+    // level.
+    candidate.own_ms += settings_.rate_wait_factor * Ms(RateWait(**slot, now)) +
+                        FailurePenaltyMs(**slot, now);
     bool version_unknown = request.resumable && !(*slot)->version_stored;
     if ((*slot)->load.suspect(now) || (*slot)->load.full(now) ||
         version_unknown)
