Count the wait at a full engine for those behind it too

Cause: engines of the fastest kind were filled beyond their slots until the wait there cost a request as much as a slower, free engine; the requests that come after it wait as well. Change: the wait counts twice, as the wait for a server that limits its requests counts four times.

--- a/packages/forwarding/include/vanillalever/forwarding/placement.h
+++ b/packages/forwarding/include/vanillalever/forwarding/placement.h
@@ -44,6 +44,8 @@
   // Factor on the wait for a server that limits its requests: a request that
   // waits there also delays those that come to the server after it.
   double rate_wait_factor = 4;
+  // Factor on the wait for a place at a full engine, for the same reason.
+  double queue_wait_factor = 2;
   // Network round trip within the data centre and to another one.
   double local_round_trip_ms = 0.4;
   double remote_round_trip_ms = 2.5;
--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -240,7 +240,8 @@
       typical_prefill + output * settings_.step_ms_per_request;
   // Time for which a typical request holds its place.
   double hold = speeds.first_output_ms + typical_prefill + decode;
-  double wait = hold * std::max(0.0, open.left - slots + 1) / slots;
+  double wait = settings_.queue_wait_factor * hold *
+                std::max(0.0, open.left - slots + 1) / slots;
   double slowness = slot.load.slowness(context.now) *
                     context.speed.slowness(slot.server.id, context.now);
   balance::Candidate candidate;
@@ -249,8 +250,9 @@
   candidate.own_ms = (prefill - typical_prefill) * (1 + open.left) * slowness;
   candidate.free_places = std::max(0.0, slots - 1 - open.left);
   candidate.step_ms = std::max(kLeastStepMs, delay_to_each * slowness);
-  candidate.full_step_ms =
-      std::max(kLeastStepMs, (delay_to_each + hold / slots) * slowness);
+  candidate.full_step_ms = std::max(
+      kLeastStepMs,
+      (delay_to_each + settings_.queue_wait_factor * hold / slots) * slowness);
   // A small bonus breaks ties between servers without a cached prefix.
   if (&slot == context.preferred)
     candidate.base_ms -= 2 * kTieThresholdMs;
