--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -155,6 +155,7 @@
     request.software_version = &*stream_version_;
   request.resumable = may_be_resumed();
   request.apart = admission != guard::Admission::kNormal;
+  request.news_age = context_.peers.news_age();
   Placement placement = context_.placer.Place(
       context_.registry.servers(service_->name), request, now);
   if (!placement.slot || excluded_.size() >= kMaxConsecutiveRefusals)
@@ -338,6 +339,7 @@
   context_.admission.OnBegun(program_hash(), *first_output_);
   context_.metrics.latency.first_event_seconds.Observe(
       Seconds(*first_output_ - sent_at_));
+  first_output_events_ = framer_.events();
 }
 
 void ForwardedRequest::RecordResponse() {
@@ -373,6 +375,7 @@
   RecordOutcome(status_ >= kFirstServerErrorStatus);
   RecordCompletion();
   RecordServiceTime();
+  RecordSpeed();
   EndSend(true);
   if (response_mode_ == ResponseMode::kRelayed)
     return FinishBody();
