--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -175,6 +175,7 @@
     settings.peers.address = node.ip + ":" + std::to_string(node.first_port);
     settings.peers.cpu_millicores = node.cpu_millicores;
     settings.allotments.window = node.allotment_window;
+    settings.allotments.excess = node.allotment_excess;
     settings.allotments.slack = node.allotment_slack;
     // The rest is for connections, requests in progress and their prompts.
     constexpr std::size_t kMemoryDivisor = 6;
--- a/packages/rate/include/vanillalever/rate/allotment_book.h
+++ b/packages/rate/include/vanillalever/rate/allotment_book.h
@@ -19,8 +19,16 @@
 struct AllotmentSettings {
   // Sliding window over which allotments are judged.
   base::Duration window = base::seconds(5);
-  // Requests of an organisation that may run in a window beyond its allotment.
+  // What may run in a window beyond an allotment: a fraction of it, and a number
+  // of requests.
+  double excess = 0.1;
   double slack = 20;
+  // Part of that which is kept for requests that the gateways do not know of in
+  // time, as time at the organisation's rate: an unnoticed loss of contact, and
+  // announcements on their way while it asks for several times its rate. The
+  // rest adds to the burst, so that organisations with a low rate can run a few
+  // programs at once.
+  base::Duration unknown = base::milliseconds(1500);
   // A gateway that has sent no message for this long counts as out of contact:
   // two of its complete messages are lost or late.
   base::Duration silence = base::milliseconds(700);
--- a/packages/rate/tests/allotment_book_test.cc
+++ b/packages/rate/tests/allotment_book_test.cc
@@ -15,9 +15,16 @@
 constexpr base::TimePoint kNow = kStart + seconds(20);
 const std::vector<AllotmentLimit> limits{{"acme", 10, 5}, {"free", 0, 0}};
 
+// Without tolerance.
+AllotmentSettings Exact() {
+  AllotmentSettings settings;
+  settings.excess = settings.slack = 0;
+  return settings;
+}
+
 // A book that has run for long, of one gateway in full contact.
 AllotmentBook Settled(std::size_t gateways) {
-  AllotmentBook book({}, 1);
+  AllotmentBook book(Exact(), 1);
   book.SetReach({1, gateways}, kStart);
   book.SetLimits(limits, kStart);
   for (milliseconds before{10000}; before >= seconds(0);
@@ -43,10 +50,26 @@
   CHECK(book.TakeChanges().size() == 1);
 }
 
+// Guards against organisations with a low rate that are refused though a window
+// has room, and against those with a high one that use up what is needed for
+// requests that cross.
+TEST_CASE("a part of the tolerance adds to the burst of a low rate") {
+  AllotmentBook book({}, 1);
+  book.SetReach({1, 1}, kStart);
+  book.SetLimits({}, kStart);
+  book.SetLimits({{"acme", 2, 2}, {"large", 100, 10}}, kStart);
+  // 2 at once, and 20 + 0.1 x 12 less 1.5 s of the rate.
+  CHECK(CountTaken(book, 100, kStart) == 21);
+  int large = 0;
+  for (int i = 0; i < 100; ++i)
+    large += book.Take("large", kStart) ? 0 : 1;
+  CHECK(large == 11);
+}
+
 // Guards against a burst that is granted to each process that starts, and
 // against requests before the other gateways are known.
 TEST_CASE("a fresh process has no credit") {
-  AllotmentBook book({}, 1);
+  AllotmentBook book(Exact(), 1);
   book.SetReach({0, 1}, kStart);
   book.SetLimits(limits, kStart);
   CHECK(CountTaken(book, 10, kStart + seconds(5)) == 0);
