--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -51,6 +51,7 @@
   base::Counter& withdrawn_keys;
   base::Counter& organisations;
   base::Counter& keys;
+  base::Counter& idle_rejections;
   AllotmentCounters allotments;
   LatencyHistograms latency;
 };
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -97,6 +97,10 @@
       organisations(registry.gauge("vl_gateway_organisations",
                                    "Organisations in the configuration.")),
       keys(registry.gauge("vl_gateway_keys", "Keys in the configuration.")),
+      idle_rejections(registry.counter(
+          "vl_gateway_idle_rejections_total",
+          "Connections beyond the limit that were closed without a request, "
+          "because others waited.")),
       allotments{
           registry.counter("vl_gateway_allotment_requests_total",
                            "Requests counted toward an allotment."),
