--- a/packages/rate/include/vanillalever/rate/allotment_book.h
+++ b/packages/rate/include/vanillalever/rate/allotment_book.h
@@ -23,12 +23,12 @@
   // of requests.
   double excess = 0.1;
   double slack = 20;
-  // Part of that which is kept for requests that the gateways do not know of in
-  // time, as time at the organisation's rate: an unnoticed loss of contact, and
-  // announcements on their way while it asks for several times its rate. The
-  // rest adds to the burst, so that organisations with a low rate can run a few
-  // programs at once.
-  base::Duration unknown = base::milliseconds(1500);
+  // Part of that which adds to the burst, less what is sent at the
+  // organisation's rate in `unknown`, so that organisations with a low rate can
+  // run a few programs at once. The rest is kept for requests that the gateways
+  // do not know of in time.
+  double usable = 1.0 / 3;
+  base::Duration unknown = base::milliseconds(500);
   // A gateway that has sent no message for this long counts as out of contact:
   // two of its complete messages are lost or late.
   base::Duration silence = base::milliseconds(700);
--- a/packages/rate/src/allotment_book.cc
+++ b/packages/rate/src/allotment_book.cc
@@ -33,9 +33,10 @@
 RateLimit AllotmentBook::Limit(const AllotmentLimit& limit) const {
   double allotment =
       limit.per_second * Seconds(settings_.window) + limit.burst;
-  double tolerance = settings_.excess * allotment + settings_.slack -
-                     limit.per_second * Seconds(settings_.unknown);
-  double credit = limit.burst + std::max(tolerance, 0.0);
+  double tolerance = settings_.excess * allotment + settings_.slack;
+  double extra = settings_.usable * tolerance -
+                 limit.per_second * Seconds(settings_.unknown);
+  double credit = limit.burst + std::max(extra, 0.0);
   // What was taken before the window is not judged any more.
   return {limit.per_second, FromSeconds(credit / limit.per_second),
           settings_.window};
--- a/packages/rate/tests/allotment_book_test.cc
+++ b/packages/rate/tests/allotment_book_test.cc
@@ -58,8 +58,8 @@
   book.SetReach({1, 1}, kStart);
   book.SetLimits({}, kStart);
   book.SetLimits({{"acme", 2, 2}, {"large", 100, 10}}, kStart);
-  // 2 at once, and 20 + 0.1 x 12 less 1.5 s of the rate.
-  CHECK(CountTaken(book, 100, kStart) == 21);
+  // 2 at once, and a third of 20 + 0.1 x 12 less 0.5 s of the rate.
+  CHECK(CountTaken(book, 100, kStart) == 9);
   int large = 0;
   for (int i = 0; i < 100; ++i)
     large += book.Take("large", kStart) ? 0 : 1;
