Let the soak replace keys

Cause: the soak knew no organisations. Change: with an even seed its callers belong to organisations; keys are replaced, at times while a gateway stands still for longer than their bound. Checked are the organisation that servers receive, keys that are unknown or were taken away, and turns of others.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -5,6 +5,7 @@
 callers and servers observe.
 
 Usage: soak.py GATEWAY_BINARY [--seeds 1,2,...] [--seconds S]
+With an even seed callers belong to organisations, whose keys are replaced.
 Each seed prints one line; a violation ends the run with exit code 1 and keeps the gateways' logs.
 """
 import argparse
@@ -22,6 +23,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "gateway"))
 import gateway_test  # noqa: E402
+import key_ring  # noqa: E402
 import standin  # noqa: E402
 
 ROUTES = gateway_test.ROUTES + [
@@ -94,6 +96,7 @@
     def __init__(self, soak, number):
         self.soak, self.number = soak, number
         self.random = random.Random(soak.seed * 1000 + number)
+        self.organisation = key_ring.NAMES[number % len(key_ring.NAMES)] if soak.keys else ""
         self.reader = self.writer = None
         # Events of the response that is being read.
         self.partial = b""
@@ -126,7 +129,7 @@
         body, previous = b"body", None
         if kind == "chat":
             body = self.random.randbytes(self.random.choice((20, 400, 4000, 26000)))
-            previous = self.soak.choose_turn()
+            previous = self.soak.choose_turn(self.organisation)
         # Most programs are short-lived; the "loop" programs run until their budget is spent.
         program = f"p{int(time.monotonic() * 4)}-{self.random.randrange(3)}" if kind in ("turn", "once") else ""
         if program and self.random.random() < 0.2:
@@ -137,6 +140,8 @@
         if program:
             headers.update({"Program-Id": program, "Session-Id": "s" + program, "Token-Budget": str(BUDGET_TOKENS),
                             "Token-Count": f"300,{MAX_TURN_TOKENS}", "Prompt-Prefix": f"aa:200,{program}:100"})
+        program = program and self.organisation + program
+        headers.update(self.sign(request_id))
         text = f"POST /{kind}/{request_id} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in headers.items())
         self.soak.sent += 1
         sent_at, gateway = time.monotonic(), self.gateway
@@ -156,17 +161,27 @@
             raise
         self.soak.check_answer(kind, request_id, status, fields, answer)
         if kind == "chat":
-            self.soak.check_turn(request_id, previous, body, status, answer)
+            self.soak.check_turn(request_id, previous, body, status, answer, self.organisation)
         if fields.get("connection") == "close":
             self.close()
 
+    def sign(self, request_id, good_only=False):
+        """Header fields that name the caller's organisation."""
+        if not self.soak.keys:
+            return {}
+        fields, good = self.soak.keys.sign(request_id, self.organisation, good_only)
+        if not good:
+            self.soak.badly_signed.add(request_id)
+        return fields
+
     async def resume(self, first_id, headers, body, text, count):
         """Takes a broken stream up again, at any gateway."""
         self.close()
         await self.connect()
         events = text[:text.rindex(b"\n\n") + 2]
         headers = dict(headers, **{"Request-Id": "e" + first_id, "Resumes": first_id,
-                                   "Last-Event-Id": re.findall(rb"id: (\d+)", events)[-1].decode()})
+                                   "Last-Event-Id": re.findall(rb"id: (\d+)", events)[-1].decode()},
+                       **self.sign("e" + first_id))
         head = f"POST /turn/{first_id} HTTP/1.1\r\n" + "".join(f"{n}: {v}\r\n" for n, v in headers.items())
         self.writer.write(head.encode() + b"\r\n" + body)
         status, fields = await self.read_head()
@@ -200,6 +215,9 @@
         self.answers, self.program_events, self.violations = {}, {}, []
         # What the server must receive ahead of the next turn, by the id of each complete turn.
         self.histories = {}
+        self.keys = key_ring.KeyRing(seed) if seed % 2 == 0 else None
+        # Requests whose key was wrong or taken away when they were sent.
+        self.badly_signed = set()
         self.sent = 0
         self.stopping = False
         self.gateways, self.proxies, self.servers = [], [], []
@@ -255,7 +273,7 @@
 
     async def send_fatal(self, number):
         """A caller whose request crashes every server that begins to run it."""
-        path, count = f"/read/fatal-{number}", 0
+        path, count, caller = f"/read/fatal-{number}", 0, Caller(self, number)
         while not self.stopping:
             count += 1
             request_id = f"f{number:03x}{count:08x}"
@@ -264,8 +282,9 @@
                 self.fatal_sent[request_id] = time.monotonic()
             try:
                 reader, writer = await asyncio.open_connection("127.0.0.1", gateway.front)
+                fields = "".join(f"{name}: {value}\r\n" for name, value in caller.sign(request_id, True).items())
                 writer.write(f"POST {path} HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {request_id}\r\n"
-                             f"Deadline-Ms: 2500\r\nContent-Length: 5\r\n\r\nfatal".encode())
+                             f"{fields}Deadline-Ms: 2500\r\nContent-Length: 5\r\n\r\nfatal".encode())
                 await asyncio.wait_for(reader.readuntil(b"\r\n"), 4)
                 writer.transport.abort()
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
@@ -283,12 +302,18 @@
                 self.add_violation(f"{path}: {len(late)} attempts reached servers long after its third crash, "
                                    f"{len(crashes)} crashes")
 
-    def choose_turn(self):
-        """A complete turn to continue; none for a new conversation."""
+    def choose_turn(self, organisation):
+        """A complete turn to continue, at times one of another organisation; none for a new conversation."""
         recent = list(self.histories)[-60:]
+        if self.keys and self.random.random() < 0.9:
+            recent = [turn for turn in recent if self.keys.owners[turn] == organisation]
         return self.random.choice(recent) if recent and self.random.random() < 0.85 else None
 
-    def check_turn(self, request_id, previous, text, status, answer):
+    def check_turn(self, request_id, previous, text, status, answer, organisation):
+        if self.keys and self.keys.owners.get(previous, organisation) != organisation:
+            if status == 200:
+                self.add_violation(f"{request_id}: continues the turn {previous} of another organisation")
+            return
         if status == 404:
             self.add_violation(f"{request_id}: 404 for the complete turn {previous}")
         if status != 200:
@@ -301,6 +326,8 @@
         if len(prompt) < 120000:
             output = b"".join(data + b"\n" for data in re.findall(rb"data: (.*)", answer))
             self.histories[request_id] = prompt + output
+            if self.keys:
+                self.keys.owners[request_id] = organisation
 
     async def check_conversations(self):
         """Checks that a sample of all complete turns can be continued."""
@@ -312,13 +339,15 @@
             caller.close()
             await caller.connect()
             request_id = f"c{number:015x}"
-            caller.writer.write(f"POST /chat/c HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {request_id}\r\n"
+            caller.organisation = self.keys.owners[previous] if self.keys else ""
+            fields = "".join(f"{name}: {value}\r\n" for name, value in caller.sign(request_id, True).items())
+            caller.writer.write(f"POST /chat/c HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {request_id}\r\n{fields}"
                                 f"Previous-Turn: {previous}\r\nContent-Length: 3\r\n\r\nend".encode())
             status, fields = await caller.read_head()
             answer = await caller.read_body(fields, lambda chunk: None)
             if status != 200:
                 self.add_violation(f"{request_id}: the complete turn {previous} was answered {status}")
-            self.check_turn(request_id, previous, b"end", status, answer)
+            self.check_turn(request_id, previous, b"end", status, answer, caller.organisation)
         caller.close()
 
     def count_events(self, program, chunk):
@@ -332,7 +361,9 @@
     def check_executions(self):
         executions = {}
         for server in self.servers:
-            for request_id, path, _, _ in server.executed:
+            for request_id, path, headers, _ in server.executed:
+                if self.keys and (fault := self.keys.check_run(request_id, headers)):
+                    self.add_violation(fault)
                 executions.setdefault((request_id, path.split("/")[1]), []).append(server.identity)
         for (request_id, kind), servers in executions.items():
             if kind in ("pay", "once", "chat") and len(servers) > 1:
@@ -360,7 +391,7 @@
 
     def start_gateway(self, index):
         store = type("StoreAddress", (), {"store": self.store_proxies[index]})
-        gateway = gateway_test.Gateway(store, name=f"edge-{index}")
+        gateway = gateway_test.Gateway(store, name=f"edge-{index}", bounds=key_ring.SETTINGS if self.keys else "")
         self.troubled[gateway] = time.monotonic()
         if index < len(self.gateways):
             self.ended_gateways.append(self.gateways[index])
@@ -373,7 +404,8 @@
         index = self.random.randrange(len(self.gateways))
         gateway, duration_s = self.gateways[index], self.random.uniform(0.2, 2.5)
         choice = self.random.choice(("stop", "pause", "kill", "store", "store", "proxy", "proxy", "store_proxy", "store_proxy",
-                                     "replace", "replace", "plan", "plan", "leave", "compact", "config", "kill_all", "limit"))
+                                     "replace", "replace", "plan", "plan", "leave", "compact", "config", "kill_all", "limit")
+                                    + (("key",) * 4 if self.keys else ()))
         if choice == "pause":
             gateway.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(duration_s)
@@ -424,6 +456,19 @@
             self.platform.store.compact()
         elif choice == "config":
             self.configure()
+        elif choice == "key":
+            await self.replace_key(gateway)
+
+    async def replace_key(self, gateway):
+        """Replaces a key, at times while a gateway stands still for longer than the bound of keys."""
+        pauses = self.random.random() < 0.5
+        if pauses:
+            gateway.process.send_signal(signal.SIGSTOP)
+        self.keys.replace_key(self.configure)
+        if pauses:
+            await asyncio.sleep(key_ring.BOUND_S + self.random.uniform(0.2, 1.0))
+            gateway.process.send_signal(signal.SIGCONT)
+            self.troubled[gateway] = time.monotonic()
 
     async def replace_server(self, duration_s, leaving=False):
         """The old server says that it leaves in its entry, or in its responses for longer than DRAIN_S."""
@@ -438,7 +483,7 @@
 
     def configure(self):
         self.platform.version += 1
-        self.platform.put_config(ROUTES)
+        self.platform.put_config(ROUTES, self.keys and self.keys.organisations)
 
     async def run_scenario(self):
         for _ in range(3):
@@ -470,7 +515,7 @@
         await asyncio.sleep(4)
         before = len(self.answers)
         await asyncio.sleep(2)
-        recent = list(self.answers.items())[before:]
+        recent = [answer for answer in list(self.answers.items())[before:] if answer[0] not in self.badly_signed]
         served = sum(1 for _, status in recent if status in (200, 402))
         if not recent or served < 0.9 * len(recent):
             self.add_violation(f"after the faults {served} of {len(recent)} requests were served")
