--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -9,6 +9,7 @@
 
 #include "vanillalever/base/boot_clock.h"
 #include "vanillalever/base/random.h"
+#include "vanillalever/forwarding/allotment_service.h"
 #include "vanillalever/forwarding/budget_service.h"
 #include "vanillalever/forwarding/conversation_service.h"
 #include "vanillalever/forwarding/crash_monitor.h"
@@ -41,6 +42,7 @@
   ConversationService& conversations;
   StreamOrigins& origins;
   CrashMonitor& crashes;
+  AllotmentService& allotments;
   PeerLink& peers;
   GatewayMetrics& metrics;
   base::Random& random;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -8,6 +8,7 @@
 #include <prometheus/registry.h>
 
 #include "vanillalever/base/counters.h"
+#include "vanillalever/forwarding/allotment_service.h"
 #include "vanillalever/forwarding/route_config.h"
 
 namespace vanillalever::forwarding {
@@ -50,6 +51,8 @@
   base::Counter& withdrawn_keys;
   base::Counter& organisations;
   base::Counter& keys;
+  base::Counter& idle_rejections;
+  AllotmentCounters allotments;
   LatencyHistograms latency;
 };
 
--- a/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
@@ -88,7 +88,9 @@
   template <typename Result>
   void OnResult(const PendingPtr<Result>& call, Result result);
   void AnnounceReachable(std::string_view reason);
-  void RecordDirect(StoreOutcome outcome, std::string_view reason);
+  // Records the outcome of a direct call.
+  template <typename Result>
+  void RecordDirect(const Result& result);
   void Tick();
 
   http::Client client_;
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -96,7 +96,22 @@
           "away.")),
       organisations(registry.gauge("vl_gateway_organisations",
                                    "Organisations in the configuration.")),
-      keys(registry.gauge("vl_gateway_keys", "Keys in the configuration.")) {}
+      keys(registry.gauge("vl_gateway_keys", "Keys in the configuration.")),
+      idle_rejections(registry.counter(
+          "vl_gateway_idle_rejections_total",
+          "Connections beyond the limit that were closed without a request, "
+          "because others waited.")),
+      allotments{
+          registry.counter("vl_gateway_allotment_requests_total",
+                           "Requests counted toward an allotment."),
+          registry.counter("vl_gateway_allotment_refusals_total",
+                           "Requests over their organisation's allotment."),
+          registry.counter("vl_gateway_allotment_returns_total",
+                           "Requests counted toward an allotment that did not "
+                           "run."),
+          registry.gauge("vl_gateway_organisations_over_allotment",
+                         "Organisations that ask for more than their "
+                         "allotment.")} {}
 
 std::string RenderMetrics(const base::CounterRegistry& counters,
                           const GatewayMetrics& metrics) {
