Send refused writes again in their order; refuse what has too little time left

Change: PacedTable repeats refused writes itself for 500 ms; a request needs twice its expected time.

--- a/packages/admission/include/vanillalever/admission/admission_policy.h
+++ b/packages/admission/include/vanillalever/admission/admission_policy.h
@@ -22,6 +22,9 @@
   // Share of its time limit that a request can bear to wait if its objective is
   // shorter: what a longer queue delays is late for its program.
   double bearable_share = 0.15;
+  // Time left that a request needs, as a multiple of its expected time: what
+  // takes longer than the others would be thrown away otherwise.
+  double needed_time = 2;
   // Share of its time left up to which a caller honours a delay.
   double honoured_share = 0.33;
   base::milliseconds min_retry_after{250};
--- a/packages/admission/src/admission_policy.cc
+++ b/packages/admission/src/admission_policy.cc
@@ -17,7 +17,9 @@
 AdmissionDecision AdmissionPolicy::Decide(const AdmissionRequest& request,
                                           base::Random& random) const {
   AdmissionDecision decision;
-  bool in_time = request.wait + request.service_time < request.time_left;
+  bool in_time =
+      Scaled(settings_.needed_time, request.wait + request.service_time) <
+      request.time_left;
   if (request.wait == base::Duration(0) || (request.begun && in_time))
     return decision;
   double position = static_cast<double>(request.program_hash >> 11) * 0x1.0p-53;
--- a/packages/admission/src/service_times.cc
+++ b/packages/admission/src/service_times.cc
@@ -19,7 +19,8 @@
   double rounds =
       std::max(1.0, static_cast<double>(open + 1) / std::max(1, slots));
   double seconds = std::chrono::duration<double>(duration).count() / rounds;
-  auto [found, added] = mean_seconds_.try_emplace(std::string(service), seconds);
+  auto [found, added] =
+      mean_seconds_.try_emplace(std::string(service), seconds);
   if (!added)
     found->second += kWeight * (seconds - found->second);
 }
--- a/packages/forwarding/include/vanillalever/forwarding/paced_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/paced_table.h
@@ -61,6 +61,8 @@
   static Jobs TakeBatch(Jobs& waiting);
   void SendBatch(Jobs batch);
   void OnResult(Jobs batch, const TransactionResult& result);
+  // The jobs wait again, before those that came later.
+  void PutBack(Jobs batch);
   // Of several jobs one met a conflict: completes that one, and sends the
   // others again.
   void OnConflict(Jobs batch, const TransactionResult& result);
--- a/packages/forwarding/src/paced_table.cc
+++ b/packages/forwarding/src/paced_table.cc
@@ -1,6 +1,7 @@
 #include "vanillalever/forwarding/paced_table.h"
 
 #include <algorithm>
+#include <iterator>
 #include <memory>
 #include <set>
 #include <utility>
@@ -12,6 +13,10 @@
 // its encoding.
 constexpr std::size_t kMaxBytes = 640 << 10;
 
+// Refused calls are made again for this long; then their owners look for
+// another way.
+constexpr base::milliseconds kMaxRefusedTime{500};
+
 using RowKey = std::pair<std::string, std::string>;
 
 RowKey KeyOf(const RowName& name) {
@@ -155,14 +160,25 @@
 }
 
 void PacedTable::OnResult(Jobs batch, const TransactionResult& result) {
-  if (result.throttled)
+  if (result.throttled) {
     rate_.OnRefused(timer_.now());
+    if (timer_.now() - batch.front().since < kMaxRefusedTime) {
+      PutBack(std::move(batch));
+      return SendWaiting();
+    }
+  }
   if (result.outcome == StoreOutcome::kConflict && batch.size() > 1)
     return OnConflict(std::move(batch), result);
   for (const Job& job : batch)
     job.done(result);
 }
 
+void PacedTable::PutBack(Jobs batch) {
+  Jobs& waiting = waiting_[batch.front().writes.front().name.partition];
+  waiting.insert(waiting.begin(), std::make_move_iterator(batch.begin()),
+                 std::make_move_iterator(batch.end()));
+}
+
 void PacedTable::OnConflict(Jobs batch, const TransactionResult& result) {
   std::map<RowKey, TableRow> current;
   for (const TableRow& row : result.current)
@@ -177,11 +193,8 @@
     for (Job& job : others)
       job.alone = true;
   }
-  if (!others.empty()) {
-    Jobs& waiting = waiting_[others.front().writes.front().name.partition];
-    for (auto job = others.rbegin(); job != others.rend(); ++job)
-      waiting.push_front(std::move(*job));
-  }
+  if (!others.empty())
+    PutBack(std::move(others));
   SendWaiting();
   for (const Job& job : conflicting) {
     TransactionResult own = result;
--- a/packages/forwarding/tests/paced_table_test.cc
+++ b/packages/forwarding/tests/paced_table_test.cc
@@ -182,6 +182,20 @@
     CHECK(outcome == StoreOutcome::kNotDone);
 }
 
+// Guards against refused writes that start to wait anew, behind later ones.
+TEST_CASE("a refused write is sent again before later ones") {
+  Fixture fixture(20);
+  for (int i = 0; i < 10; ++i)
+    fixture.Write("row-" + std::to_string(i));
+  fixture.store.refuses = true;
+  fixture.store.CompleteAll();
+  fixture.store.refuses = false;
+  CHECK(fixture.outcomes.empty());
+  fixture.Run();
+  CHECK(fixture.outcomes.size() == 10);
+  CHECK(fixture.outcomes["row-0"] == StoreOutcome::kDone);
+}
+
 // Guards against a pace where a deployment states no rate.
 TEST_CASE("without a rate each write is a call at once") {
   Fixture fixture(0);
