--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -34,7 +34,7 @@
   void Reject(std::string_view reason);
 
   void OnCallerDisconnected(std::string_view reason) override;
-  void OnProcessEnding() override;
+  void OnEnding(std::string_view reason) override;
   void OnOutputDrained() override;
 
   void OnResponseHead(int status,
@@ -102,6 +102,8 @@
   void RecordServiceTime();
   // Counts the request toward the allotment of its organisation.
   bool TakeAllotment();
+  // The request has not run, and will not.
+  void ReturnAllotment();
   // Looks up the version that began the stream, if the caller takes one up.
   void FindOrigin();
   void OnOrigin(OriginLookup outcome, const std::string& version);
@@ -214,6 +216,8 @@
   const Route* route_ = nullptr;
   // Null if the request needs no key.
   const organisation::Organisation* organisation_ = nullptr;
+  // The request counts toward the allotment of its organisation.
+  bool counted_ = false;
   const Service* service_ = nullptr;
   // Computed when first needed; see fingerprint().
   std::string fingerprint_;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -10,6 +10,7 @@
 #include "vanillalever/admission/admission_control.h"
 #include "vanillalever/base/boot_clock.h"
 #include "vanillalever/base/random.h"
+#include "vanillalever/forwarding/allotment_service.h"
 #include "vanillalever/forwarding/budget_service.h"
 #include "vanillalever/forwarding/conversation_service.h"
 #include "vanillalever/forwarding/crash_monitor.h"
@@ -42,6 +43,7 @@
   ConversationService& conversations;
   StreamOrigins& origins;
   CrashMonitor& crashes;
+  AllotmentService& allotments;
   PeerLink& peers;
   GatewayMetrics& metrics;
   base::Random& random;
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -46,6 +46,7 @@
       tick_timer_(io),
       accept_timer_(io),
       metrics_(counters),
+      memory_(settings_.memory, counters),
       random_(seed),
       registry_(settings_.registry),
       placer_(settings_.placement, settings_.data_centre, random_.Next()),
@@ -56,6 +57,10 @@
       conversations_(io, table, random_.Next(), settings_.conversations),
       origins_(io, table, registry_, peers_),
       crashes_(io, table, peers_, metrics_.requests_in_crashes),
+      allotments_(peers_,
+                  settings_.allotments,
+                  metrics_.allotments,
+                  random_.Next()),
       context_{io,
                codec,
                nullptr,
@@ -66,6 +71,7 @@
                conversations_,
                origins_,
                crashes_,
+               allotments_,
                peers_,
                metrics_,
                random_,
@@ -109,6 +115,7 @@
   peers_.SetBudgetHandler(budgets_);
   peers_.SetPromptObserver(*this);
   peers_.SetStrikeHandler(crashes_);
+  peers_.SetAllotmentHandler(allotments_);
   peers_.Start();
   Accept();
   Tick();
@@ -117,7 +124,8 @@
 void Gateway::Accept() {
   if (!acceptor_.is_open())
     return;
-  if (sessions_.size() >= connection_limit()) {
+  // One place is kept free for the connection that waits next.
+  if (sessions_.size() >= connection_limit() && !CloseOldestRejected()) {
     accept_paused_ = true;
     return;
   }
@@ -151,9 +159,25 @@
   auto session =
       std::make_shared<CallerSession>(std::move(socket), *this, mode);
   sessions_.emplace(session.get(), session);
+  if (mode == SessionMode::kReject)
+    rejected_.push_back(session.get());
   session->Start();
 }
 
+bool Gateway::CloseOldestRejected() {
+  constexpr std::string_view kReason = "others wait for a connection";
+  for (auto close :
+       {&CallerSession::CloseIfIdle, &CallerSession::CloseIfUnread}) {
+    for (CallerSession* session : rejected_) {
+      if (!((*sessions_.at(session)).*close)(kReason))
+        continue;
+      metrics_.idle_rejections.Add();
+      return true;
+    }
+  }
+  return false;
+}
+
 bool Gateway::ApplyConfig(std::shared_ptr<const RouteConfig> config) {
   std::uint64_t current_version =
       context_.config ? context_.config->version : 0;
@@ -176,6 +200,7 @@
       static_cast<std::int64_t>(config->organisations.size()));
   metrics_.keys.Set(static_cast<std::int64_t>(config->keys.size()));
   context_.config = std::move(config);
+  allotments_.ApplyConfig(*context_.config);
   return true;
 }
 
@@ -253,9 +278,14 @@
 }
 
 bool Gateway::keys_accepted() const {
-  return !context_.config || !context_.config->requires_keys ||
-         context_.revocation.MayInvite(context_.config_confirmed_at(),
-                                       base::BootClock::now());
+  if (!context_.config || !context_.config->requires_keys)
+    return true;
+  auto confirmed_at = context_.config_confirmed_at();
+  auto now = base::BootClock::now();
+  // Callers that go elsewhere are served longer only where the store is
+  // reached.
+  return peers_.store_lost() ? context_.revocation.MaySend(confirmed_at, now)
+                             : context_.revocation.MayInvite(confirmed_at, now);
 }
 
 void Gateway::CheckKeys() {
@@ -273,6 +303,7 @@
     if (!error)
       Tick();
   });
+  allotments_.Tick();
   auto now = base::TimePoint::clock::now();
   std::vector<std::string> expired = registry_.RemoveExpired(now);
   for (const std::string& id : expired) {
@@ -291,6 +322,7 @@
     conversations_.Tick();
     origins_.DeleteExpired();
   }
+  memory_.Tick(now);
   peers_.ShareRates();
   origins_.SetLiveGateways(peers_.live() + 1);
   CheckIsolation();
@@ -333,7 +365,7 @@
     session->CloseIfIdle("draining");
   if (elapsed >= context_.stop_time && !std::exchange(requests_ended_, true)) {
     for (const auto& session : Sessions())
-      session->EndRequest();
+      session->EndRequest("the gateway is stopping");
   }
   std::size_t busy = sessions_.size();
   bool forced = elapsed >= settings_.grace - settings_.exit_margin;
@@ -388,6 +420,7 @@
 
 void Gateway::OnSessionEnded(CallerSession* session) {
   sessions_.erase(session);
+  std::erase(rejected_, session);
   if (std::exchange(accept_paused_, false))
     Accept();
 }
