Keep plain servers even where the work is short

Cause: the cost that evens out plain servers shrank with the learned time of their requests, below the distance to another data centre. Change: this cost follows the setting again, as before.

--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -265,8 +265,9 @@
   double slots = std::max(1, slot.server.slots);
   double work = context.speeds.request_ms;
   double wait = work * std::max(0.0, open.left - slots + 1) / slots;
-  // A cost proportional to the open requests keeps the servers evenly loaded.
-  double spread = work / slots / 10;
+  // A cost proportional to the open requests keeps the servers evenly loaded,
+  // also where the work is short against the distance to some of them.
+  double spread = settings_.plain_work_ms / slots / 10;
   double slowness = slot.load.slowness(context.now);
   balance::Candidate candidate;
   candidate.base_ms = (wait + work + open.left * spread) * slowness;
