added_latency.py: compare two builds in one run

Cause: runs one after the other differ more by the load of the machine than by the build.

Change: a second binary may be given; requests go through both gateways by turns, back and forth. The account of a session reads the clock only when its bytes change.

--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -179,6 +179,7 @@
   // Accounts for input and requests, and for output.
   void AccountInput();
   void AccountOutput();
+  void Account(memory::Purpose purpose, std::size_t bytes);
   // Whether the rest of a body may be read now.
   bool MayReadBody();
   // Whether the body that is being read has grown since this was asked last.
--- a/packages/forwarding/src/caller_session_memory.cc
+++ b/packages/forwarding/src/caller_session_memory.cc
@@ -23,16 +23,18 @@
       !reading_)
     buffer_.shrink_to_fit();
   std::size_t body = parser_ ? parser_->get().body().size() : 0;
-  holding_.Set(memory::Purpose::kRequest,
-               buffer_.size() + body + request_bytes_,
-               base::TimePoint::clock::now());
+  Account(memory::Purpose::kRequest, buffer_.size() + body + request_bytes_);
 }
 
 void CallerSession::AccountOutput() {
   std::size_t sending = writing_ ? sending_.size() : 0;
-  holding_.Set(memory::Purpose::kResponse,
-               unsent_.size() + sending + buffered_bytes_,
-               base::TimePoint::clock::now());
+  Account(memory::Purpose::kResponse,
+          unsent_.size() + sending + buffered_bytes_);
+}
+
+void CallerSession::Account(memory::Purpose purpose, std::size_t bytes) {
+  if (bytes != holding_.bytes(purpose))
+    holding_.Set(purpose, bytes, base::TimePoint::clock::now());
 }
 
 void CallerSession::OnBuffered(std::size_t bytes) {
--- a/tests/gateway/added_latency.py
+++ b/tests/gateway/added_latency.py
@@ -1,9 +1,10 @@
 """Measures the latency that a gateway adds to a request, with no other load.
 
-Usage: added_latency.py GATEWAY_BINARY [requests]
+Usage: added_latency.py GATEWAY_BINARY [requests] [OTHER_GATEWAY_BINARY]
 
 Alternately sends the same request directly to a stand-in server and through a gateway in front of it, each on one
-persistent connection, and prints the percentiles of both latencies and of their pairwise differences.
+persistent connection, and prints the percentiles of both latencies and of their pairwise differences. With another
+binary, requests go through both gateways by turns.
 """
 import pathlib
 import socket
@@ -48,28 +49,36 @@
 
 
 def main():
-    gateway_test.GATEWAY = str(pathlib.Path(sys.argv[1]).resolve())
+    binaries = [sys.argv[1], *sys.argv[3:4]]
     count = int(sys.argv[2]) if len(sys.argv) > 2 else 3000
     platform = standin.Platform()
-    gateway = None
+    gateways = []
     try:
         platform.configure(gateway_test.ROUTES)
         server = platform.add(standin.Backend, "t-0", "tools")
         server.work_s = 0
-        gateway = gateway_test.Gateway(platform)
-        if not gateway_test.wait_until(gateway.is_ready):
-            raise RuntimeError(gateway.log())
-        direct, proxied = Exchange(server.port), Exchange(gateway.front)
+        for number, binary in enumerate(binaries):
+            gateway_test.GATEWAY = str(pathlib.Path(binary).resolve())
+            gateways.append(gateway_test.Gateway(platform, name=f"edge-{number}"))
+            if not gateway_test.wait_until(gateways[-1].is_ready):
+                raise RuntimeError(gateways[-1].log())
+        paths = [Exchange(port) for port in [server.port, *(gateway.front for gateway in gateways)]]
         request, ending = request_bytes(1, "t-0"), b"ran /read/x"
-        for _ in range(100):
-            direct.send(request, ending), proxied.send(request, ending)
-        pairs = [(direct.send(request, ending), proxied.send(request, ending)) for _ in range(count)]
+        rounds = []
+        for number in range(100 + count):
+            # Back and forth, so that no path always follows the same one.
+            order = paths if number % 2 else paths[::-1]
+            times = [path.send(request, ending) for path in order]
+            rounds.append(times if number % 2 else times[::-1])
+        del rounds[:100]
         print(f"requests={count} unit=ms")
-        print("straight", percentiles([pair[0] for pair in pairs]))
-        print("through ", percentiles([pair[1] for pair in pairs]))
-        print("added   ", percentiles([proxied_ms - direct_ms for direct_ms, proxied_ms in pairs]))
+        print("straight", percentiles([times[0] for times in rounds]))
+        for column, binary in enumerate(binaries, 1):
+            print(binary)
+            print("through ", percentiles([times[column] for times in rounds]))
+            print("added   ", percentiles([times[column] - times[0] for times in rounds]))
     finally:
-        if gateway:
+        for gateway in gateways:
             gateway.stop()
         platform.close()
 
