--- a/packages/forwarding/src/caller_session_memory.cc
+++ b/packages/forwarding/src/caller_session_memory.cc
@@ -50,7 +50,9 @@
   if (!parser_ || !parser_->is_header_done() || closing_)
     return false;
   std::size_t size = parser_->get().body().size();
-  bool progress = size >= body_at_timer_ + kMinBodyProgressBytes;
+  // A caller whose body is not read on is not the one that makes no progress.
+  bool progress = holding_.slowed() ||
+                  size >= body_at_timer_ + kMinBodyProgressBytes;
   body_at_timer_ = size;
   return progress;
 }
--- a/packages/forwarding/src/peer_link.cc
+++ b/packages/forwarding/src/peer_link.cc
@@ -26,6 +26,10 @@
 using protocol::Pack;
 
 // Servers in one message, so that it fits into one packet.
+// A list of empty entries takes a few bytes, whatever its length: entries that
+// are read are limited with the size of an unpacked message.
+constexpr capnp::ReaderOptions kReaderOptions{.traversalLimitInWords = 16 << 10,
+                                              .nestingLimit = 64};
 constexpr std::size_t kMaxServers = 40;
 // Prompt parts in one message, so that it fits into one packet.
 constexpr std::size_t kMaxPromptParts = 40;
@@ -357,7 +361,7 @@
   try {
     kj::ArrayInputStream stream(kj::arrayPtr(
         reinterpret_cast<const kj::byte*>(datagram_.data()), size));
-    capnp::PackedMessageReader reader(stream);
+    capnp::PackedMessageReader reader(stream, kReaderOptions);
     auto message = reader.getRoot<wire::Message>();
     bool newest =
         directory_.OnMessage(AddressText(sender_endpoint_), message.getSender(),
--- a/packages/forwarding/src/table_codec.cc
+++ b/packages/forwarding/src/table_codec.cc
@@ -18,6 +18,12 @@
 using protocol::Bytes;
 using protocol::Pack;
 
+// A list of empty entries takes a few bytes, whatever its length; an entry that
+// was written takes at least one.
+bool Plausible(std::size_t entries, std::string_view bytes) {
+  return entries <= bytes.size();
+}
+
 std::string ToString(capnp::Data::Reader data) {
   return {reinterpret_cast<const char*>(data.begin()), data.size()};
 }
@@ -65,7 +71,8 @@
     kj::ArrayInputStream stream(Bytes(bytes));
     capnp::PackedMessageReader reader(stream);
     auto reply = reader.getRoot<wire::TableReply>();
-    if (reply.getOutcome() > wire::Outcome::UNKNOWN)
+    if (reply.getOutcome() > wire::Outcome::UNKNOWN ||
+        !Plausible(reply.getRows().size(), bytes))
       return false;
     result.outcome = static_cast<StoreOutcome>(reply.getOutcome());
     result.version = reply.getVersion();
@@ -114,6 +121,8 @@
       return TableRange{read.getTable(), read.getPartition(),
                         ToString(read.getFrom()), ToString(read.getTo())};
     }
+    if (!Plausible(root.getTransact().size(), bytes))
+      return std::nullopt;
     std::vector<TableWrite> writes;
     for (auto write : root.getTransact()) {
       TableWrite& added = writes.emplace_back();
--- a/packages/memory/include/vanillalever/memory/holding.h
+++ b/packages/memory/include/vanillalever/memory/holding.h
@@ -41,6 +41,8 @@
   // Whether to read no more input before Holder::OnResumed(). Always true once
   // the holder was ended.
   bool must_wait();
+  // Whether this holder was told to wait and has not been resumed.
+  bool slowed() const { return slowed_ && !ended_; }
   bool ended() const { return ended_; }
   std::size_t bytes(Purpose purpose) const { return part(purpose).bytes; }
 
