Fuzz: find a body over the limit, which the session would turn into a response

Cause: a planted fault (no body limit in CallerSession) was not found: no sample was over the limit, and the session answered the finding's exception itself.

--- a/tests/fuzz/session_targets.cc
+++ b/tests/fuzz/session_targets.cc
@@ -43,7 +43,9 @@
     "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\n"
     "hello\r\n1\r\n!\r\n0\r\nX-Field: z\r\n\r\n",
     "POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2"
-    "\r\n\r\nokGET /b HTTP/1.1\r\nHost: a\r\n\r\n"};
+    "\r\n\r\nokGET /b HTTP/1.1\r\nHost: a\r\n\r\n",
+    "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n" +
+        std::string(5000, 'x') + "\r\n0\r\n\r\n"};
 
 const std::vector<std::string> kResponses{
     "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Seal: s\r\nServer-Load: 1,0,6,"
@@ -150,6 +152,8 @@
     session_.reset();
     io_.restart();
     io_.poll();
+    if (oversized_)
+      throw Finding("a body over the limit was accepted");
     if (requests_ > Count(input, "HTTP/1."))
       throw Finding("a request was read from within another one");
     if (account_->held() != 0)
@@ -161,8 +165,8 @@
       std::shared_ptr<forwarding::ResponseSink> sink,
       forwarding::SessionMode) override {
     ++requests_;
-    if (request.body().size() > kMaxBodyBytes)
-      throw Finding("a body over the limit was accepted");
+    // The session turns exceptions into responses.
+    oversized_ |= request.body().size() > kMaxBodyBytes;
     codec_.DecodeRequest(request);
     codec_.PrepareSend(request, {});
     sink->SendResponse(200, HttpFields(), std::string(3000, 'x'));
@@ -181,6 +185,7 @@
   forwarding::IngressLimits limits_;
   std::shared_ptr<forwarding::CallerSession> session_;
   std::size_t requests_ = 0;
+  bool oversized_ = false;
   bool ended_ = false;
 };
 
