--- a/tests/fuzz/codec_targets.cc
+++ b/tests/fuzz/codec_targets.cc
@@ -20,9 +20,22 @@
 
 namespace adapter = platform_adapter;
 
-const std::vector<std::string> kJsonTokens{
-    "null", "-1",  "1e999", "{}",   "[]",  "\"\"",     "18446744073709551616",
-    "true", "\\u", "[[[[",  "{\"a", "0.5", "\xff\xfe", "-9223372036854775808"};
+std::vector<std::string> JsonTokens() {
+  return {"null",
+          "-1",
+          "1e999",
+          "{}",
+          "[]",
+          "\"\"",
+          "18446744073709551616",
+          "true",
+          "\\u",
+          "[[[[",
+          "{\"a",
+          "0.5",
+          "\xff\xfe",
+          "-9223372036854775808"};
+}
 
 class CodecTarget final : public Target {
  public:
@@ -110,17 +123,17 @@
     targets.push_back(std::make_unique<CodecTarget>(
         std::move(name), std::move(samples), std::move(tokens), seed, run));
   };
-  add("config", {SampleConfig()}, kJsonTokens, [](const std::string& input) {
+  add("config", {SampleConfig()}, JsonTokens(), [](const std::string& input) {
     Allow<base::Error>([&] { adapter::ParseOperatorConfig(input); });
   });
-  add("registration", {SampleRegistration()}, kJsonTokens,
+  add("registration", {SampleRegistration()}, JsonTokens(),
       [](const std::string& input) {
         adapter::ParseServerRegistration("i-1", input);
       });
   add("row",
       {R"({"table":"op","part":"","key":"k","ver":3,"value":"YWJj"})",
        R"({"table":"op","part":"","key":"k","ver":3,"deleted":true})"},
-      kJsonTokens, [](const std::string& input) {
+      JsonTokens(), [](const std::string& input) {
         Allow<nlohmann::json::exception>(
             [&] { adapter::ParseRow(nlohmann::json::parse(input)); });
       });
@@ -134,7 +147,7 @@
       });
   add("strike",
       {R"({"fingerprint":"ab","crashes":3,"last_crash_ms":17,"by":["r"]})"},
-      kJsonTokens, [](const std::string& input) {
+      JsonTokens(), [](const std::string& input) {
         Allow<base::Error>(
             [&] { guard::StrikeCodec::Decode("strike/ab", input); });
       });
--- a/tests/fuzz/session_targets.cc
+++ b/tests/fuzz/session_targets.cc
@@ -22,40 +22,49 @@
 constexpr std::size_t kMaxBodyBytes = 4096;
 constexpr std::chrono::seconds kMostTime{5};
 
-const std::vector<std::string> kHttpTokens{"\r\n",
-                                           "\r\n\r\n",
-                                           "Transfer-Encoding: chunked\r\n",
-                                           "Content-Length: 5\r\n",
-                                           "0\r\n\r\n",
-                                           "ffffffffffffffff\r\n",
-                                           "Expect: 100-continue\r\n",
-                                           "\n",
-                                           ";x=",
-                                           "-1",
-                                           "Connection: close\r\n",
-                                           std::string(1, '\0'),
-                                           "HTTP/1.0",
-                                           "HEAD "};
-
-const std::vector<std::string> kRequests{
-    "GET /a HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\n\r\n",
-    "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello",
-    "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\n"
-    "hello\r\n1\r\n!\r\n0\r\nX-Field: z\r\n\r\n",
-    "POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2"
-    "\r\n\r\nokGET /b HTTP/1.1\r\nHost: a\r\n\r\n",
-    "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n" +
-        std::string(5000, 'x') + "\r\n0\r\n\r\n"};
-
-const std::vector<std::string> kResponses{
-    "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Seal: s\r\nServer-Load: 1,0,6,"
-    "100\r\nContent-Length: 5\r\n\r\nhello",
-    "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Seal: s\r\nTransfer-Encoding: "
-    "chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
-    "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 503 X\r\nRequest-Id: "
-    "1\r\nNot-Executed: "
-    "1\r\nContent-Length: 0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Seal: s\r\n\r\nto the end"};
+std::vector<std::string> HttpTokens() {
+  return {"\r\n",
+          "\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n",
+          "Content-Length: 5\r\n",
+          "0\r\n\r\n",
+          "ffffffffffffffff\r\n",
+          "Expect: 100-continue\r\n",
+          "\n",
+          ";x=",
+          "-1",
+          "Connection: close\r\n",
+          std::string(1, '\0'),
+          "HTTP/1.0",
+          "HEAD "};
+}
+
+std::vector<std::string> Requests() {
+  return {"GET /a HTTP/1.1\r\nHost: a\r\nRequest-Id: 1\r\n\r\n",
+          "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello",
+          ("POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+           "chunked\r\n\r\n5;x=y\r\n"
+           "hello\r\n1\r\n!\r\n0\r\nX-Field: z\r\n\r\n"),
+          ("POST /a HTTP/1.1\r\nHost: a\r\nExpect: "
+           "100-continue\r\nContent-Length: 2"
+           "\r\n\r\nokGET /b HTTP/1.1\r\nHost: a\r\n\r\n"),
+          "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n" +
+              std::string(5000, 'x') + "\r\n0\r\n\r\n"};
+}
+
+std::vector<std::string> Responses() {
+  return {
+      ("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Seal: s\r\nServer-Load: "
+       "1,0,6,"
+       "100\r\nContent-Length: 5\r\n\r\nhello"),
+      ("HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Seal: "
+       "s\r\nTransfer-Encoding: "
+       "chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"),
+      ("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 503 X\r\nRequest-Id: "
+       "1\r\nNot-Executed: "
+       "1\r\nContent-Length: 0\r\n\r\n"),
+      "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Seal: s\r\n\r\nto the end"};
+}
 
 std::size_t Count(std::string_view text, std::string_view part) {
   std::size_t count = 0;
@@ -103,7 +112,7 @@
 class HttpTarget : public Target {
  public:
   HttpTarget(std::vector<std::string> samples, std::uint64_t seed)
-      : mutator_(std::move(samples), kHttpTokens, seed),
+      : mutator_(std::move(samples), HttpTokens(), seed),
         acceptor_(io_, {boost::asio::ip::address_v4::loopback(), 0}) {}
 
   std::string NextInput() override { return mutator_.Next(); }
@@ -132,7 +141,7 @@
 class CallerTarget final : public HttpTarget,
                            public forwarding::SessionDelegate {
  public:
-  explicit CallerTarget(std::uint64_t seed) : HttpTarget(kRequests, seed) {
+  explicit CallerTarget(std::uint64_t seed) : HttpTarget(Requests(), seed) {
     limits_.body_bytes = kMaxBodyBytes;
     limits_.header_bytes = 2048;
   }
@@ -193,7 +202,7 @@
 class ServerTarget final : public HttpTarget,
                            public forwarding::ResponseHandler {
  public:
-  explicit ServerTarget(std::uint64_t seed) : HttpTarget(kResponses, seed) {}
+  explicit ServerTarget(std::uint64_t seed) : HttpTarget(Responses(), seed) {}
 
   std::string name() const override { return "server"; }
 
