--- a/packages/forwarding/src/caller_session_memory.cc
+++ b/packages/forwarding/src/caller_session_memory.cc
@@ -23,16 +23,18 @@
       !reading_)
     buffer_.shrink_to_fit();
   std::size_t body = parser_ ? parser_->get().body().size() : 0;
-  holding_.Set(memory::Purpose::kRequest,
-               buffer_.size() + body + request_bytes_,
-               base::TimePoint::clock::now());
+  Account(memory::Purpose::kRequest, buffer_.size() + body + request_bytes_);
 }
 
 void CallerSession::AccountOutput() {
   std::size_t sending = writing_ ? sending_.size() : 0;
-  holding_.Set(memory::Purpose::kResponse,
-               unsent_.size() + sending + buffered_bytes_,
-               base::TimePoint::clock::now());
+  Account(memory::Purpose::kResponse,
+          unsent_.size() + sending + buffered_bytes_);
+}
+
+void CallerSession::Account(memory::Purpose purpose, std::size_t bytes) {
+  if (bytes != holding_.bytes(purpose))
+    holding_.Set(purpose, bytes, base::TimePoint::clock::now());
 }
 
 void CallerSession::OnBuffered(std::size_t bytes) {
@@ -48,7 +50,9 @@
   if (!parser_ || !parser_->is_header_done() || closing_)
     return false;
   std::size_t size = parser_->get().body().size();
-  bool progress = size >= body_at_timer_ + kMinBodyProgressBytes;
+  // A caller whose body is not read on is not the one that makes no progress.
+  bool progress = holding_.slowed() ||
+                  size >= body_at_timer_ + kMinBodyProgressBytes;
   body_at_timer_ = size;
   return progress;
 }
