--- a/packages/forwarding/bench/allotment_bench.cc
+++ b/packages/forwarding/bench/allotment_bench.cc
@@ -69,6 +69,7 @@
 Added Measure(const std::vector<rate::AllotmentUse>& from,
               std::uint64_t origin) {
   std::vector<OriginUse> uses;
+  uses.reserve(from.size());
   for (const rate::AllotmentUse& use : from)
     uses.push_back({origin, use});
   Added added;
--- a/packages/rate/include/vanillalever/rate/allotment_book.h
+++ b/packages/rate/include/vanillalever/rate/allotment_book.h
@@ -19,8 +19,8 @@
 struct AllotmentSettings {
   // Sliding window over which allotments are judged.
   base::Duration window = base::seconds(5);
-  // What may run in a window beyond an allotment: a fraction of it, and a number
-  // of requests.
+  // What may run in a window beyond an allotment: a fraction of it, and a
+  // number of requests.
   double excess = 0.1;
   double slack = 20;
   // Part of that which adds to the burst, less what is sent at the
--- a/packages/rate/src/allotment_book.cc
+++ b/packages/rate/src/allotment_book.cc
@@ -31,8 +31,7 @@
     : settings_(settings), random_(seed) {}
 
 RateLimit AllotmentBook::Limit(const AllotmentLimit& limit) const {
-  double allotment =
-      limit.per_second * Seconds(settings_.window) + limit.burst;
+  double allotment = limit.per_second * Seconds(settings_.window) + limit.burst;
   double tolerance = settings_.excess * allotment + settings_.slack;
   double extra = settings_.usable * tolerance -
                  limit.per_second * Seconds(settings_.unknown);
