--- a/packages/admission/tests/admission_test.cc
+++ b/packages/admission/tests/admission_test.cc
@@ -33,8 +33,8 @@
   base::Random random(1);
   AdmissionControl control = Learned();
   for (std::uint64_t i = 0; i < 100; ++i)
-    CHECK(control.Decide(Turn(random.Next()), kHalfFull, start, random)
-              .admitted);
+    CHECK(
+        control.Decide(Turn(random.Next()), kHalfFull, start, random).admitted);
 }
 
 // Guards against wasting the work that was done for programs.
--- a/packages/forwarding/src/record_writer.cc
+++ b/packages/forwarding/src/record_writer.cc
@@ -44,8 +44,7 @@
 
 TableRange RecordRowRange(const std::string& table, const std::string& id) {
   constexpr char kAfterSeparator = kRowSeparator + 1;
-  return {table, std::to_string(PartitionOf(id)), id,
-          id + kAfterSeparator};
+  return {table, std::to_string(PartitionOf(id)), id, id + kAfterSeparator};
 }
 
 RecordWriter::RecordWriter(boost::asio::io_context& context,
--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -60,7 +60,7 @@
     """A gateway process."""
 
     def __init__(self, platform, grace_s=8, name="edge-1", peer_port=0, store_port=0,
-                 memory_mb=512, max_fds=8200, bounds=""):
+                 memory_mb=512, max_fds=8200, bounds="", writes_per_s=0):
         self.front, self.ready_port = free_port(), free_port()
         self.peer_port = peer_port = peer_port or free_peer_port()
         self.directory = tempfile.TemporaryDirectory()
@@ -81,6 +81,7 @@
   {bounds}
 provider:
   address: "127.0.0.1:{store_port or platform.store.port}"
+  writesPerS: {writes_per_s}
 """)
         self.log_path = pathlib.Path(self.directory.name) / "log"
         with open(self.log_path, "wb") as log:
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -88,6 +88,10 @@
         self.oldest = 0
         self.changed = asyncio.Event()
         self.mode = "ok"
+        # Write calls a second beyond which it responds with 429, and the number of these; zero for no limit.
+        self.writes_per_s = 0
+        self.refused_writes = 0
+        self.recent_writes = []
         # Seconds that reads of a table take, by its name.
         self.read_delays = {}
         self.calls = []
@@ -137,8 +141,20 @@
             self.put(row["table"], row["key"], None, row["part"])
         return self.json_response(200, {})
 
+    def takes_write(self):
+        now = time.monotonic()
+        self.recent_writes = [moment for moment in self.recent_writes if now - moment < 1]
+        if self.writes_per_s and len(self.recent_writes) >= self.writes_per_s:
+            self.refused_writes += 1
+            return False
+        self.recent_writes.append(now)
+        return True
+
     async def handle(self, request, reader, writer):
         self.calls.append((time.monotonic(), request.path, self.mode))
+        if request.path == "/rows-tx" and not self.takes_write():
+            writer.write(response(429))
+            return True
         if self.mode == "busy":
             writer.write(response(503))
             return True
