--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -34,7 +34,7 @@
   void Reject(std::string_view reason);
 
   void OnCallerDisconnected(std::string_view reason) override;
-  void OnProcessEnding() override;
+  void OnEnding(std::string_view reason) override;
   void OnOutputDrained() override;
 
   void OnResponseHead(int status,
@@ -76,13 +76,28 @@
   void FinishBody();
 
   bool ResolveRoute();
-  // The following three refuse the request and return false if it may not go
+  // The following four refuse the request and return false if it may not go
   // on. Finds the organisation of the request's key.
   bool IdentifyOrganisation();
+  // Whether the organisation still holds the request's key, as far as this
+  // gateway may rely on its configuration.
+  bool KeyStillHeld();
+  // Priority of the request, zero being the highest: that of its organisation,
+  // or of its route if the organisation states none.
+  int priority() const;
+  bool keys_confirmed() const;
+  void RefuseUnconfirmedKey();
+  // What servers and records state as the organisation; see
+  // ServerRequestOptions.
+  std::optional<std::string> OrganisationName() const;
+  // Programs of different organisations may have the same id.
+  std::string BudgetKey() const;
   // Whether the servers can complete the request in time.
   bool AdmitUnderLoad();
   // Counts the request toward the allotment of its organisation.
   bool TakeAllotment();
+  // The request has not run, and will not.
+  void ReturnAllotment();
   // Looks up the version that began the stream, if the caller takes one up.
   void FindOrigin();
   void OnOrigin(OriginLookup outcome, const std::string& version);
@@ -197,6 +212,8 @@
   const Route* route_ = nullptr;
   // Null if the request needs no key.
   const organisation::Organisation* organisation_ = nullptr;
+  // The request counts toward the allotment of its organisation.
+  bool counted_ = false;
   const Service* service_ = nullptr;
   // Computed when first needed; see fingerprint().
   std::string fingerprint_;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarding_context.h
@@ -1,12 +1,15 @@
 #ifndef VANILLALEVER_FORWARDING_FORWARDING_CONTEXT_H_
 #define VANILLALEVER_FORWARDING_FORWARDING_CONTEXT_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 
 #include <boost/asio/io_context.hpp>
 
+#include "vanillalever/base/boot_clock.h"
 #include "vanillalever/base/random.h"
+#include "vanillalever/forwarding/allotment_service.h"
 #include "vanillalever/forwarding/budget_service.h"
 #include "vanillalever/forwarding/conversation_service.h"
 #include "vanillalever/forwarding/crash_monitor.h"
@@ -22,6 +25,7 @@
 #include "vanillalever/forwarding/stop_policy.h"
 #include "vanillalever/forwarding/stream_origins.h"
 #include "vanillalever/forwarding/wire_codec.h"
+#include "vanillalever/organisation/revocation_policy.h"
 
 namespace vanillalever::forwarding {
 
@@ -38,6 +42,7 @@
   ConversationService& conversations;
   StreamOrigins& origins;
   CrashMonitor& crashes;
+  AllotmentService& allotments;
   PeerLink& peers;
   GatewayMetrics& metrics;
   base::Random& random;
@@ -51,6 +56,11 @@
   base::Duration stop_time{0};
   // When the stop signal came.
   std::optional<base::TimePoint> stopping_since = std::nullopt;
+  // Time as of which `config` is known to be the newest configuration.
+  std::function<std::optional<base::BootTime>()> config_confirmed_at = [] {
+    return std::optional<base::BootTime>();
+  };
+  organisation::RevocationPolicy revocation{};
 };
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -4,8 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -13,6 +16,7 @@
 #include "vanillalever/base/counters.h"
 #include "vanillalever/forwarding/caller_session.h"
 #include "vanillalever/forwarding/forwarding_context.h"
+#include "vanillalever/forwarding/memory_monitor.h"
 
 namespace vanillalever::forwarding {
 
@@ -45,6 +49,13 @@
   RegistrySettings registry;
   BudgetSettings budget;
   ConversationSettings conversations;
+  // Time within which a key that was taken away must have stopped working;
+  // absent if there is no such bound.
+  std::optional<base::milliseconds> key_revocation;
+  // Time in which callers notice that a gateway is not ready.
+  base::milliseconds readiness_notice{2000};
+  memory::AccountSettings memory;
+  rate::AllotmentSettings allotments;
 };
 
 // Forwards callers' requests to backend servers. Runs on one event loop; not
@@ -66,6 +77,13 @@
   // whether this version is now applied.
   bool ApplyConfig(std::shared_ptr<const RouteConfig> config);
 
+  // Source of the time as of which the applied configuration is known to be the
+  // newest one.
+  void SetConfigConfirmation(
+      std::function<std::optional<base::BootTime>()> confirmed_at) {
+    context_.config_confirmed_at = std::move(confirmed_at);
+  }
+
   // Changes of the servers' registrations.
   void OnServerPut(BackendServer server);
   // `may_return`: the registration may have expired only because the store was
@@ -73,8 +91,8 @@
   void OnServerRemoved(const std::string& id, bool may_return);
   void OnServersListed(std::vector<BackendServer> servers);
 
-  // Readiness for new callers: a configuration and the servers are known, and
-  // the process is neither draining nor isolated.
+  // Readiness for new callers: a configuration and the servers are known, keys
+  // can be accepted, and the process is neither draining nor isolated.
   bool ready() const;
 
   // Reports whether the store has responded recently. Call periodically.
@@ -91,7 +109,12 @@
                                            SessionMode mode) override;
   void OnSessionEnded(CallerSession* session) override;
   const IngressLimits& ingress_limits() const override;
-  bool closing() const override { return draining_ || isolated_; }
+  bool closing() const override {
+    return draining_ || isolated_ || !keys_accepted();
+  }
+  std::shared_ptr<memory::Account> memory() const override {
+    return memory_.account();
+  }
   void OnPeerPrompt(const ServerSlot& slot, const PromptChain& chain) override;
 
  private:
@@ -104,16 +127,24 @@
   bool PutServer(BackendServer server);
   void CheckDrained();
   void StartSession(boost::asio::ip::tcp::socket socket);
+  // Disconnects the caller beyond the limit of connections that has sent no
+  // request for the longest time. Returns whether there was one.
+  bool CloseOldestRejected();
   // Accepts the connections that callers have already established, and no more.
   void StopAccepting();
   std::vector<std::shared_ptr<CallerSession>> Sessions() const;
   void CheckIsolation();
+  // Whether the configuration may be relied on for keys by callers that come
+  // now.
+  bool keys_accepted() const;
+  void CheckKeys();
 
   GatewaySettings settings_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer accept_timer_;
   GatewayMetrics metrics_;
+  MemoryMonitor memory_;
   base::Random random_;
   ServerRegistry registry_;
   Placer placer_;
@@ -124,8 +155,11 @@
   ConversationService conversations_;
   StreamOrigins origins_;
   CrashMonitor crashes_;
+  AllotmentService allotments_;
   ForwardingContext context_;
   std::unordered_map<CallerSession*, std::shared_ptr<CallerSession>> sessions_;
+  // Sessions that only reject requests, in the order of their start.
+  std::vector<CallerSession*> rejected_;
   // No connection is accepted until a session ends.
   bool accept_paused_ = false;
   bool servers_known_ = false;
@@ -138,6 +172,8 @@
   // Neither the store nor most other gateways are reachable, so that callers
   // should use another gateway.
   bool isolated_ = false;
+  // Result of keys_accepted() when it was last logged.
+  bool keys_accepted_ = true;
   std::function<void()> on_drained_;
 };
 
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -24,6 +24,9 @@
 // Far longer than the gap between a program's turns, so that a row is not
 // deleted while another gateway still uses it.
 constexpr base::seconds kBudgetRetention{600};
+// Fraction of the bound of keys after which a gateway is not ready at the
+// latest, so that a short bound leaves time to serve.
+constexpr int kNoticeDivisor = 2;
 
 void LogAcceptError(const boost::system::error_code& error) {
   base::LogEvent(base::LogLevel::kWarning, "accept_failed",
@@ -43,6 +46,7 @@
       tick_timer_(io),
       accept_timer_(io),
       metrics_(counters),
+      memory_(settings_.memory, counters),
       random_(seed),
       registry_(settings_.registry),
       placer_(settings_.placement, settings_.data_centre, random_.Next()),
@@ -53,6 +57,10 @@
       conversations_(io, table, random_.Next(), settings_.conversations),
       origins_(io, table, registry_, peers_),
       crashes_(io, table, peers_, metrics_.requests_in_crashes),
+      allotments_(peers_,
+                  settings_.allotments,
+                  metrics_.allotments,
+                  random_.Next()),
       context_{io,
                codec,
                nullptr,
@@ -63,6 +71,7 @@
                conversations_,
                origins_,
                crashes_,
+               allotments_,
                peers_,
                metrics_,
                random_,
@@ -72,7 +81,15 @@
                RecentDurations(),
                settings_.max_response_bytes,
                std::max(settings_.grace - settings_.stop_margin,
-                        settings_.grace / 4)} {}
+                        settings_.grace / 4)} {
+  if (auto bound = settings_.key_revocation) {
+    context_.revocation = organisation::RevocationPolicy(
+        {.bound = *bound,
+         .send_time = settings_.pool.connect_timeout,
+         .notice_time =
+             std::min(settings_.readiness_notice, *bound / kNoticeDivisor)});
+  }
+}
 
 Gateway::~Gateway() = default;
 
@@ -96,6 +113,7 @@
   peers_.SetBudgetHandler(budgets_);
   peers_.SetPromptObserver(*this);
   peers_.SetStrikeHandler(crashes_);
+  peers_.SetAllotmentHandler(allotments_);
   peers_.Start();
   Accept();
   Tick();
@@ -104,7 +122,8 @@
 void Gateway::Accept() {
   if (!acceptor_.is_open())
     return;
-  if (sessions_.size() >= connection_limit()) {
+  // One place is kept free for the connection that waits next.
+  if (sessions_.size() >= connection_limit() && !CloseOldestRejected()) {
     accept_paused_ = true;
     return;
   }
@@ -138,19 +157,48 @@
   auto session =
       std::make_shared<CallerSession>(std::move(socket), *this, mode);
   sessions_.emplace(session.get(), session);
+  if (mode == SessionMode::kReject)
+    rejected_.push_back(session.get());
   session->Start();
 }
 
+bool Gateway::CloseOldestRejected() {
+  constexpr std::string_view kReason = "others wait for a connection";
+  for (auto close :
+       {&CallerSession::CloseIfIdle, &CallerSession::CloseIfUnread}) {
+    for (CallerSession* session : rejected_) {
+      if (!((*sessions_.at(session)).*close)(kReason))
+        continue;
+      metrics_.idle_rejections.Add();
+      return true;
+    }
+  }
+  return false;
+}
+
 bool Gateway::ApplyConfig(std::shared_ptr<const RouteConfig> config) {
   std::uint64_t current_version =
       context_.config ? context_.config->version : 0;
   if (context_.config && config->version <= current_version)
     return config->version == current_version;
-  base::LogEvent(base::LogLevel::kInfo, "config_applied",
-                 {{"version", std::to_string(config->version)},
-                  {"previous", std::to_string(current_version)},
-                  {"routes", std::to_string(config->routes.size())}});
+  base::LogEvent(
+      base::LogLevel::kInfo, "config_applied",
+      {{"version", std::to_string(config->version)},
+       {"previous", std::to_string(current_version)},
+       {"routes", std::to_string(config->routes.size())},
+       {"organisations", std::to_string(config->organisations.size())},
+       {"keys", std::to_string(config->keys.size())}});
+  if (std::size_t ignored = config->keys.ignored_keys(); ignored > 0) {
+    base::LogEvent(base::LogLevel::kWarning, "keys_ignored",
+                   {{"version", std::to_string(config->version)},
+                    {"keys", std::to_string(ignored)},
+                    {"reason", "empty, or held by an earlier organisation"}});
+  }
+  metrics_.organisations.Set(
+      static_cast<std::int64_t>(config->organisations.size()));
+  metrics_.keys.Set(static_cast<std::int64_t>(config->keys.size()));
   context_.config = std::move(config);
+  allotments_.ApplyConfig(*context_.config);
   return true;
 }
 
@@ -222,7 +270,26 @@
 }
 
 bool Gateway::ready() const {
-  return context_.config && servers_known_ && !draining_ && !isolated_;
+  return context_.config && servers_known_ && !closing();
+}
+
+bool Gateway::keys_accepted() const {
+  if (!context_.config || !context_.config->requires_keys)
+    return true;
+  auto confirmed_at = context_.config_confirmed_at();
+  auto now = base::BootClock::now();
+  // Callers that go elsewhere are served longer only where the store is
+  // reached.
+  return peers_.store_lost() ? context_.revocation.MaySend(confirmed_at, now)
+                             : context_.revocation.MayInvite(confirmed_at, now);
+}
+
+void Gateway::CheckKeys() {
+  bool accepted = keys_accepted();
+  if (std::exchange(keys_accepted_, accepted) == accepted)
+    return;
+  base::LogEvent(base::LogLevel::kWarning, "keys_unconfirmed",
+                 {{"now", accepted ? "false" : "true"}});
 }
 
 void Gateway::Tick() {
@@ -232,6 +299,7 @@
     if (!error)
       Tick();
   });
+  allotments_.Tick();
   auto now = base::TimePoint::clock::now();
   std::vector<std::string> expired = registry_.RemoveExpired(now);
   for (const std::string& id : expired) {
@@ -250,9 +318,11 @@
     conversations_.Tick();
     origins_.DeleteExpired();
   }
+  memory_.Tick(now);
   peers_.ShareRates();
   origins_.SetLiveGateways(peers_.live() + 1);
   CheckIsolation();
+  CheckKeys();
   budgets_.Tick();
   if (draining_)
     CheckDrained();
@@ -291,7 +361,7 @@
     session->CloseIfIdle("draining");
   if (elapsed >= context_.stop_time && !std::exchange(requests_ended_, true)) {
     for (const auto& session : Sessions())
-      session->EndRequest();
+      session->EndRequest("the gateway is stopping");
   }
   std::size_t busy = sessions_.size();
   bool forced = elapsed >= settings_.grace - settings_.exit_margin;
@@ -346,6 +416,7 @@
 
 void Gateway::OnSessionEnded(CallerSession* session) {
   sessions_.erase(session);
+  std::erase(rejected_, session);
   if (std::exchange(accept_paused_, false))
     Accept();
 }
