Let programs that have begun use an allotment before new ones

Change: a request that begins a program is refused unless half of the credit is left; which programs have begun is what the admission under load knows.

--- a/packages/forwarding/include/vanillalever/forwarding/allotment_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/allotment_service.h
@@ -39,7 +39,8 @@
 
   // Counts a request of the organisation, or returns the time after which its
   // caller should come back.
-  std::optional<base::Duration> Take(const organisation::Organisation& caller);
+  std::optional<base::Duration> Take(const organisation::Organisation& caller,
+                                     rate::RequestRole role);
   // A request that was counted has not run.
   void Return(const std::string& organisation);
 
