--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -37,6 +37,7 @@
   base::Counter& caller_disconnects;
   base::Counter& rejected_connections;
   base::Counter& sends;
+  base::Counter& unseen_requests;
   base::Counter& open_sends;
   base::Counter& send_failures;
   base::Counter& new_connections;
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -158,6 +158,8 @@
   request.news_age = context_.peers.news_age();
   Placement placement = context_.placer.Place(
       context_.registry.servers(service_->name), request, now);
+  context_.metrics.unseen_requests.Add(
+      static_cast<std::int64_t>(placement.unseen + 0.5));
   if (!placement.slot || excluded_.size() >= kMaxConsecutiveRefusals)
     return WaitForServer();
   SendWhenTaken(placement);
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -57,6 +57,10 @@
                            "Connections beyond the limit of connections.")),
       sends(registry.counter("vl_gateway_sends_total",
                              "Requests sent to servers.")),
+      unseen_requests(
+          registry.counter("vl_gateway_unseen_requests_total",
+                           "Requests of other gateways expected without news "
+                           "of them, summed over the choices of a server.")),
       open_sends(
           registry.gauge("vl_gateway_open_sends", "Requests open at servers.")),
       send_failures(registry.counter("vl_gateway_send_failures_total",
