Give callers beyond the limit 250 ms to send their requests

Change: none is closed in the first 250 ms at the limit, later ones have 20 ms, and none whose input is unread.

--- a/packages/forwarding/include/vanillalever/forwarding/caller_session.h
+++ b/packages/forwarding/include/vanillalever/forwarding/caller_session.h
@@ -117,6 +117,7 @@
   bool CloseIfIdle(std::string_view reason);
   // The same, though the start of a request may have been read.
   bool CloseIfUnread(std::string_view reason);
+  base::TimePoint started_at() const { return started_at_; }
   // Ends the request in progress, if any, with a response.
   void EndRequest(std::string_view reason);
 
@@ -191,6 +192,7 @@
   boost::asio::steady_timer timer_;
   SessionDelegate& delegate_;
   const SessionMode mode_;
+  const base::TimePoint started_at_ = base::TimePoint::clock::now();
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::shared_ptr<ActiveRequest> request_;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -140,6 +141,8 @@
   std::vector<CallerSession*> rejected_;
   // No connection is accepted until a session ends.
   bool accept_paused_ = false;
+  // Since when the connections have reached their limit; absent below it.
+  std::optional<base::TimePoint> full_since_;
   bool servers_known_ = false;
   bool draining_ = false;
   base::TimePoint drain_started_{};
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -440,14 +440,13 @@
 }
 
 bool CallerSession::CloseIfIdle(std::string_view reason) {
-  boost::system::error_code ignored;
-  bool idle =
-      !parser_ && buffer_.size() == 0 && socket_.available(ignored) == 0;
+  bool idle = !parser_ && buffer_.size() == 0;
   return (closed_ || idle) && CloseIfUnread(reason);
 }
 
 bool CallerSession::CloseIfUnread(std::string_view reason) {
-  if (!in_request_ && !closing_ && !writing_)
+  boost::system::error_code ignored;
+  if (!in_request_ && !closing_ && !writing_ && socket_.available(ignored) == 0)
     Close(reason);
   return closed_;
 }
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -19,6 +19,10 @@
 constexpr milliseconds kTickInterval{100};
 // Interval between removals of idle connections and inactive programs.
 constexpr milliseconds kCleanupInterval{1000};
+// Time that callers beyond the limit of connections have to send their requests
+// once others wait, and that those have who come later.
+constexpr milliseconds kUnusedTime{250};
+constexpr milliseconds kMinUnusedTime{20};
 // Delay after a failed accept, for example for lack of file descriptors.
 constexpr milliseconds kAcceptRetryDelay{50};
 // Far longer than the gap between a program's turns, so that a row is not
@@ -108,6 +112,11 @@
   // One place is kept free for the connection that waits next.
   if (sessions_.size() >= connection_limit() && !CloseOldestRejected()) {
     accept_paused_ = true;
+    accept_timer_.expires_after(kMinUnusedTime);
+    accept_timer_.async_wait([this](boost::system::error_code cancelled) {
+      if (!cancelled && std::exchange(accept_paused_, false))
+        Accept();
+    });
     return;
   }
   acceptor_.async_accept(
@@ -147,9 +156,16 @@
 
 bool Gateway::CloseOldestRejected() {
   constexpr std::string_view kReason = "others wait for a connection";
+  auto now = base::TimePoint::clock::now();
+  if (!full_since_)
+    full_since_ = now;
+  if (now - *full_since_ < kUnusedTime)
+    return false;
   for (auto close :
        {&CallerSession::CloseIfIdle, &CallerSession::CloseIfUnread}) {
     for (CallerSession* session : rejected_) {
+      if (now - session->started_at() < kMinUnusedTime)
+        break;
       if (!((*sessions_.at(session)).*close)(kReason))
         continue;
       metrics_.idle_rejections.Add();
@@ -269,6 +285,8 @@
     origins_.DeleteExpired();
   }
   memory_.Tick(now);
+  if (sessions_.size() + 1 < connection_limit())
+    full_since_.reset();
   peers_.ShareRates();
   origins_.SetLiveGateways(peers_.live() + 1);
   CheckIsolation();
