--- a/packages/admission/include/vanillalever/admission/admission_control.h
+++ b/packages/admission/include/vanillalever/admission/admission_control.h
@@ -45,10 +45,6 @@
                            base::TimePoint now,
                            base::Random& random);
 
-  // Whether servers have worked for the request's program, as far as this
-  // gateway knows.
-  bool HasBegun(const OfferedRequest& request, base::TimePoint now);
-
   // A server has begun to work for the program or conversation, through this or
   // another gateway.
   void OnBegun(std::uint64_t hash, base::TimePoint now);
--- a/packages/admission/src/admission_control.cc
+++ b/packages/admission/src/admission_control.cc
@@ -17,7 +17,10 @@
                                            base::Random& random) {
   AdmissionRequest request;
   request.program_hash = offered.program_hash;
-  request.begun = HasBegun(offered, now);
+  request.begun = offered.follows_earlier_work ||
+                  begun_.Contains(offered.program_hash, now) ||
+                  (offered.conversation_hash != 0 &&
+                   begun_.Contains(offered.conversation_hash, now));
   request.less_urgent = IsLessUrgent(offered, now);
   request.goal = offered.goal;
   request.time_left = offered.time_left;
@@ -30,14 +33,6 @@
   return policy_.Decide(request, random);
 }
 
-bool AdmissionControl::HasBegun(const OfferedRequest& request,
-                                base::TimePoint now) {
-  return request.follows_earlier_work ||
-         begun_.Contains(request.program_hash, now) ||
-         (request.conversation_hash != 0 &&
-          begun_.Contains(request.conversation_hash, now));
-}
-
 void AdmissionControl::OnBegun(std::uint64_t hash, base::TimePoint now) {
   begun_.Add(hash, now);
 }
--- a/packages/forwarding/include/vanillalever/forwarding/allotment_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/allotment_service.h
@@ -39,8 +39,7 @@
 
   // Counts a request of the organisation, or returns the time after which its
   // caller should come back.
-  std::optional<base::Duration> Take(const organisation::Organisation& caller,
-                                     rate::RequestRole role);
+  std::optional<base::Duration> Take(const organisation::Organisation& caller);
   // A request that was counted has not run.
   void Return(const std::string& organisation);
 
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -220,8 +220,6 @@
   const organisation::Organisation* organisation_ = nullptr;
   // The request counts toward the allotment of its organisation.
   bool counted_ = false;
-  // No server has worked for its program yet, as far as this gateway knows.
-  bool begins_program_ = false;
   const Service* service_ = nullptr;
   // Computed when first needed; see fingerprint().
   std::string fingerprint_;
--- a/packages/forwarding/src/allotment_service.cc
+++ b/packages/forwarding/src/allotment_service.cc
@@ -55,15 +55,13 @@
 }
 
 std::optional<base::Duration> AllotmentService::Take(
-    const organisation::Organisation& caller,
-    rate::RequestRole role) {
+    const organisation::Organisation& caller) {
   if (!book_.limits(caller.name))
     return std::nullopt;
   auto now = base::TimePoint::clock::now();
   if (now - reach_updated_at_ >= kReachAge)
     UpdateReach(now);
-  std::optional<rate::AllotmentRefusal> refusal =
-      book_.Take(caller.name, now, role);
+  std::optional<rate::AllotmentRefusal> refusal = book_.Take(caller.name, now);
   if (!refusal) {
     counters_.taken.Add();
     peers_.OnAllotmentsChanged();
--- a/packages/forwarding/src/forwarded_request_allotment.cc
+++ b/packages/forwarding/src/forwarded_request_allotment.cc
@@ -9,9 +9,7 @@
 bool ForwardedRequest::TakeAllotment() {
   if (organisation_ == nullptr)
     return true;
-  auto role = begins_program_ ? rate::RequestRole::kBeginsProgram
-                              : rate::RequestRole::kOther;
-  if (auto retry_after = context_.allotments.Take(*organisation_, role)) {
+  if (auto retry_after = context_.allotments.Take(*organisation_)) {
     context_.metrics.refused.Add();
     SendLocalReply(429, "the organisation's allotment is used up", retry_after);
     return false;
--- a/packages/forwarding/src/forwarded_request_overload.cc
+++ b/packages/forwarding/src/forwarded_request_overload.cc
@@ -44,12 +44,12 @@
   bool tool_call = !service_->engine && !profile_.program.empty();
   offered.follows_earlier_work = tool_call || !profile_.previous_turn.empty() ||
                                  !profile_.last_event_id.empty();
-  offered.priority = priority();
+  offered.priority = organisation_ != nullptr && organisation_->priority
+                         ? *organisation_->priority
+                         : route_->priority;
   offered.goal = route_->goal;
   offered.time_left = time_left();
   offered.other_wait = StoreWait();
-  begins_program_ = service_->engine && !profile_.program.empty() &&
-                    !context_.admission.HasBegun(offered, now);
   admission::ServiceLoad load =
       LoadOf(context_.registry.servers(service_->name), now);
   admission::AdmissionDecision decision =
--- a/packages/rate/include/vanillalever/rate/allotment_book.h
+++ b/packages/rate/include/vanillalever/rate/allotment_book.h
@@ -29,8 +29,6 @@
   // do not know of in time.
   double usable = 1.0 / 3;
   base::Duration unknown = base::milliseconds(500);
-  // Part of the credit that is left to programs that have begun.
-  double begun_share = 0.5;
   // A gateway that has sent no message for this long counts as out of contact:
   // two of its complete messages are lost or late.
   base::Duration silence = base::milliseconds(700);
@@ -72,11 +70,6 @@
   std::size_t gateways = 1;
 };
 
-// Whether a request begins a program. While an organisation asks for more than
-// its allotment such a request is refused first: a program of which only some
-// requests are taken fails, and those were taken in vain.
-enum class RequestRole { kBeginsProgram, kOther };
-
 // Request over its organisation's allotment.
 struct AllotmentRefusal {
   // Time after which the caller should come back.
@@ -111,8 +104,7 @@
 
   // Counts a request of the organisation, or refuses it.
   std::optional<AllotmentRefusal> Take(const std::string& organisation,
-                                       base::TimePoint now,
-                                       RequestRole role = RequestRole::kOther);
+                                       base::TimePoint now);
   // A request that Take() has counted has not run, and will not.
   void Return(const std::string& organisation);
   // Whether the organisation has a limit.
--- a/packages/rate/include/vanillalever/rate/shared_rate.h
+++ b/packages/rate/include/vanillalever/rate/shared_rate.h
@@ -67,13 +67,10 @@
   base::TimePoint next_at() const { return next_at_; }
   // Requests that may go at once beyond the rate; negative in debt.
   double credit(base::TimePoint now) const;
-  // Whether a request may go now and leave this part of the full credit.
-  bool HasCredit(double part, base::TimePoint now) const {
-    return now - next_at_ >=
-           std::chrono::duration_cast<base::Duration>(part * limit_.max_credit);
-  }
   // Whether at least half of the credit is left.
-  bool plentiful(base::TimePoint now) const { return HasCredit(0.5, now); }
+  bool plentiful(base::TimePoint now) const {
+    return now - next_at_ >= limit_.max_credit / 2;
+  }
   const RequestTotals& totals() const { return totals_; }
 
   // Loss of contact is noticed within this time.
--- a/packages/rate/src/allotment_book.cc
+++ b/packages/rate/src/allotment_book.cc
@@ -94,15 +94,12 @@
 
 std::optional<AllotmentRefusal> AllotmentBook::Take(
     const std::string& organisation,
-    base::TimePoint now,
-    RequestRole role) {
+    base::TimePoint now) {
   auto found = entries_.find(organisation);
   if (found == entries_.end())
     return std::nullopt;
   Entry& entry = found->second;
-  double reserved =
-      role == RequestRole::kBeginsProgram ? settings_.begun_share : 0;
-  if (reach_.share <= 0 || !entry.rate.HasCredit(reserved, now))
+  if (reach_.share <= 0 || entry.rate.next_at() > now)
     return Refuse(entry, now);
   entry.rate.Take(now);
   entry.last_taken_at = now;
