--- a/packages/forwarding/src/forwarded_request_overload.cc
+++ b/packages/forwarding/src/forwarded_request_overload.cc
@@ -44,9 +44,7 @@
   bool tool_call = !service_->engine && !profile_.program.empty();
   offered.follows_earlier_work = tool_call || !profile_.previous_turn.empty() ||
                                  !profile_.last_event_id.empty();
-  offered.priority = organisation_ != nullptr && organisation_->priority
-                         ? *organisation_->priority
-                         : route_->priority;
+  offered.priority = priority();
   offered.goal = route_->goal;
   offered.time_left = time_left();
   offered.other_wait = StoreWait();
