Stand-ins: write a large response whole before the connection is aborted; different ports for a gateway

Traced with a line at the abort: the stand-in aborted with 12,768 bytes in its buffer, and exactly these were missing at the caller (1 of 56 runs beside load): drain() returns while up to 16 KB are left. gateway_test: one gateway got the same free port for callers and for readiness. Change: the stand-in waits until its buffer is empty; the two ports are chosen while both are held. No check changes.

--- a/tests/gateway/gateway_test.py
+++ b/tests/gateway/gateway_test.py
@@ -3,6 +3,7 @@
 Usage: gateway_test.py GATEWAY_BINARY [unittest option...]
 """
 import concurrent.futures
+import contextlib
 import http.client
 import os
 import pathlib
@@ -34,6 +35,15 @@
         return probe.getsockname()[1]
 
 
+def free_ports(count):
+    """Free ports, all of them different."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind(("127.0.0.1", 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
 def free_peer_port():
     """A port that is free for datagrams and for connections, outside the range of outgoing connections."""
     while True:
@@ -61,7 +71,7 @@
 
     def __init__(self, platform, grace_s=8, name="edge-1", peer_port=0, store_port=0,
                  memory_mb=512, max_fds=8200, bounds="", writes_per_s=0):
-        self.front, self.ready_port = free_port(), free_port()
+        self.front, self.ready_port = free_ports(2)
         self.peer_port = peer_port = peer_port or free_peer_port()
         self.directory = tempfile.TemporaryDirectory()
         settings = pathlib.Path(self.directory.name) / "settings.yaml"
--- a/tests/gateway/large_response_test.py
+++ b/tests/gateway/large_response_test.py
@@ -65,6 +65,8 @@
             self.bytes_sent += len(piece)
         if form == "chunked":
             writer.write(b"0\r\n\r\n")
+        # Until all is written: the connection is aborted next, which drops what is not.
+        writer.transport.set_write_buffer_limits(high=0)
         await writer.drain()
 
 
