--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -1,6 +1,7 @@
 #include "vanillalever/forwarding/forwarded_request.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <utility>
 
@@ -158,8 +159,7 @@
   request.news_age = context_.peers.news_age();
   Placement placement = context_.placer.Place(
       context_.registry.servers(service_->name), request, now);
-  context_.metrics.unseen_requests.Add(
-      static_cast<std::int64_t>(placement.unseen + 0.5));
+  context_.metrics.unseen_requests.Add(std::llround(placement.unseen));
   if (!placement.slot || excluded_.size() >= kMaxConsecutiveRefusals)
     return WaitForServer();
   SendWhenTaken(placement);
