Compute each server's uncached prompt tokens once a placement

Cause: Place() looked them up for every engine to find the least, and again for each engine's estimate and the result: two look-ups and two walks of the prompt index a server, on the path of every request. Change: the first result is kept beside its server. The decision is the same.

--- a/packages/forwarding/include/vanillalever/forwarding/placement.h
+++ b/packages/forwarding/include/vanillalever/forwarding/placement.h
@@ -165,7 +165,8 @@
                       base::TimePoint now);
   balance::Candidate EstimateEngine(const ServerSlot& slot,
                                     const Context& context,
-                                    const OpenRequests& open) const;
+                                    const OpenRequests& open,
+                                    std::int64_t prefill_tokens) const;
   balance::Candidate EstimatePlain(const ServerSlot& slot,
                                    const Context& context,
                                    const OpenRequests& open) const;
--- a/packages/forwarding/src/placement.cc
+++ b/packages/forwarding/src/placement.cc
@@ -73,6 +73,8 @@
 
   Placement placement;
   std::vector<const ServerSlotPtr*> slots;
+  // Prompt tokens to be computed there.
+  std::vector<std::int64_t> prefills;
   for (const ServerSlotPtr& slot : servers) {
     if (!MayTake(*slot, request, now))
       continue;
@@ -80,18 +82,21 @@
     if (slots.empty() || prefill < context.least_prefill_tokens)
       context.least_prefill_tokens = prefill;
     slots.push_back(&slot);
+    prefills.push_back(prefill);
   }
   if (slots.empty())
     return placement;
 
   std::vector<balance::Candidate> candidates;
   candidates.reserve(slots.size());
-  for (const ServerSlotPtr* slot : slots) {
+  for (std::size_t i = 0; i < slots.size(); ++i) {
+    const ServerSlotPtr* slot = slots[i];
     OpenRequests open = EstimateOpen(**slot, context);
     placement.unseen += open.ended;
     balance::Candidate& candidate = candidates.emplace_back(
-        request.service.engine ? EstimateEngine(**slot, context, open)
-                               : EstimatePlain(**slot, context, open));
+        request.service.engine
+            ? EstimateEngine(**slot, context, open, prefills[i])
+            : EstimatePlain(**slot, context, open));
     // Counts as load, so that the level spreads requests over data centres too.
     candidate.base_ms += RoundTripMs(**slot);
     // Servers that limit their requests or fail are avoided also below the
@@ -107,7 +112,7 @@
                                                   kTieThresholdMs, random_);
   placement.slot = *slots[index];
   placement.candidates = static_cast<int>(slots.size());
-  placement.prefill_tokens = PrefillTokens(*placement.slot, request);
+  placement.prefill_tokens = prefills[index];
   placement.least_prefill_tokens = context.least_prefill_tokens;
   placement.estimate_ms =
       candidates[index].own_ms + std::max(candidates[index].base_ms, level_ms);
@@ -219,7 +224,8 @@
 
 balance::Candidate Placer::EstimateEngine(const ServerSlot& slot,
                                           const Context& context,
-                                          const OpenRequests& open) const {
+                                          const OpenRequests& open,
+                                          std::int64_t prefill_tokens) const {
   const RequestProfile& profile = context.request.profile;
   const balance::Speeds& speeds = context.speeds;
   double slots = std::max(1, slot.server.slots);
@@ -230,8 +236,8 @@
                 settings_.step_ms_per_request * std::min(open.left + 1, slots));
   double typical_prefill = static_cast<double>(context.least_prefill_tokens) *
                            speeds.prefill_ms_per_token;
-  double prefill = static_cast<double>(PrefillTokens(slot, context.request)) *
-                   speeds.prefill_ms_per_token;
+  double prefill =
+      static_cast<double>(prefill_tokens) * speeds.prefill_ms_per_token;
   double backlog = static_cast<double>(slot.load.prefill_tokens(context.now)) *
                    open.share * speeds.prefill_ms_per_token;
   // Prefill stalls all running requests, and each further request in the batch
