--- a/review/8/run.py
+++ b/review/8/run.py
@@ -74,7 +74,8 @@
                 answers.add(identity, "payment on a kept channel", status)
             caller.close()
 
-        threads = [threading.Thread(target=watch)] + [threading.Thread(target=pay) for _ in range(ORDINARY)]
+        threads = [threading.Thread(target=watch, daemon=True)]
+        threads += [threading.Thread(target=pay, daemon=True) for _ in range(ORDINARY)]
         for thread in threads:
             thread.start()
         previous = None
@@ -88,8 +89,8 @@
             if isinstance(server, harness.standin.Engine):
                 server.gap_s = 0.25
         if harness.disruption():
-            crowd = [threading.Thread(target=turn, args=(gateway, b"y" * 1000, previous, answers, "turn of the crowd"))
-                     for _ in range(CROWD)]
+            arguments = (gateway, b"y" * 1000, previous, answers, "turn of the crowd")
+            crowd = [threading.Thread(target=turn, args=arguments, daemon=True) for _ in range(CROWD)]
             for thread in crowd:
                 thread.start()
             for thread in crowd:
