Renew the records of conversations that go on, so that no gateway deletes what another one uses

Cause: a gateway that continues a conversation takes its records over by writing them again, and deletes them once it has not used them for three retention times. The gateway that had written them is not told. RetentionSchedule::OnRecorded() took its own entry for proof that it still owned the record, and never looked at the store again while the conversation went on there. On related paths: a gateway whose takeover met a conflict forgot the record; a route with a short retention time took records over with that time.

Change: each gateway that goes on with a conversation reads the versions of all its records again within two retention times, and writes those again that it did not write last. Records state the longest retention time that was promised (field 4 of the schema). A record that is missing is written again from memory if the turn is there.

Why it works: a record is deleted only by its last writer, three retention times after that write at the earliest. Every gateway that relies on it has made sure of its own write, or written anew, within two.

--- a/packages/conversation/include/vanillalever/conversation/turn.h
+++ b/packages/conversation/include/vanillalever/conversation/turn.h
@@ -6,6 +6,8 @@
 #include <optional>
 #include <string>
 
+#include "vanillalever/base/clock.h"
+
 namespace vanillalever::conversation {
 
 struct Turn;
@@ -25,6 +27,9 @@
   std::string input;
   // Data of each event of the response, each followed by a line feed.
   std::string output;
+  // How long the turn is kept after its last use. Zero if its record was
+  // written by a release that did not state it.
+  base::Duration retention{};
 
   std::size_t bytes() const {
     return sizeof(Turn) + id.size() + input.size() + output.size();
--- a/packages/conversation/include/vanillalever/conversation/turn_record.h
+++ b/packages/conversation/include/vanillalever/conversation/turn_record.h
@@ -21,6 +21,8 @@
   std::string output;
   // See Turn.
   std::optional<std::string> organisation;
+  // See Turn; the longest that any gateway has needed. Whole milliseconds.
+  base::Duration retention{};
 
   bool operator==(const TurnRecord&) const = default;
 };
--- a/packages/conversation/src/chain_reader.cc
+++ b/packages/conversation/src/chain_reader.cc
@@ -70,6 +70,7 @@
     turn->organisation = entry->second->organisation;
     turn->input = entry->second->input;
     turn->output = entry->second->output;
+    turn->retention = entry->second->retention;
     previous = std::move(turn);
   }
   return previous;
--- a/packages/conversation/src/retention_schedule.cc
+++ b/packages/conversation/src/retention_schedule.cc
@@ -1,39 +1,82 @@
 #include "vanillalever/conversation/retention_schedule.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace vanillalever::conversation {
 namespace {
 
-// Records are kept for this many retention times after their last use, so that
-// a gateway that continues the conversation late can still take them over.
+// Records are kept for this many retention times after their last use and after
+// they were last written, so that a gateway that continues the conversation
+// late can still renew them.
 constexpr int kKeptRetentions = 3;
-// A continued conversation is taken over after this fraction of its retention
-// time; most programs have ended by then.
-constexpr int kTakeoverDivisor = 2;
-constexpr base::seconds kTakeoverRetryDelay{2};
+// A record that others may have taken over is renewed within this many
+// retention times. The rest is for a renewal that is late.
+constexpr int kRenewalRetentions = 2;
+// A record of another gateway is first renewed after this fraction of its
+// retention time.
+constexpr int kFirstRenewalDivisor = 2;
+constexpr base::seconds kRetryDelay{2};
 
 }  // namespace
 
 void RetentionSchedule::OnRecorded(const TurnPtr& turn,
                                    const OwnedRecord& record,
-                                   base::Duration retention,
                                    base::TimePoint now) {
-  base::TimePoint expires = now + kKeptRetentions * retention;
-  owned_[turn->id] = {record, retention, expires};
-  checks_.emplace(expires, turn->id);
-  for (TurnPtr ancestor = turn->previous; ancestor;
-       ancestor = ancestor->previous) {
-    if (auto found = owned_.find(ancestor->id); found != owned_.end()) {
-      found->second.expires = expires;
-      continue;
+  Kept& own = kept_[record.id];
+  own = {.version = record.version,
+         .rows = record.rows,
+         .stated = turn->retention,
+         .needed = turn->retention,
+         .last_used = now,
+         .renewed = now,
+         .expires = now + kKeptRetentions * turn->retention,
+         .due = std::nullopt,
+         .renewing = std::nullopt};
+  checks_.emplace(own.expires, record.id);
+  for (const Turn* ancestor = turn->previous.get(); ancestor != nullptr;
+       ancestor = ancestor->previous.get()) {
+    auto [found, added] = kept_.try_emplace(ancestor->id);
+    Kept& kept = found->second;
+    if (added) {
+      kept.stated = ancestor->retention;
+      checks_.emplace(now + kKeptRetentions * turn->retention, ancestor->id);
     }
-    if (taking_over_.contains(ancestor->id) ||
-        !takeovers_.try_emplace(ancestor->id, Takeover{ancestor, retention})
-             .second)
-      continue;
-    takeover_times_.emplace(now + retention / kTakeoverDivisor, ancestor->id);
+    Use(ancestor->id, kept, turn->retention, now);
+  }
+}
+
+void RetentionSchedule::Use(const std::string& id,
+                            Kept& kept,
+                            base::Duration retention,
+                            base::TimePoint now) {
+  kept.last_used = now;
+  kept.needed = std::max(kept.needed, retention);
+  // Records of earlier releases state no retention time.
+  if (kept.stated == base::Duration(0))
+    kept.stated = retention;
+  kept.expires = std::max(kept.expires, now + kKeptRetentions * retention);
+  if (!kept.renewing && !kept.due)
+    Schedule(id, kept);
+}
+
+void RetentionSchedule::Schedule(const std::string& id, Kept& kept) {
+  bool states_too_little = kept.needed > kept.stated;
+  if (kept.last_used <= kept.renewed && !states_too_little)
+    return;
+  bool new_to_this_gateway = kept.renewed == base::TimePoint{};
+  if (new_to_this_gateway || states_too_little) {
+    auto sooner = std::min(kept.stated, kept.needed);
+    return SetDue(id, kept, kept.last_used + sooner / kFirstRenewalDivisor);
   }
+  SetDue(id, kept, kept.renewed + kRenewalRetentions * kept.stated);
+}
+
+void RetentionSchedule::SetDue(const std::string& id,
+                               Kept& kept,
+                               base::TimePoint due) {
+  kept.due = due;
+  renewals_.emplace(due, id);
 }
 
 std::vector<RetentionSchedule::OwnedRecord> RetentionSchedule::TakeExpired(
@@ -42,54 +85,86 @@
   while (!checks_.empty() && checks_.begin()->first <= now) {
     std::string id = std::move(checks_.begin()->second);
     checks_.erase(checks_.begin());
-    auto found = owned_.find(id);
-    if (found == owned_.end())
+    auto found = kept_.find(id);
+    if (found == kept_.end())
       continue;
-    if (found->second.expires > now) {
-      checks_.emplace(found->second.expires, std::move(id));
+    const Kept& kept = found->second;
+    if (kept.expires > now || kept.renewing) {
+      checks_.emplace(std::max(kept.expires, now + kRetryDelay), std::move(id));
       continue;
     }
-    expired.push_back(std::move(found->second.record));
-    owned_.erase(found);
+    if (kept.version != 0)
+      expired.push_back({std::move(id), kept.version, kept.rows});
+    kept_.erase(found);
   }
   return expired;
 }
 
-std::vector<TurnPtr> RetentionSchedule::TakeTakeovers(base::TimePoint now) {
-  std::vector<TurnPtr> turns;
-  while (!takeover_times_.empty() && takeover_times_.begin()->first <= now) {
-    auto found = takeovers_.find(takeover_times_.begin()->second);
-    takeover_times_.erase(takeover_times_.begin());
-    taking_over_[found->first] = found->second.retention;
-    turns.push_back(std::move(found->second.turn));
-    takeovers_.erase(found);
+std::vector<RetentionSchedule::Renewal> RetentionSchedule::TakeRenewals(
+    base::TimePoint now) {
+  std::vector<Renewal> renewals;
+  while (!renewals_.empty() && renewals_.begin()->first <= now) {
+    auto [due, id] = std::move(*renewals_.begin());
+    renewals_.erase(renewals_.begin());
+    auto found = kept_.find(id);
+    if (found == kept_.end() || found->second.due != due)
+      continue;
+    Kept& kept = found->second;
+    kept.due.reset();
+    kept.renewing = now;
+    renewals.push_back({std::move(id), kept.version, kept.needed});
   }
-  return turns;
+  return renewals;
 }
 
-void RetentionSchedule::OnTakenOver(const OwnedRecord& record,
-                                    base::TimePoint now) {
-  auto found = taking_over_.find(record.id);
-  if (found == taking_over_.end())
+RetentionSchedule::Kept* RetentionSchedule::EndRenewal(const std::string& id) {
+  auto found = kept_.find(id);
+  return found == kept_.end() || !found->second.renewing ? nullptr
+                                                         : &found->second;
+}
+
+void RetentionSchedule::OnUnchanged(const std::string& id) {
+  Kept* kept = EndRenewal(id);
+  if (kept == nullptr)
     return;
-  base::TimePoint expires = now + kKeptRetentions * found->second;
-  owned_[record.id] = {record, found->second, expires};
-  checks_.emplace(expires, record.id);
-  taking_over_.erase(found);
+  // The record was read later than the renewal began.
+  kept->renewed = *std::exchange(kept->renewing, std::nullopt);
+  Schedule(id, *kept);
 }
 
-void RetentionSchedule::OnTakeoverFailed(const TurnPtr& turn,
-                                         bool taken_by_other,
-                                         base::TimePoint now) {
-  auto found = taking_over_.find(turn->id);
-  if (found == taking_over_.end())
+void RetentionSchedule::OnRewritten(const OwnedRecord& record,
+                                    base::Duration retention,
+                                    base::TimePoint now) {
+  Kept* kept = EndRenewal(record.id);
+  if (kept == nullptr)
     return;
-  base::Duration retention = found->second;
-  taking_over_.erase(found);
-  if (taken_by_other ||
-      !takeovers_.try_emplace(turn->id, Takeover{turn, retention}).second)
+  kept->version = record.version;
+  kept->rows = record.rows;
+  kept->stated = retention;
+  kept->renewed = *std::exchange(kept->renewing, std::nullopt);
+  // Other gateways that rely on the record count on that much from this write.
+  kept->expires = std::max(kept->expires, now + kKeptRetentions * retention);
+  Schedule(record.id, *kept);
+}
+
+void RetentionSchedule::OnRenewalFailed(const std::string& id,
+                                        bool taken_by_other,
+                                        base::TimePoint now) {
+  Kept* kept = EndRenewal(id);
+  if (kept == nullptr)
     return;
-  takeover_times_.emplace(now + kTakeoverRetryDelay, turn->id);
+  auto started = *std::exchange(kept->renewing, std::nullopt);
+  if (!taken_by_other)
+    return SetDue(id, *kept, now + kRetryDelay);
+  kept->version = 0;
+  kept->renewed = started;
+  Schedule(id, *kept);
+}
+
+std::size_t RetentionSchedule::owned() const {
+  return static_cast<std::size_t>(
+      std::count_if(kept_.begin(), kept_.end(),
+                    [](const auto& item) { return item.second.version != 0; }));
 }
 
 }  // namespace vanillalever::conversation
--- a/packages/conversation/src/turn_record.cc
+++ b/packages/conversation/src/turn_record.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <chrono>
+#include <cstdint>
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
@@ -22,6 +24,14 @@
   return {reinterpret_cast<const char*>(data.begin()), data.size()};
 }
 
+// Longer times were not written by this project.
+constexpr base::milliseconds kMaxRetention = std::chrono::hours(24 * 365);
+
+base::Duration ParseRetention(std::uint64_t ms) {
+  auto most = static_cast<std::uint64_t>(kMaxRetention.count());
+  return base::milliseconds(std::min(ms, most));
+}
+
 // Separates the number of rows from the first row's part of the record.
 constexpr char kCountSeparator = ' ';
 
@@ -32,6 +42,7 @@
   record.input = turn.input;
   record.output = turn.output;
   record.organisation = turn.organisation;
+  record.retention = turn.retention;
   for (const Turn* ancestor = turn.previous.get();
        ancestor != nullptr && record.ancestors.size() < kMaxRecordAncestors;
        ancestor = ancestor->previous.get())
@@ -50,6 +61,9 @@
   root.setOutput(Bytes(record.output));
   if (record.organisation)
     root.setOrganisation(*record.organisation);
+  root.setRetentionMs(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<base::milliseconds>(record.retention)
+          .count()));
   return protocol::Pack(message);
 }
 
@@ -66,6 +80,7 @@
     if (root.hasOrganisation())
       record.organisation.emplace(root.getOrganisation().cStr(),
                                   root.getOrganisation().size());
+    record.retention = ParseRetention(root.getRetentionMs());
     return record;
   } catch (const kj::Exception&) {
     return std::nullopt;
--- a/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
@@ -67,12 +67,11 @@
   // Makes the turn durable; `done` reports whether it is. After `give_up` the
   // outcome is reported as not durable, although it may become so.
   void Record(conversation::TurnPtr turn,
-              base::Duration retention,
               base::TimePoint give_up,
               std::function<void(bool recorded)> done);
 
-  // Deletes expired records and removes idle turns from memory. Call
-  // periodically.
+  // Deletes expired records, renews those of conversations that go on, and
+  // removes idle turns from memory. Call periodically.
   void Tick();
 
  private:
@@ -107,11 +106,18 @@
               TurnLookup outcome,
               const conversation::TurnPtr& turn);
   void DeleteRecord(const conversation::RetentionSchedule::OwnedRecord& record);
-  // Writes the record of another gateway's turn again.
-  void TakeOver(const conversation::TurnPtr& turn);
-  void OnTakeoverFailed(const conversation::TurnPtr& turn,
-                        bool taken_by_other,
-                        const std::string& reason);
+  // Reads a record, and writes it again if another gateway has written it or if
+  // it states too short a retention time.
+  void Renew(const conversation::RetentionSchedule::Renewal& renewal);
+  void OnRenewalRead(const conversation::RetentionSchedule::Renewal& renewal,
+                     const ReadResult& read);
+  // Writes the rows of a record, which replace those in `present`.
+  void Rewrite(const std::string& id,
+               const conversation::TurnRecord& record,
+               const std::vector<TableRow>& present);
+  void OnRenewalFailed(const std::string& id,
+                       bool taken_by_other,
+                       const std::string& reason);
 
   boost::asio::io_context& context_;
   SharedTable& table_;
--- a/packages/forwarding/src/conversation_service.cc
+++ b/packages/forwarding/src/conversation_service.cc
@@ -170,7 +170,6 @@
 }
 
 void ConversationService::Record(TurnPtr turn,
-                                 base::Duration retention,
                                  base::TimePoint give_up,
                                  std::function<void(bool recorded)> done) {
   auto rows = conversation::SplitIntoRows(
@@ -178,18 +177,17 @@
       settings_.max_row_bytes);
   std::size_t count = rows.size();
   const std::string& id = turn->id;
-  writer_.Write(id, std::move(rows), give_up,
-                [this, turn, retention, count,
-                 done = std::move(done)](RecordWriter::Outcome outcome) {
-                  auto now = base::TimePoint::clock::now();
-                  if (outcome.recorded) {
-                    retention_.OnRecorded(turn,
-                                          {turn->id, outcome.version, count},
-                                          retention, now);
-                    cache_.Put(turn, now);
-                  }
-                  done(outcome.recorded);
-                });
+  writer_.Write(
+      id, std::move(rows), give_up,
+      [this, turn, count,
+       done = std::move(done)](RecordWriter::Outcome outcome) {
+        auto now = base::TimePoint::clock::now();
+        if (outcome.recorded) {
+          retention_.OnRecorded(turn, {turn->id, outcome.version, count}, now);
+          cache_.Put(turn, now);
+        }
+        done(outcome.recorded);
+      });
 }
 
 void ConversationService::Tick() {
@@ -197,8 +195,8 @@
   cache_.RemoveIdle(now);
   for (const auto& record : retention_.TakeExpired(now))
     DeleteRecord(record);
-  for (const TurnPtr& turn : retention_.TakeTakeovers(now))
-    TakeOver(turn);
+  for (const auto& renewal : retention_.TakeRenewals(now))
+    Renew(renewal);
 }
 
 void ConversationService::DeleteRecord(
@@ -218,38 +216,86 @@
       });
 }
 
-void ConversationService::TakeOver(const TurnPtr& turn) {
-  ReadRows(turn->id, [this, turn](const ReadResult& read) {
-    if (read.outcome != StoreOutcome::kDone || read.rows.empty())
-      return OnTakeoverFailed(turn, false, read.reason);
-    std::vector<TableWrite> writes;
-    for (const TableRow& row : read.rows) {
-      RowName name = RecordRowName(kTurnTable, turn->id, writes.size());
-      // Rows of an earlier release are copied; their owner deletes them.
-      bool copied = name.partition != row.name.partition;
-      writes.push_back({name, copied ? 0 : row.version, row.value});
-    }
-    std::size_t count = writes.size();
-    table_.Transact(std::move(writes), [this, turn, count](
-                                           const TransactionResult& result) {
-      if (result.outcome != StoreOutcome::kDone)
-        return OnTakeoverFailed(turn, result.outcome == StoreOutcome::kConflict,
-                                result.reason);
-      retention_.OnTakenOver({turn->id, result.version, count},
-                             base::TimePoint::clock::now());
-    });
+void ConversationService::Renew(const RetentionSchedule::Renewal& renewal) {
+  ReadRows(renewal.id, [this, renewal](const ReadResult& read) {
+    OnRenewalRead(renewal, read);
   });
 }
 
-void ConversationService::OnTakeoverFailed(const TurnPtr& turn,
-                                           bool taken_by_other,
-                                           const std::string& reason) {
-  base::LogEvent(base::LogLevel::kWarning, "turn_takeover_failed",
-                 {{"turn", turn->id},
+void ConversationService::OnRenewalRead(
+    const RetentionSchedule::Renewal& renewal,
+    const ReadResult& read) {
+  if (read.outcome != StoreOutcome::kDone)
+    return OnRenewalFailed(renewal.id, false, read.reason);
+  auto now = base::TimePoint::clock::now();
+  if (read.rows.empty()) {
+    // Kept in memory it can be written anew; otherwise it is lost.
+    TurnPtr turn = cache_.Find(renewal.id, now);
+    base::LogEvent(
+        base::LogLevel::kError, "turn_record_missing",
+        {{"turn", renewal.id}, {"restored", turn ? "true" : "false"}});
+    if (!turn)
+      return retention_.OnLost(renewal.id);
+    conversation::TurnRecord record = conversation::MakeTurnRecord(*turn);
+    record.retention = std::max(record.retention, renewal.retention);
+    return Rewrite(renewal.id, record, {});
+  }
+  std::vector<std::string> values;
+  for (const TableRow& row : read.rows)
+    values.push_back(row.value);
+  std::optional<conversation::TurnRecord> record;
+  if (auto encoded = conversation::JoinRows(values))
+    record = conversation::DecodeTurnRecord(*encoded);
+  if (!record)
+    return OnRenewalFailed(renewal.id, false, "the record is unreadable");
+  if (read.rows.front().version == renewal.version &&
+      record->retention >= renewal.retention)
+    return retention_.OnUnchanged(renewal.id);
+  record->retention = std::max(record->retention, renewal.retention);
+  Rewrite(renewal.id, *record, read.rows);
+}
+
+void ConversationService::Rewrite(const std::string& id,
+                                  const conversation::TurnRecord& record,
+                                  const std::vector<TableRow>& present) {
+  auto values = conversation::SplitIntoRows(
+      conversation::EncodeTurnRecord(record), settings_.max_row_bytes);
+  std::size_t count = values.size();
+  std::vector<TableWrite> writes;
+  for (std::size_t i = 0; i < std::max(count, present.size()); ++i) {
+    TableWrite write{RecordRowName(kTurnTable, id, i), 0, std::nullopt};
+    // Rows of an earlier release are copied; their owner deletes them.
+    if (i < present.size() && present[i].name.partition == write.name.partition)
+      write.expected_version = present[i].version;
+    if (i < count)
+      write.value = std::move(values[i]);
+    else if (write.expected_version == 0)
+      continue;
+    writes.push_back(std::move(write));
+  }
+  table_.Transact(
+      std::move(writes), [this, id, count, retention = record.retention](
+                             const TransactionResult& result) {
+        if (result.outcome != StoreOutcome::kDone)
+          return OnRenewalFailed(id, result.outcome == StoreOutcome::kConflict,
+                                 result.reason);
+        base::LogEvent(base::LogLevel::kInfo, "turn_renewed",
+                       {{"turn", id},
+                        {"rows", std::to_string(count)},
+                        {"retention_ms", Ms(retention)}});
+        retention_.OnRewritten({id, result.version, count}, retention,
+                               base::TimePoint::clock::now());
+      });
+}
+
+void ConversationService::OnRenewalFailed(const std::string& id,
+                                          bool taken_by_other,
+                                          const std::string& reason) {
+  base::LogEvent(base::LogLevel::kWarning, "turn_renewal_failed",
+                 {{"turn", id},
                   {"taken_by_other", taken_by_other ? "true" : "false"},
                   {"reason", reason}});
-  retention_.OnTakeoverFailed(turn, taken_by_other,
-                              base::TimePoint::clock::now());
+  retention_.OnRenewalFailed(id, taken_by_other, base::TimePoint::clock::now());
 }
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/forwarded_request_turns.cc
+++ b/packages/forwarding/src/forwarded_request_turns.cc
@@ -51,7 +51,8 @@
   turn->previous = previous_turn_;
   turn->input = request_.body();
   turn->output = framer_.data();
-  context_.conversations.Record(std::move(turn), route_->retention, deadline_,
+  turn->retention = route_->retention;
+  context_.conversations.Record(std::move(turn), deadline_,
                                 [self = shared_from_this()](bool recorded) {
                                   if (self->done_)
                                     return;
--- a/packages/protocol/schema/turn.capnp
+++ b/packages/protocol/schema/turn.capnp
@@ -19,4 +19,8 @@
   # absent in deployments without organisations, and in records of versions that
   # knew none.
   organisation @3 :Text;
+  # How long the turn is kept after its last use: the longest time that any
+  # gateway which continued it has needed. Zero in records of versions that did
+  # not state it.
+  retentionMs @4 :UInt64;
 }
--- a/tests/gateway/conversation_test.py
+++ b/tests/gateway/conversation_test.py
@@ -16,6 +16,7 @@
 ROUTES = gateway_test.ROUTES + [
     {"prefix": "/chat/", "kind": "streaming", "service": "models", "stateful": True, "sticky": True},
     {"prefix": "/brief/", "kind": "streaming", "service": "models", "stateful": True, "retentionS": 1.0},
+    {"prefix": "/short/", "kind": "streaming", "service": "models", "stateful": True, "retentionS": 2.0},
 ]
 
 
@@ -224,6 +225,35 @@
         inputs = re.sub(rb"token \d+\n", b"", self.prompts()[final])
         self.assertEqual(inputs, b"0123456end")
 
+    def test_conversation_outlives_a_visit_to_another_gateway(self):
+        """Guards against review/6: a gateway that one turn came through deletes the records that it took over, while
+        the conversation goes on where it began."""
+        home = self.start()
+        visited = self.start(name="edge-2")
+        inputs = "abcdefghijklmnopqrstuvwxyz"
+        last = None
+        for number, text in enumerate(inputs):
+            gateway = visited if number == 1 else home
+            status, last, _ = self.say(gateway, text.encode(), last, path="/short/1")
+            self.assertEqual(status, 200)
+            time.sleep(0.5)
+        # Gateways that hold nothing, or not all, in memory.
+        for gateway in (self.start(name="edge-3"), visited):
+            status, final, _ = self.say(gateway, b".", last, path="/short/1")
+            self.assertEqual(status, 200)
+            self.assertEqual(re.sub(rb"token \d+\n", b"", self.prompts()[final]), inputs.encode() + b".")
+
+    def test_short_retention_shortens_no_other(self):
+        """Guards against a gateway that continues a turn by a route with a short retention time, takes its record over,
+        and deletes it while the turn's own route still promises it."""
+        _, first, _ = self.say(self.start(), b"one ")
+        _, second, _ = self.say(self.start(name="edge-2"), b"two ", first, path="/brief/1")
+        self.assertTrue(wait_until(lambda: second not in self.records(), 10), self.records())
+        time.sleep(3)
+        status, third, _ = self.say(self.start(name="edge-3"), b"three", first)
+        self.assertEqual(status, 200)
+        self.assertEqual(self.prompts()[third], b"one " + output() + b"three")
+
 
 if __name__ == "__main__":
     gateway_test.GATEWAY = sys.argv.pop(1)
