Write large requests to servers from where they are kept, instead of a copy for each send

Cause: each send made one string of head, whole conversation and body, and the connection to the server held it until the response ended (a kept connection even its capacity after that). The account counted twice the body and nothing of the conversation.

Change: ServerRequest is a head and parts of the body that point into the turns of the conversation and into the caller's request, which all sends share; the connection writes them as one sequence and releases them once written. The account counts a body once, plus the copied part.

--- a/packages/conversation/include/vanillalever/conversation/turn.h
+++ b/packages/conversation/include/vanillalever/conversation/turn.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "vanillalever/base/clock.h"
 
@@ -37,7 +39,10 @@
 };
 
 // Inputs and outputs of `last` and all turns before it, oldest first: what a
-// server receives ahead of the next turn's input. Empty if `last` is null.
+// server receives ahead of the next turn's input. Empty if `last` is null. The
+// parts are valid as long as `last`.
+std::vector<std::string_view> HistoryParts(const Turn* last);
+// The same in one piece.
 std::string History(const Turn* last);
 
 }  // namespace vanillalever::conversation
--- a/packages/conversation/src/turn.cc
+++ b/packages/conversation/src/turn.cc
@@ -1,22 +1,23 @@
 #include "vanillalever/conversation/turn.h"
 
 #include <algorithm>
-#include <vector>
 
 namespace vanillalever::conversation {
 
-std::string History(const Turn* last) {
-  std::vector<const Turn*> turns;
-  std::size_t size = 0;
+std::vector<std::string_view> HistoryParts(const Turn* last) {
+  std::vector<std::string_view> parts;
   for (const Turn* turn = last; turn != nullptr; turn = turn->previous.get()) {
-    turns.push_back(turn);
-    size += turn->input.size() + turn->output.size();
+    parts.emplace_back(turn->output);
+    parts.emplace_back(turn->input);
   }
-  std::reverse(turns.begin(), turns.end());
+  std::reverse(parts.begin(), parts.end());
+  return parts;
+}
+
+std::string History(const Turn* last) {
   std::string history;
-  history.reserve(size);
-  for (const Turn* turn : turns)
-    history.append(turn->input).append(turn->output);
+  for (std::string_view part : HistoryParts(last))
+    history.append(part);
   return history;
 }
 
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -14,6 +14,7 @@
 #include "vanillalever/forwarding/caller_session.h"
 #include "vanillalever/forwarding/event_framer.h"
 #include "vanillalever/forwarding/forwarding_context.h"
+#include "vanillalever/forwarding/server_request.h"
 
 namespace vanillalever::forwarding {
 
@@ -138,7 +139,7 @@
   // ends the response.
   void RecordTurn();
   void FinishStream();
-  std::string RequestText(const ServerSlot& slot) const;
+  ServerRequest MakeRequest(const ServerSlot& slot) const;
   bool must_not_repeat() const;
   // Removes the request from its server's load, and closes the connection or
   // returns it to the pool.
@@ -210,7 +211,8 @@
   base::TimePoint wait_limit() const;
 
   ForwardingContext& context_;
-  CallerRequest request_;
+  // Shared with the sends, which write from it.
+  std::shared_ptr<const CallerRequest> request_;
   std::shared_ptr<ResponseSink> sink_;
   RequestProfile profile_;
   PromptChain chain_;
--- a/packages/forwarding/include/vanillalever/forwarding/server_connection.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_connection.h
@@ -15,6 +15,7 @@
 
 #include "vanillalever/base/clock.h"
 #include "vanillalever/forwarding/appended_body.h"
+#include "vanillalever/forwarding/server_request.h"
 #include "vanillalever/forwarding/wire_codec.h"
 
 namespace vanillalever::forwarding {
@@ -41,15 +42,15 @@
                    const WireCodec& codec,
                    std::string server_id);
 
-  // Connects to "ip:port" and sends `text`.
+  // Connects to "ip:port" and sends `request`.
   void Open(const std::string& address,
             base::Duration timeout,
-            std::string text,
+            ServerRequest request,
             std::string request_id,
             bool head_only,
             ResponseHandler* handler);
   // Sends on an idle connection.
-  void Send(std::string text,
+  void Send(ServerRequest request,
             std::string request_id,
             bool head_only,
             ResponseHandler* handler);
@@ -99,7 +100,8 @@
   boost::asio::steady_timer connect_timer_;
   const WireCodec& codec_;
   std::string server_id_;
-  std::string text_;
+  // Released once it is written: what it shares may be large.
+  ServerRequest request_;
   std::string request_id_;
   bool head_only_ = false;
   ResponseHandler* handler_ = nullptr;
--- a/packages/forwarding/src/caller_session.cc
+++ b/packages/forwarding/src/caller_session.cc
@@ -1,5 +1,6 @@
 #include "vanillalever/forwarding/caller_session.h"
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -9,6 +10,7 @@
 #include <boost/beast/http/status.hpp>
 
 #include "vanillalever/base/logging.h"
+#include "vanillalever/forwarding/server_request.h"
 #include "vanillalever/http/socket_options.h"
 
 namespace vanillalever::forwarding {
@@ -251,8 +253,9 @@
   timer_.cancel();
   CallerRequest request = parser_->release();
   parser_.reset();
-  // A copy is sent to the server.
-  request_bytes_ = 2 * request.body().size();
+  // Small bodies are copied for their server.
+  std::size_t body = request.body().size();
+  request_bytes_ = body + std::min(body, ServerRequest::kCopiedBytes);
   AccountInput();
   if (holding_.ended())
     return SendErrorResponse(
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -11,7 +11,7 @@
 
 #include "vanillalever/base/logging.h"
 #include "vanillalever/forwarding/server_log.h"
-#include "vanillalever/forwarding/server_request_text.h"
+#include "vanillalever/forwarding/server_request.h"
 
 namespace vanillalever::forwarding {
 namespace {
@@ -43,7 +43,7 @@
                                    CallerRequest request,
                                    std::shared_ptr<ResponseSink> sink)
     : context_(context),
-      request_(std::move(request)),
+      request_(std::make_shared<const CallerRequest>(std::move(request))),
       sink_(std::move(sink)),
       arrived_at_(base::TimePoint::clock::now()),
       timer_(context.io),
@@ -56,7 +56,7 @@
 
 void ForwardedRequest::Start() {
   context_.metrics.requests.Add();
-  profile_ = context_.codec.DecodeRequest(request_);
+  profile_ = context_.codec.DecodeRequest(*request_);
   if (!ResolveRoute() || !IdentifyOrganisation())
     return;
   if (route_->kind == RequestKind::kStreaming &&
@@ -89,8 +89,8 @@
     Refuse("no configuration is known yet", kNotReadyRetryAfter);
     return false;
   }
-  route_ = config_->Match(View(request_[http::field::host]),
-                          PathOf(View(request_.target())));
+  route_ = config_->Match(View((*request_)[http::field::host]),
+                          PathOf(View(request_->target())));
   if (route_ == nullptr) {
     SendLocalReply(404, "no route matches");
     return false;
@@ -170,16 +170,14 @@
          (route_->kind == RequestKind::kStreaming && !route_->resumable);
 }
 
-std::string ForwardedRequest::RequestText(const ServerSlot& slot) const {
+ServerRequest ForwardedRequest::MakeRequest(const ServerSlot& slot) const {
   ServerRequestOptions options;
   options.time_left = std::chrono::duration_cast<milliseconds>(time_left());
   options.expected_server = slot.server.id;
   options.urgency = kUrgency;
   options.last_event_id = ResumePoint();
   options.organisation = OrganisationName();
-  return ServerRequestText(context_.codec, request_,
-                           conversation::History(previous_turn_.get()),
-                           options);
+  return MakeServerRequest(context_.codec, request_, previous_turn_, options);
 }
 
 void ForwardedRequest::Send(const Placement& placement) {
@@ -205,20 +203,20 @@
   body_.clear();
   relayed_length_.reset();
   const std::string& id = slot_->server.id;
-  bool head_only = request_.method() == http::verb::head;
+  bool head_only = request_->method() == http::verb::head;
   connection_ =
       context_.pool.Take(id, profile_.request_id, must_not_repeat(), now);
   reused_connection_ = connection_ != nullptr;
-  std::string text = RequestText(*slot_);
+  ServerRequest request = MakeRequest(*slot_);
   if (reused_connection_)
-    return connection_->Send(std::move(text), profile_.request_id, head_only,
+    return connection_->Send(std::move(request), profile_.request_id, head_only,
                              this);
   context_.metrics.new_connections.Add();
   connection_ =
       std::make_shared<ServerConnection>(context_.io, context_.codec, id);
   connection_->Open(slot_->server.address,
-                    context_.pool.settings().connect_timeout, std::move(text),
-                    profile_.request_id, head_only, this);
+                    context_.pool.settings().connect_timeout,
+                    std::move(request), profile_.request_id, head_only, this);
 }
 
 void ForwardedRequest::EndSend(bool keep_connection) {
@@ -263,7 +261,7 @@
     return;
   }
   bool success = status / 100 == 2;
-  bool head_only = request_.method() == http::verb::head;
+  bool head_only = request_->method() == http::verb::head;
   bool stream =
       success && route_->kind == RequestKind::kStreaming && !head_only;
   if (stream && !GoesOnWithStream(fields))
--- a/packages/forwarding/src/forwarded_request_body.cc
+++ b/packages/forwarding/src/forwarded_request_body.cc
@@ -27,7 +27,7 @@
       std::from_chars(text.data(), text.data() + text.size(), length);
   bool declared = error == std::errc() && end == text.data() + text.size();
   if (!declared || length <= context_.max_response_bytes ||
-      request_.method() == http::verb::head)
+      request_->method() == http::verb::head)
     return std::nullopt;
   return length;
 }
--- a/packages/forwarding/src/forwarded_request_failures.cc
+++ b/packages/forwarding/src/forwarded_request_failures.cc
@@ -21,7 +21,7 @@
 
 void ForwardedRequest::Reject(std::string_view reason) {
   context_.metrics.requests.Add();
-  profile_ = context_.codec.DecodeRequest(request_);
+  profile_ = context_.codec.DecodeRequest(*request_);
   Refuse(reason, kRetryAfter);
 }
 
@@ -134,18 +134,18 @@
 }
 
 std::uint64_t ForwardedRequest::content_hash() const {
-  std::uint64_t hash = base::Hash64(View(request_.method_string()));
-  hash = base::Hash64(View(request_[http::field::host]), hash);
-  hash = base::Hash64(View(request_.target()), hash);
-  return base::Hash64(request_.body(), hash);
+  std::uint64_t hash = base::Hash64(View(request_->method_string()));
+  hash = base::Hash64(View((*request_)[http::field::host]), hash);
+  hash = base::Hash64(View(request_->target()), hash);
+  return base::Hash64(request_->body(), hash);
 }
 
 const std::string& ForwardedRequest::fingerprint() {
   if (fingerprint_.empty()) {
-    std::string method_and_host(View(request_.method_string()));
-    method_and_host.append(" ").append(View(request_[http::field::host]));
+    std::string method_and_host(View(request_->method_string()));
+    method_and_host.append(" ").append(View((*request_)[http::field::host]));
     fingerprint_ = guard::RequestFingerprint(
-        method_and_host, View(request_.target()), request_.body());
+        method_and_host, View(request_->target()), request_->body());
   }
   return fingerprint_;
 }
--- a/packages/forwarding/src/forwarded_request_turns.cc
+++ b/packages/forwarding/src/forwarded_request_turns.cc
@@ -12,7 +12,7 @@
     return ReserveBudget();
   if (profile_.request_id.empty())
     return SendLocalReply(400, "a turn needs an id");
-  if (request_.body().size() > ConversationService::kMaxTurnBytes)
+  if (request_->body().size() > ConversationService::kMaxTurnBytes)
     return SendLocalReply(413, "the input is too long to be kept");
   framer_.KeepData();
   if (profile_.previous_turn.empty())
@@ -49,18 +49,17 @@
   turn->id = profile_.request_id;
   turn->organisation = OrganisationName();
   turn->previous = previous_turn_;
-  turn->input = request_.body();
+  turn->input = request_->body();
   turn->output = framer_.data();
   turn->retention = route_->retention;
-  context_.conversations.Record(std::move(turn), deadline_,
-                                [self = shared_from_this()](bool recorded) {
-                                  if (self->done_)
-                                    return;
-                                  if (recorded)
-                                    return self->FinishStream();
-                                  self->Fail(502,
-                                             "the turn could not be recorded");
-                                });
+  context_.conversations.Record(
+      std::move(turn), deadline_, [self = shared_from_this()](bool recorded) {
+        if (self->done_)
+          return;
+        if (recorded)
+          return self->FinishStream();
+        self->Fail(502, "the turn could not be recorded");
+      });
 }
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -40,11 +40,11 @@
 
 void ServerConnection::Open(const std::string& address,
                             base::Duration timeout,
-                            std::string text,
+                            ServerRequest request,
                             std::string request_id,
                             bool head_only,
                             ResponseHandler* handler) {
-  text_ = std::move(text);
+  request_ = std::move(request);
   request_id_ = std::move(request_id);
   head_only_ = head_only;
   handler_ = handler;
@@ -75,11 +75,11 @@
       });
 }
 
-void ServerConnection::Send(std::string text,
+void ServerConnection::Send(ServerRequest request,
                             std::string request_id,
                             bool head_only,
                             ResponseHandler* handler) {
-  text_ = std::move(text);
+  request_ = std::move(request);
   request_id_ = std::move(request_id);
   head_only_ = head_only;
   handler_ = handler;
@@ -98,9 +98,10 @@
   interim_responses_ = 0;
   paused_ = false;
   parser_.reset();
-  boost::asio::async_write(socket_, boost::asio::buffer(text_),
+  boost::asio::async_write(socket_, request_.Buffers(),
                            [self = shared_from_this()](
                                boost::system::error_code error, std::size_t) {
+                             self->request_ = {};
                              // A server may respond before it has read the
                              // whole request, so the read reports a failed
                              // write.
@@ -267,7 +268,6 @@
               !parser_->need_eof() &&
               refused_requests_.size() < kMaxRefusedRequests;
   idle_since_ = base::TimePoint::clock::now();
-  text_.clear();
   auto* handler = std::exchange(handler_, nullptr);
   handler->OnResponseEnd();
 }
--- a/tests/fuzz/session_targets.cc
+++ b/tests/fuzz/session_targets.cc
@@ -211,9 +211,11 @@
     Feeder feeder(io_, mutator_.random());
     auto connection =
         std::make_shared<forwarding::ServerConnection>(io_, codec_, "s");
+    forwarding::ServerRequest request;
+    request.head = "GET / HTTP/1.1\r\n\r\n";
     connection->Open(
         "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()),
-        base::seconds(1), "GET / HTTP/1.1\r\n\r\n", "1", false, this);
+        base::seconds(1), std::move(request), "1", false, this);
     io_.restart();
     io_.run_one_for(std::chrono::milliseconds(500));
     feeder.socket() = acceptor_.accept();
--- a/tests/gateway/abuse_test.py
+++ b/tests/gateway/abuse_test.py
@@ -7,6 +7,7 @@
 No check depends on the machine's speed. One line for each form goes to standard output: the peaks.
 """
 import itertools
+import socket
 import sys
 import unittest
 
@@ -53,7 +54,7 @@
         yield head(f"/read/{size}/{size}", method="GET")
 
 
-class AbuseTest(GatewayCase):
+class AbuseCase(GatewayCase):
     def setUp(self):
         super().setUp()
         routes = [dict(route, timeoutMs=12000) for route in gateway_test.ROUTES]
@@ -89,6 +90,8 @@
         self.assertEqual(caller.send("POST", "/pay/largest", b"x" * MAX_BODY).status, 200)
         self.assertLessEqual(peak_bytes(self.gateway), MEMORY_MB * MB)
 
+
+class AbuseTest(AbuseCase):
     def test_bodies_announced_far_over_the_limit(self):
         self.crowd.join(80, lambda _: announced(1 << 30, 16 * MB)).play(3)
         self.check()
@@ -215,6 +218,73 @@
         self.check()
 
 
+class ConversationTest(AbuseCase):
+    """Callers inside the limits whose conversations are large."""
+
+    INPUT = 300 * KB
+    TURNS = 8
+
+    def setUp(self):
+        super().setUp()
+        routes = [dict(route, timeoutMs=12000) for route in gateway_test.ROUTES]
+        routes.append({"prefix": "/chat/", "kind": "streaming", "service": "models", "stateful": True, "sticky": True,
+                       "timeoutMs": 12000})
+        self.platform.configure(routes, maxBodyBytes=MAX_BODY)
+        self.set_gap(0.001)
+
+    def set_gap(self, seconds):
+        for server in self.platform.servers.values():
+            if isinstance(server, standin.Engine):
+                server.gap_s = seconds
+
+    def turn(self, program, previous, size):
+        named = f"Previous-Turn: {previous}\r\n" if previous else ""
+        identity = f"{next(numbers):016x}"
+        text = (f"POST /chat/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {identity}\r\nDeadline-Ms: 12000\r\n"
+                f"Program-Id: {program}\r\nSession-Id: {program}\r\nFinish-Ms: 60000\r\nModel: m\r\n"
+                f"Token-Budget: 1000000\r\nToken-Count: 100,30\r\nPrompt-Prefix: 5c1e07a2:100\r\n"
+                f"{named}Content-Length: {size}\r\n\r\n")
+        return identity, text.encode() + b"x" * size
+
+    def converse(self, program, gateway):
+        """A conversation of TURNS turns. Returns the id of the last one."""
+        last = None
+        for _ in range(self.TURNS):
+            last, text = self.turn(program, last, self.INPUT)
+            with socket.create_connection(("127.0.0.1", gateway.front), 20) as connection:
+                connection.sendall(text)
+                received = b""
+                while b"\r\n0\r\n\r\n" not in received:
+                    data = connection.recv(65536)
+                    self.assertTrue(data, received)
+                    received += data
+            self.assertTrue(received.startswith(b"HTTP/1.1 200"), received)
+        return last
+
+    def play(self, lasts, gap_s=0.3, at_once=200):
+        """Turns that name `lasts`, `at_once` of them a second, while servers take `gap_s` for each of six events.
+        Returns their statuses."""
+        self.set_gap(gap_s)
+        first = len(self.crowd.members)
+        for start in range(0, len(lasts), at_once):
+            some = lasts[start:start + at_once]
+            self.crowd.join(len(some), lambda number, some=some: [self.turn(f"c{next(numbers)}", some[number], 1000)[1]])
+            self.crowd.play(1)
+        self.crowd.play(8 * gap_s + 1)
+        answers = [member.received[9:12] for member in self.crowd.members[first:]]
+        print(f"\n{self._testMethodName}: " + ", ".join(f"{answers.count(each)} x {each.decode() or 'none'}"
+                                                        for each in sorted(set(answers))))
+        self.set_gap(0.001)
+        return answers
+
+    def test_conversation_that_many_continue(self):
+        """Guards against review/8: a copy of the conversation for each turn that is sent."""
+        last = self.converse("p1", self.gateway)
+        answers = self.play([last] * 120)
+        self.check()
+        self.assertEqual(answers.count(b"200"), 120)
+
+
 class SmallestMachineTest(GatewayCase):
     def test_largest_request_is_served_in_calm(self):
         """Guards against a limit that a single request inside the configuration's limits meets."""
