Bound the conversations in memory, and refuse what does not fit before it is read

Cause: the bound of the cache does not see the turns that requests hold beside it, nor those that are being read, three copies each; what a turn keeps of its events was in no account.

Change: TurnMemory counts every turn in memory once, with room set aside for what is read and written. Records state the size of the turns before them (field 5 of the schema), so that a conversation which does not fit into a fifth of the memory is refused with 503 and Retry-After before it is read; the cache is emptied first, and one that is alone may take twice the bound. Events kept for a record count as response. ChainReader moves the texts out of the records instead of copying them. Metric vl_gateway_conversation_bytes.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -222,11 +222,13 @@
     settings.allotments.slack = node.allotment_slack;
     // The rest is for connections, requests in progress and their prompts.
     constexpr std::size_t kMemoryDivisor = 6;
+    constexpr std::size_t kTurnsDivisor = 5;
     // Several servers may fail at once by sending without end.
     constexpr std::size_t kResponseDivisor = 64;
     if (node.memory_bytes > 0) {
       settings.conversations.cache.max_bytes =
           node.memory_bytes / kMemoryDivisor;
+      settings.conversations.max_turn_bytes = node.memory_bytes / kTurnsDivisor;
       settings.max_response_bytes = node.memory_bytes / kResponseDivisor;
     }
     SetSessionLimits(Descriptors(node), settings);
--- a/packages/conversation/include/vanillalever/conversation/chain_reader.h
+++ b/packages/conversation/include/vanillalever/conversation/chain_reader.h
@@ -8,6 +8,7 @@
 
 #include "vanillalever/base/clock.h"
 #include "vanillalever/conversation/turn_cache.h"
+#include "vanillalever/conversation/turn_memory.h"
 #include "vanillalever/conversation/turn_record.h"
 
 namespace vanillalever::conversation {
@@ -29,8 +30,15 @@
   // itself, no such turn was completed; otherwise the conversation is
   // incomplete and must not be continued.
   const std::string& missing() const { return missing_; }
-  // The turn with all its predecessors; null until all records are known.
-  TurnPtr Build(TurnCache& cache, base::TimePoint now) const;
+  // Whether the turn before this one, as its record states, is in the cache,
+  // and with it all turns before it. True also if there is none.
+  bool PreviousIsCached(TurnCache& cache, base::TimePoint now) const;
+  // Bytes of all turns before this one, as its record states; zero if that is
+  // not read yet, or does not state it.
+  std::uint64_t history_bytes() const;
+  // The turn with all its predecessors; null until all records are known. Takes
+  // the texts out of the records.
+  TurnPtr Build(TurnCache& cache, TurnMemory& memory, base::TimePoint now);
 
   const std::string& id() const { return id_; }
 
--- a/packages/conversation/include/vanillalever/conversation/turn_record.h
+++ b/packages/conversation/include/vanillalever/conversation/turn_record.h
@@ -2,6 +2,7 @@
 #define VANILLALEVER_CONVERSATION_TURN_RECORD_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -23,6 +24,8 @@
   std::optional<std::string> organisation;
   // See Turn; the longest that any gateway has needed. Whole milliseconds.
   base::Duration retention{};
+  // Bytes of all turns before this one; zero if the record does not state it.
+  std::uint64_t history_bytes = 0;
 
   bool operator==(const TurnRecord&) const = default;
 };
--- a/packages/conversation/src/chain_reader.cc
+++ b/packages/conversation/src/chain_reader.cc
@@ -43,9 +43,26 @@
   records_[id] = std::move(record);
 }
 
-TurnPtr ChainReader::Build(TurnCache& cache, base::TimePoint now) const {
-  std::vector<const std::pair<const std::string, std::optional<TurnRecord>>*>
-      chain;
+bool ChainReader::PreviousIsCached(TurnCache& cache,
+                                   base::TimePoint now) const {
+  auto found = records_.find(id_);
+  if (found == records_.end() || !found->second)
+    return false;
+  const auto& ancestors = found->second->ancestors;
+  return ancestors.empty() || cache.Find(ancestors.front(), now) != nullptr;
+}
+
+std::uint64_t ChainReader::history_bytes() const {
+  auto found = records_.find(id_);
+  return found == records_.end() || !found->second
+             ? 0
+             : found->second->history_bytes;
+}
+
+TurnPtr ChainReader::Build(TurnCache& cache,
+                           TurnMemory& memory,
+                           base::TimePoint now) {
+  std::vector<std::pair<const std::string, std::optional<TurnRecord>>*> chain;
   TurnPtr previous;
   for (std::string id = id_; !id.empty();) {
     auto found = records_.find(id);
@@ -63,15 +80,16 @@
     id = ancestors.empty() ? "" : ancestors.front();
   }
   std::reverse(chain.begin(), chain.end());
-  for (const auto* entry : chain) {
-    auto turn = std::make_shared<Turn>();
-    turn->id = entry->first;
-    turn->previous = std::move(previous);
-    turn->organisation = entry->second->organisation;
-    turn->input = entry->second->input;
-    turn->output = entry->second->output;
-    turn->retention = entry->second->retention;
-    previous = std::move(turn);
+  for (auto* entry : chain) {
+    TurnRecord& record = *entry->second;
+    Turn turn;
+    turn.id = entry->first;
+    turn.previous = std::move(previous);
+    turn.organisation = std::move(record.organisation);
+    turn.input = std::move(record.input);
+    turn.output = std::move(record.output);
+    turn.retention = record.retention;
+    previous = memory.Keep(std::move(turn));
   }
   return previous;
 }
--- a/packages/conversation/src/turn_cache.cc
+++ b/packages/conversation/src/turn_cache.cc
@@ -19,7 +19,7 @@
     chain.push_front(next);
   for (const TurnPtr* next : chain)
     Touch(*next, now);
-  Shrink();
+  ShrinkTo(settings_.max_bytes);
 }
 
 void TurnCache::Touch(const TurnPtr& turn, base::TimePoint now) {
@@ -43,8 +43,10 @@
   recency_.pop_back();
 }
 
-void TurnCache::Shrink() {
-  while (bytes_ > settings_.max_bytes && recency_.size() > 1)
+void TurnCache::ShrinkTo(std::size_t bytes) {
+  // A single turn is kept whatever its size, unless none is to be.
+  std::size_t least = bytes > 0 ? 1 : 0;
+  while (bytes_ > bytes && recency_.size() > least)
     RemoveOldest();
 }
 
--- a/packages/conversation/src/turn_record.cc
+++ b/packages/conversation/src/turn_record.cc
@@ -43,10 +43,12 @@
   record.output = turn.output;
   record.organisation = turn.organisation;
   record.retention = turn.retention;
-  for (const Turn* ancestor = turn.previous.get();
-       ancestor != nullptr && record.ancestors.size() < kMaxRecordAncestors;
-       ancestor = ancestor->previous.get())
-    record.ancestors.push_back(ancestor->id);
+  for (const Turn* ancestor = turn.previous.get(); ancestor != nullptr;
+       ancestor = ancestor->previous.get()) {
+    record.history_bytes += ancestor->bytes();
+    if (record.ancestors.size() < kMaxRecordAncestors)
+      record.ancestors.push_back(ancestor->id);
+  }
   return record;
 }
 
@@ -64,6 +66,7 @@
   root.setRetentionMs(static_cast<std::uint64_t>(
       std::chrono::duration_cast<base::milliseconds>(record.retention)
           .count()));
+  root.setHistoryBytes(record.history_bytes);
   return protocol::Pack(message);
 }
 
@@ -81,6 +84,7 @@
       record.organisation.emplace(root.getOrganisation().cStr(),
                                   root.getOrganisation().size());
     record.retention = ParseRetention(root.getRetentionMs());
+    record.history_bytes = root.getHistoryBytes();
     return record;
   } catch (const kj::Exception&) {
     return std::nullopt;
--- a/packages/conversation/tests/chain_reader_test.cc
+++ b/packages/conversation/tests/chain_reader_test.cc
@@ -64,11 +64,12 @@
   for (int length : {1, 2, 40, 64, 65, 66, 130, 250}) {
     std::string id = "t" + std::to_string(length - 1);
     TurnCache cache;
+    TurnMemory memory(1 << 20);
     ChainReader reader(id);
     int rounds = ReadAll(reader, tree, cache, random);
     CHECK(rounds <= 2 + length / 64);
     CHECK(reader.missing().empty());
-    TurnPtr turn = reader.Build(cache, kStart);
+    TurnPtr turn = reader.Build(cache, memory, kStart);
     REQUIRE(turn);
     CHECK(History(turn.get()) == History(tree.turns.at(id).get()));
   }
@@ -82,6 +83,7 @@
   tree.Add("right", "root");
   tree.Add("left2", "left");
   TurnCache cache;
+  TurnMemory memory(1 << 20);
   cache.Put(tree.turns.at("right"), kStart);
   base::Random random(5);
   ChainReader reader("left2");
@@ -90,7 +92,7 @@
   CHECK(reader.TakeUnread(cache, kStart) == std::vector<std::string>{"left"});
   reader.OnRecord("left", tree.records.at("left"));
   CHECK(reader.TakeUnread(cache, kStart).empty());
-  TurnPtr turn = reader.Build(cache, kStart);
+  TurnPtr turn = reader.Build(cache, memory, kStart);
   REQUIRE(turn);
   CHECK(History(turn.get()) ==
         "in-root;out-root\nin-left;out-left\n"
@@ -105,15 +107,16 @@
   tree.Add("c", "b");
   base::Random random(9);
   TurnCache cache;
+  TurnMemory memory(1 << 20);
   ChainReader unknown("never");
   ReadAll(unknown, tree, cache, random);
   CHECK(unknown.missing() == "never");
-  CHECK_FALSE(unknown.Build(cache, kStart));
+  CHECK_FALSE(unknown.Build(cache, memory, kStart));
   tree.records.erase("a");
   ChainReader incomplete("c");
   ReadAll(incomplete, tree, cache, random);
   CHECK(incomplete.missing() == "a");
-  CHECK_FALSE(incomplete.Build(cache, kStart));
+  CHECK_FALSE(incomplete.Build(cache, memory, kStart));
 }
 
 // Guards against an endless loop on a corrupt record.
@@ -125,9 +128,10 @@
   tree.records = records;
   base::Random random(1);
   TurnCache cache;
+  TurnMemory memory(1 << 20);
   ChainReader reader("a");
   ReadAll(reader, tree, cache, random);
-  CHECK_FALSE(reader.Build(cache, kStart));
+  CHECK_FALSE(reader.Build(cache, memory, kStart));
 }
 
 }  // namespace
--- a/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
 #include "vanillalever/conversation/chain_reader.h"
 #include "vanillalever/conversation/retention_schedule.h"
 #include "vanillalever/conversation/turn_cache.h"
+#include "vanillalever/conversation/turn_memory.h"
 #include "vanillalever/forwarding/record_writer.h"
 #include "vanillalever/forwarding/shared_table.h"
 
@@ -24,6 +26,9 @@
 // Settings of ConversationService.
 struct ConversationSettings {
   conversation::TurnCacheSettings cache;
+  // Most bytes of turns in memory: those in the cache, those that requests use,
+  // and those that are being read or written.
+  std::size_t max_turn_bytes = 24 << 20;
   // Maximum size of one row's value in the shared table.
   std::size_t max_row_bytes = 48 << 10;
 };
@@ -33,12 +38,14 @@
   kFound,
   kMissing,      // no such turn was completed, or it is no longer kept
   kUnavailable,  // not known: the store did not respond in time
+  kNoRoom,       // not read: too many conversations are in memory
 };
 
-inline constexpr base::NameTable<TurnLookup, 3> kTurnLookupNames({
+inline constexpr base::NameTable<TurnLookup, 4> kTurnLookupNames({
     "found",
     "missing",
     "unavailable",
+    "no_room",
 });
 
 // Keeps the turns of conversations in the shared table, and the recent ones in
@@ -59,6 +66,11 @@
                       std::uint64_t seed,
                       ConversationSettings settings = {});
 
+  // Sets room aside for what a turn with this input takes until it is recorded.
+  // Returns nothing if there is none.
+  std::optional<conversation::TurnMemory::Reservation> Admit(
+      std::size_t input_bytes);
+
   // Looks up the turn with all turns before it, and reports kUnavailable if
   // that takes longer than until `give_up`. The callback may run inside the
   // call.
@@ -66,7 +78,7 @@
 
   // Makes the turn durable; `done` reports whether it is. After `give_up` the
   // outcome is reported as not durable, although it may become so.
-  void Record(conversation::TurnPtr turn,
+  void Record(conversation::Turn turn,
               base::TimePoint give_up,
               std::function<void(bool recorded)> done);
 
@@ -74,6 +86,9 @@
   // removes idle turns from memory. Call periodically.
   void Tick();
 
+  // Bytes of turns in memory, and of those that are about to be.
+  std::size_t bytes_in_memory() const { return memory_.bytes(); }
+
  private:
   struct Waiter {
     base::TimePoint give_up{};
@@ -87,14 +102,21 @@
     int open_reads = 0;
     int failures = 0;
     base::TimePoint started{};
+    // For what is being read.
+    conversation::TurnMemory::Reservation room;
   };
   using LookupPtr = std::shared_ptr<Lookup>;
 
+  // Whether `bytes` of turns may be read. Removes cached turns first.
+  bool MakeRoom(std::size_t bytes);
   void ReadMore(const LookupPtr& lookup);
   // Reads the rows of a record.
   void ReadRows(const std::string& id,
                 std::function<void(const ReadResult& result)> done);
   void ReadRecord(const LookupPtr& lookup, const std::string& id);
+  // The record of the turn itself was read: sets room aside for the turns
+  // before it. Returns whether there is enough.
+  bool ReserveHistory(const LookupPtr& lookup);
   void OnRead(const LookupPtr& lookup,
               const std::string& id,
               const ReadResult& result);
@@ -123,6 +145,7 @@
   SharedTable& table_;
   ConversationSettings settings_;
   base::Random random_;
+  conversation::TurnMemory memory_;
   conversation::TurnCache cache_;
   conversation::RetentionSchedule retention_;
   RecordWriter writer_;
--- a/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
+++ b/packages/forwarding/include/vanillalever/forwarding/forwarded_request.h
@@ -232,6 +232,8 @@
 
   // Turn that this one continues, on a stateful route.
   conversation::TurnPtr previous_turn_;
+  // On a stateful route, for what is recorded in the end.
+  std::optional<conversation::TurnMemory::Reservation> turn_room_;
   bool budget_reserved_ = false;
   std::shared_ptr<ServerConnection> connection_;
   ServerSlotPtr slot_;
--- a/packages/forwarding/src/conversation_service.cc
+++ b/packages/forwarding/src/conversation_service.cc
@@ -1,6 +1,7 @@
 #include "vanillalever/forwarding/conversation_service.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
@@ -18,6 +19,13 @@
 constexpr const char* kTurnTable = "turns";
 constexpr milliseconds kFirstRetryDelay{15};
 constexpr milliseconds kMaxRetryDelay{150};
+// Assumed size of a record that is not read yet.
+constexpr std::size_t kUnreadRecordBytes = 256 << 10;
+// A text that is being read is in memory as encoded by the store, as a record
+// and as a turn.
+constexpr std::size_t kReadCopies = 3;
+// The input of a turn is in memory as a turn and as the rows that are written.
+constexpr std::size_t kRecordedCopies = 2;
 
 }  // namespace
 
@@ -29,9 +37,25 @@
       table_(table),
       settings_(settings),
       random_(seed),
+      memory_(settings.max_turn_bytes),
       cache_(settings.cache),
       writer_(context, table, kTurnTable, random_.Next()) {}
 
+bool ConversationService::MakeRoom(std::size_t bytes) {
+  if (memory_.Fits(bytes))
+    return true;
+  cache_.ShrinkTo(0);
+  return memory_.Fits(bytes);
+}
+
+std::optional<conversation::TurnMemory::Reservation> ConversationService::Admit(
+    std::size_t input_bytes) {
+  std::size_t bytes = kRecordedCopies * input_bytes;
+  if (!MakeRoom(bytes))
+    return std::nullopt;
+  return memory_.Hold(bytes);
+}
+
 void ConversationService::Find(const std::string& id,
                                base::TimePoint give_up,
                                FindCallback done) {
@@ -41,11 +65,14 @@
   // No record can have such an id.
   if (id.size() > kMaxIdBytes)
     return done(TurnLookup::kMissing, nullptr);
+  bool started = lookups_.contains(id);
+  if (!started && !MakeRoom(kUnreadRecordBytes))
+    return done(TurnLookup::kNoRoom, nullptr);
   LookupPtr& lookup = lookups_[id];
-  bool started = lookup != nullptr;
   if (!started) {
     lookup = std::make_shared<Lookup>(id);
     lookup->started = now;
+    lookup->room = memory_.Hold(kUnreadRecordBytes);
   }
   lookup->waiters.push_back({give_up, std::move(done)});
   if (!started)
@@ -99,11 +126,14 @@
   lookup->reader.OnRecord(id, std::move(record));
   if (lookup->reader.missing() == lookup->reader.id())
     return Finish(lookup, TurnLookup::kMissing, nullptr);
+  if (id == lookup->reader.id() && !ReserveHistory(lookup))
+    return Finish(lookup, TurnLookup::kNoRoom, nullptr);
   ReadMore(lookup);
   if (lookup->open_reads > 0)
     return;
   auto now = base::TimePoint::clock::now();
-  TurnPtr turn = lookup->reader.Build(cache_, now);
+  TurnPtr turn = lookup->reader.Build(cache_, memory_, now);
+  lookup->room = {};
   if (!turn) {
     // The turn is kept but not all turns before it, so the conversation cannot
     // be continued.
@@ -116,6 +146,21 @@
   Finish(lookup, TurnLookup::kFound, turn);
 }
 
+bool ConversationService::ReserveHistory(const LookupPtr& lookup) {
+  // Cached turns are not read.
+  auto now = base::TimePoint::clock::now();
+  if (lookup->reader.PreviousIsCached(cache_, now))
+    return true;
+  std::uint64_t history = lookup->reader.history_bytes();
+  if (history > std::numeric_limits<std::size_t>::max() / kReadCopies)
+    return false;
+  std::size_t bytes = kReadCopies * static_cast<std::size_t>(history);
+  lookup->room = {};
+  bool fits = MakeRoom(bytes);
+  lookup->room = memory_.Hold(fits ? bytes : 0);
+  return fits;
+}
+
 void ConversationService::RetryRead(const LookupPtr& lookup,
                                     const std::string& id,
                                     const std::string& reason) {
@@ -169,17 +214,23 @@
     waiter.done(outcome, turn);
 }
 
-void ConversationService::Record(TurnPtr turn,
+void ConversationService::Record(conversation::Turn recorded,
                                  base::TimePoint give_up,
                                  std::function<void(bool recorded)> done) {
+  TurnPtr turn = memory_.Keep(std::move(recorded));
   auto rows = conversation::SplitIntoRows(
       conversation::EncodeTurnRecord(conversation::MakeTurnRecord(*turn)),
       settings_.max_row_bytes);
   std::size_t count = rows.size();
+  std::size_t bytes = 0;
+  for (const std::string& row : rows)
+    bytes += row.size();
+  auto room = std::make_shared<conversation::TurnMemory::Reservation>(
+      memory_.Hold(bytes));
   const std::string& id = turn->id;
   writer_.Write(
       id, std::move(rows), give_up,
-      [this, turn, count,
+      [this, turn, count, room,
        done = std::move(done)](RecordWriter::Outcome outcome) {
         auto now = base::TimePoint::clock::now();
         if (outcome.recorded) {
--- a/packages/forwarding/src/forwarded_request.cc
+++ b/packages/forwarding/src/forwarded_request.cc
@@ -295,6 +295,9 @@
     return RejectResponse("the id of an event is too long");
   if (framer_.data().size() > ConversationService::kMaxTurnBytes)
     return RejectResponse("the output is too long to be kept");
+  // What is recorded of a turn is held until its end.
+  if (route_->stateful)
+    sink_->OnBuffered(framer_.data().size());
   if (events.empty())
     return;
   if (!first_output_)
--- a/packages/forwarding/src/forwarded_request_turns.cc
+++ b/packages/forwarding/src/forwarded_request_turns.cc
@@ -1,11 +1,18 @@
 // The part of a request that concerns the conversation of a stateful route.
 
 #include <memory>
+#include <string_view>
 #include <utility>
 
 #include "vanillalever/forwarding/forwarded_request.h"
 
 namespace vanillalever::forwarding {
+namespace {
+
+constexpr std::string_view kNoRoomReason =
+    "the memory for conversations is used up";
+
+}  // namespace
 
 void ForwardedRequest::FindPreviousTurn() {
   if (!route_->stateful)
@@ -15,6 +22,9 @@
   if (request_->body().size() > ConversationService::kMaxTurnBytes)
     return SendLocalReply(413, "the input is too long to be kept");
   framer_.KeepData();
+  turn_room_ = context_.conversations.Admit(request_->body().size());
+  if (!turn_room_)
+    return Refuse(kNoRoomReason, kNotReadyRetryAfter);
   if (profile_.previous_turn.empty())
     return ReserveBudget();
   context_.conversations.Find(
@@ -41,17 +51,19 @@
     case TurnLookup::kUnavailable:
       return Refuse("the conversation cannot be read: the store is unavailable",
                     kNotReadyRetryAfter);
+    case TurnLookup::kNoRoom:
+      return Refuse(kNoRoomReason, kNotReadyRetryAfter);
   }
 }
 
 void ForwardedRequest::RecordTurn() {
-  auto turn = std::make_shared<conversation::Turn>();
-  turn->id = profile_.request_id;
-  turn->organisation = OrganisationName();
-  turn->previous = previous_turn_;
-  turn->input = request_->body();
-  turn->output = framer_.data();
-  turn->retention = route_->retention;
+  conversation::Turn turn;
+  turn.id = profile_.request_id;
+  turn.organisation = OrganisationName();
+  turn.previous = previous_turn_;
+  turn.input = request_->body();
+  turn.output = framer_.data();
+  turn.retention = route_->retention;
   context_.conversations.Record(
       std::move(turn), deadline_, [self = shared_from_this()](bool recorded) {
         if (self->done_)
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -336,6 +336,8 @@
     pool_.CloseExpired(now);
     budgets_.Sweep(kBudgetRetention);
     conversations_.Tick();
+    metrics_.conversation_bytes.Set(
+        static_cast<std::int64_t>(conversations_.bytes_in_memory()));
     origins_.DeleteExpired();
   }
   memory_.Tick(now);
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -87,6 +87,9 @@
       crash_refusals(
           registry.counter("vl_gateway_crash_refusals_total",
                            "Requests refused because they crash servers.")),
+      conversation_bytes(registry.gauge(
+          "vl_gateway_conversation_bytes",
+          "Turns in memory: cached, used, being read or written.")),
       overload_refusals(registry.counter(
           "vl_gateway_overload_refusals_total",
           "Requests refused because the servers would complete them too "
--- a/packages/protocol/schema/turn.capnp
+++ b/packages/protocol/schema/turn.capnp
@@ -23,4 +23,7 @@
   # gateway which continued it has needed. Zero in records of versions that did
   # not state it.
   retentionMs @4 :UInt64;
+  # Size of the inputs and outputs of all turns before this one. Zero in records
+  # of versions that did not state it.
+  historyBytes @5 :UInt64;
 }
--- a/tests/gateway/abuse_test.py
+++ b/tests/gateway/abuse_test.py
@@ -6,6 +6,7 @@
 
 No check depends on the machine's speed. One line for each form goes to standard output: the peaks.
 """
+import concurrent.futures
 import itertools
 import socket
 import sys
@@ -230,6 +231,8 @@
         routes.append({"prefix": "/chat/", "kind": "streaming", "service": "models", "stateful": True, "sticky": True,
                        "timeoutMs": 12000})
         self.platform.configure(routes, maxBodyBytes=MAX_BODY)
+        # Has room for all of them.
+        self.writer = self.start(name="edge-2", memory_mb=2048)
         self.set_gap(0.001)
 
     def set_gap(self, seconds):
@@ -284,6 +287,19 @@
         self.check()
         self.assertEqual(answers.count(b"200"), 120)
 
+    def test_many_large_conversations(self):
+        """Guards against conversations that requests keep in memory beside the bounded cache, and against those that are
+        read from the store at the same time."""
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            lasts = list(pool.map(lambda n: self.converse(f"q{n}", self.writer), range(48)))
+        answers = self.play(lasts, gap_s=1.2, at_once=8)
+        self.check()
+        self.assertGreater(answers.count(b"200"), 0)
+        # A refusal promises that the turn has not run.
+        self.assertLessEqual(set(answers), {b"200", b"503"})
+        # In calm each is served.
+        self.assertEqual(self.play(lasts[-1:]), [b"200"])
+
 
 class SmallestMachineTest(GatewayCase):
     def test_largest_request_is_served_in_calm(self):
