Bound what a call keeps of responses without end, from the store and from other gateways

Callers saw: a store, or what stands in its way, that sends bytes without end ends the gateway, and the requests of all its callers with it.

Cause: http::Call gave the parser an input buffer without a limit, and the parser asks for more until a chunk header or a trailer ends. A body could take 64 MB, a gateway has 62 MB and more, and nothing bounded several calls together.

--- a/apps/vanillalever_gateway/main.cc
+++ b/apps/vanillalever_gateway/main.cc
@@ -65,6 +65,11 @@
 // Same as the tick interval of the gateway.
 constexpr base::milliseconds kStoreCheckInterval{100};
 
+// Parts of the machine's memory for responses of the store that are being read,
+// and for those that come through other gateways.
+constexpr std::size_t kRowsDivisor = 5;
+constexpr std::size_t kRepliesDivisor = 8;
+
 // Runs the gateway, the store client and the readiness listener on one event
 // loop.
 class Process {
@@ -82,7 +87,8 @@
         handler_failures_(counters_.counter("vl_gateway_handler_failures_total",
                                             "Exceptions that left a handler.")),
         store_(threads_,
-               {.address = settings_.store_address},
+               {.address = settings_.store_address,
+                .max_total_bytes = MachineBytes(settings_) / kRowsDivisor},
                store_calls_,
                store_failures_),
         table_(threads_,
@@ -90,7 +96,8 @@
                seed_ + 3,
                counters_.counter("vl_gateway_relayed_store_calls_total",
                                  "Calls to the store made through another "
-                                 "gateway.")),
+                                 "gateway."),
+               MachineBytes(settings_) / kRepliesDivisor),
         loop_timer_(threads_.context()),
         paced_table_(loop_timer_,
                      table_,
--- a/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
@@ -44,10 +44,13 @@
   // Path at which gateways make each other's calls.
   static constexpr const char* kPath = "/v1/table";
 
+  // `max_reply_bytes`: largest size of all replies of other gateways that are
+  // being read.
   RelayedTable(http::IoThreads& threads,
                SharedTable& direct,
                std::uint64_t seed,
-               base::Counter& relayed_calls);
+               base::Counter& relayed_calls,
+               std::size_t max_reply_bytes);
 
   // Call before Start().
   void SetPeers(StorePeers& peers) { peers_ = &peers; }
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -63,8 +63,12 @@
 RelayedTable::RelayedTable(http::IoThreads& threads,
                            SharedTable& direct,
                            std::uint64_t seed,
-                           base::Counter& relayed_calls)
-    : client_(threads, {.connect_timeout = kConnectTimeout}),
+                           base::Counter& relayed_calls,
+                           std::size_t max_reply_bytes)
+    : client_(threads,
+              {.connect_timeout = kConnectTimeout,
+               .max_body_bytes = max_reply_bytes,
+               .max_total_bytes = max_reply_bytes}),
       context_(threads.context()),
       direct_(direct),
       random_(seed),
--- a/packages/http/include/vanillalever/http/client.h
+++ b/packages/http/include/vanillalever/http/client.h
@@ -67,9 +67,13 @@
   base::Duration max_connection_age = base::seconds(60);
   // Maximum size of a response body.
   std::size_t max_body_bytes = 64 << 20;
+  // Maximum size of the bodies of all responses in progress together, streamed
+  // ones included. The response that exceeds it fails.
+  std::size_t max_total_bytes = 128 << 20;
 };
 
 class ConnectionPool;
+class ResponseBudget;
 
 // Asynchronous HTTP/1.1 client with keep-alive. A request that gets no response
 // in time closes all idle connections to its server. Thread-safe. Callbacks run
@@ -87,6 +91,7 @@
   IoThreads& threads_;
   ClientSettings settings_;
   std::shared_ptr<ConnectionPool> pool_;
+  std::shared_ptr<ResponseBudget> budget_;
 };
 
 }  // namespace vanillalever::http
--- a/packages/http/src/call.cc
+++ b/packages/http/src/call.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
@@ -17,6 +18,7 @@
 Call::Call(boost::asio::io_context& context,
            const ClientSettings& settings,
            std::shared_ptr<ConnectionPool> pool,
+           std::shared_ptr<ResponseBudget> budget,
            ClientRequest request,
            DoneCallback on_done,
            DataCallback on_data)
@@ -24,6 +26,7 @@
       strand_(boost::asio::make_strand(context)),
       settings_(settings),
       pool_(std::move(pool)),
+      budget_(std::move(budget)),
       request_(std::move(request)),
       on_done_(std::move(on_done)),
       on_data_(std::move(on_data)),
@@ -136,6 +139,9 @@
 }
 
 void Call::ReadBody() {
+  if (!TakeBody())
+    return Fail(base::ErrorCode::kUnavailable,
+                "the responses in progress are too large");
   DeliverData();
   if (parser_->is_done())
     return Succeed();
@@ -154,6 +160,13 @@
   ReadBody();
 }
 
+bool Call::TakeBody() {
+  std::size_t held = parser_->get().body().size();
+  std::size_t added = held - std::exchange(held_bytes_, held);
+  counted_bytes_ += added;
+  return budget_->Take(added);
+}
+
 void Call::DeliverData() {
   auto& message = parser_->get();
   bool stream_body = on_data_ && message.result_int() / 100 == 2;
@@ -161,6 +174,7 @@
     return;
   std::string data;
   data.swap(message.body());
+  held_bytes_ = 0;
   on_data_(data);
 }
 
@@ -245,6 +259,7 @@
     return;
   deadline_timer_.cancel();
   stream_.reset();
+  budget_->Return(std::exchange(counted_bytes_, 0));
   auto on_done = std::move(on_done_);
   on_data_ = nullptr;
   on_done(std::move(result));
--- a/packages/http/src/call.h
+++ b/packages/http/src/call.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http.hpp>
 
 #include "connection_pool.h"
+#include "response_budget.h"
 #include "vanillalever/http/client.h"
 
 namespace vanillalever::http {
@@ -21,6 +22,7 @@
   Call(boost::asio::io_context& context,
        const ClientSettings& settings,
        std::shared_ptr<ConnectionPool> pool,
+       std::shared_ptr<ResponseBudget> budget,
        ClientRequest request,
        DoneCallback on_done,
        DataCallback on_data);
@@ -44,6 +46,8 @@
   void DropIdleConnections(const std::string& reason);
   void Abort(base::ErrorCode code, const std::string& message);
   void OnFailure(const boost::system::error_code& error);
+  // Counts what has arrived of the body. Returns whether there is room for it.
+  bool TakeBody();
   void DeliverData();
   void Succeed();
   void Fail(base::ErrorCode code, const std::string& message);
@@ -53,6 +57,7 @@
   boost::asio::strand<boost::asio::io_context::executor_type> strand_;
   ClientSettings settings_;
   std::shared_ptr<ConnectionPool> pool_;
+  std::shared_ptr<ResponseBudget> budget_;
   ClientRequest request_;
   DoneCallback on_done_;
   DataCallback on_data_;
@@ -60,7 +65,12 @@
   boost::asio::steady_timer deadline_timer_;
   std::unique_ptr<Stream> stream_;
   base::TimePoint opened_at_{};
-  boost::beast::flat_buffer buffer_;
+  // Input that the parser cannot use yet, for example an endless chunk header.
+  static constexpr std::size_t kMaxUnparsedBytes = 128 << 10;
+  boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
+  // Bytes of the body that count, and those of them that the parser holds.
+  std::size_t counted_bytes_ = 0;
+  std::size_t held_bytes_ = 0;
   boost::beast::http::request<boost::beast::http::string_body> message_;
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -8,7 +8,8 @@
     : threads_(threads),
       settings_(settings),
       pool_(std::make_shared<ConnectionPool>(settings.max_idle_per_address,
-                                             settings.max_connection_age)) {}
+                                             settings.max_connection_age)),
+      budget_(std::make_shared<ResponseBudget>(settings.max_total_bytes)) {}
 
 Client::~Client() = default;
 
@@ -16,8 +17,8 @@
                                          DoneCallback on_done,
                                          DataCallback on_data) {
   auto call = std::make_shared<Call>(threads_.context(), settings_, pool_,
-                                     std::move(request), std::move(on_done),
-                                     std::move(on_data));
+                                     budget_, std::move(request),
+                                     std::move(on_done), std::move(on_data));
   call->Start();
   return call;
 }
--- /dev/null
+++ b/packages/http/tests/endless_response_test.cc
@@ -0,0 +1,173 @@
+#include <atomic>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "vanillalever/http/blocking_client.h"
+
+namespace vanillalever::http {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Where it would stop by itself: far above every bound that is checked.
+constexpr std::size_t kMostBytes = 512 << 20;
+
+// Responds to the first request of each connection with `head`, then with
+// `piece` until the client closes it; with an empty one it closes itself.
+// Counts what the client has taken.
+class EndlessServer {
+ public:
+  EndlessServer(std::string head, std::string piece)
+      : head_(std::move(head)),
+        piece_(std::move(piece)),
+        acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    Accept();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  ~EndlessServer() {
+    context_.stop();
+    thread_.join();
+  }
+
+  ClientRequest Make() const {
+    ClientRequest request;
+    request.address =
+        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    request.timeout = base::seconds(3);
+    return request;
+  }
+  std::size_t sent() const { return sent_; }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept(
+        [this](boost::system::error_code error, tcp::socket socket) {
+          if (error)
+            return;
+          Serve(std::make_shared<tcp::socket>(std::move(socket)));
+          Accept();
+        });
+  }
+
+  void Serve(const std::shared_ptr<tcp::socket>& socket) {
+    auto input = std::make_shared<std::string>();
+    boost::asio::async_read_until(
+        *socket, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
+        [this, socket, input](boost::system::error_code error, std::size_t) {
+          if (!error)
+            Send(socket, head_);
+        });
+  }
+
+  void Send(const std::shared_ptr<tcp::socket>& socket,
+            const std::string& text) {
+    boost::asio::async_write(
+        *socket, boost::asio::buffer(text),
+        [this, socket](boost::system::error_code error, std::size_t size) {
+          sent_ += size;
+          if (!error && !piece_.empty() && sent_ < kMostBytes)
+            Send(socket, piece_);
+        });
+  }
+
+  const std::string head_;
+  const std::string piece_;
+  boost::asio::io_context context_;
+  tcp::acceptor acceptor_;
+  std::atomic<std::size_t> sent_{0};
+  std::thread thread_;
+};
+
+const std::string kFiller(8192, 'x');
+const std::string kChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string kChunk = "2000\r\n" + kFiller + "\r\n";
+// What the kernel may hold between the two.
+constexpr std::size_t kSocketBuffers = 16 << 20;
+
+// Guards against a server that sends bytes which are no response, without end:
+// the caller kept them all until its time limit.
+TEST_CASE("bytes that are no response are not kept") {
+  struct Form {
+    const char* name;
+    std::string head;
+    std::string piece;
+  };
+  const Form forms[] = {
+      {"head", "HTTP/1.1 200 OK\r\nX: ", kFiller},
+      {"status line", "HTTP/1.1 200 ", kFiller},
+      {"chunk header", kChunkedHead + "1;x=", kFiller},
+      {"trailer", kChunkedHead + "0\r\nX: ", kFiller},
+      {"no response", "", kFiller},
+  };
+  for (const Form& form : forms) {
+    INFO(form.name);
+    EndlessServer server(form.head, form.piece);
+    BlockingClient client;
+    ClientResult result = client.Send(server.Make());
+    REQUIRE(result.error);
+    CHECK(result.error->ran == base::ExecutionStatus::kUnknown);
+    CHECK(server.sent() < kSocketBuffers);
+  }
+}
+
+// Guards against many bodies, each below its limit, that use up memory
+// together.
+TEST_CASE("the bodies of all responses in progress are bounded together") {
+  EndlessServer server(kChunkedHead, kChunk);
+  ClientSettings settings;
+  settings.max_total_bytes = 4 << 20;
+  BlockingClient client(settings);
+  std::vector<std::thread> callers;
+  std::atomic<int> failed = 0;
+  for (int i = 0; i < 8; ++i) {
+    callers.emplace_back([&] {
+      ClientResult result = client.Send(server.Make());
+      failed += result.error ? 1 : 0;
+    });
+  }
+  for (std::thread& caller : callers)
+    caller.join();
+  CHECK(failed == 8);
+  CHECK(server.sent() < 8 * kSocketBuffers + settings.max_total_bytes);
+  // Streamed bodies count too: their receiver keeps them.
+  std::size_t received = 0;
+  ClientResult streamed = client.Send(
+      server.Make(),
+      [&received](std::string_view data) { received += data.size(); });
+  CHECK(streamed.error);
+  CHECK(received <= settings.max_total_bytes);
+}
+
+// Guards against a budget that is not returned.
+TEST_CASE("a large response is read after others were given up") {
+  EndlessServer endless(kChunkedHead, kChunk);
+  std::string body(3 << 20, 'y');
+  EndlessServer sound(
+      "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body,
+      "");
+  ClientSettings settings;
+  settings.max_total_bytes = 4 << 20;
+  BlockingClient client(settings);
+  for (int i = 0; i < 3; ++i) {
+    CHECK(client.Send(endless.Make()).error);
+    ClientResult result = client.Send(sound.Make());
+    CHECK_FALSE(result.error);
+    CHECK(result.body.size() == body.size());
+  }
+}
+
+}  // namespace
+}  // namespace vanillalever::http
--- a/tests/gateway/abuse_test.py
+++ b/tests/gateway/abuse_test.py
@@ -301,6 +301,38 @@
         self.assertEqual(self.play(lasts[-1:]), [b"200"])
 
 
+class EndlessAnswerTest(AbuseCase):
+    """Answers without end that are not those of a server to its first request."""
+
+    FORMS = ("endless-head", "endless-interim", "endless-chunk-header", "endless-trailer", "endless-body")
+
+    def test_store_that_answers_without_end(self):
+        """Guards against a store, or whatever stands in its way, that sends until the caller closes: the calls kept it
+        all, several at a time, and ended the requests of other callers with the process."""
+        for form in self.FORMS:
+            self.platform.store.mode = form
+            # Turns need the store; they are refused.
+            self.crowd.join(20, lambda _: [head("/turn/x", "Program-Id: p\r\nSession-Id: p\r\nModel: m\r\n"
+                                                "Token-Budget: 1000\r\nToken-Count: 10,30\r\n"
+                                                "Prompt-Prefix: aa:10\r\nFinish-Ms: 9000\r\nContent-Length: 0\r\n")])
+            self.crowd.play(2)
+            self.assertIsNone(self.gateway.process.poll(), form)
+            print(f"\n{form}: peak {peak_bytes(self.gateway) >> 20} MB", flush=True)
+        self.platform.store.mode = "ok"
+        self.check()
+
+    def test_streams_that_are_resumed_without_end(self):
+        """Guards against a server that answers a request to go on with a stream by bytes without end."""
+        for form in self.FORMS:
+            for server in self.platform.servers.values():
+                server.plan["/turn/" + form] = "resumed-" + form
+            self.crowd.join(20, lambda _, form=form: [head("/turn/" + form, "Model: m\r\nContent-Length: 0\r\n")])
+            self.crowd.play(2)
+            self.assertIsNone(self.gateway.process.poll(), form)
+            print(f"\n{form}: peak {peak_bytes(self.gateway) >> 20} MB", flush=True)
+        self.check()
+
+
 class SmallestMachineTest(GatewayCase):
     def test_largest_request_is_served_in_calm(self):
         """Guards against a limit that a single request inside the configuration's limits meets."""
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -75,10 +75,35 @@
             self.writers.discard(writer)
             writer.transport.abort()
 
+    def headers(self, request):
+        return {}
+
+    async def send_without_end(self, request, writer, behaviour):
+        """Sends bytes that are no response, or one without end, until the caller closes the connection."""
+        chunked = {**self.headers(request), "Transfer-Encoding": "chunked", "Content-Type": "text/event-stream"}
+        head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in chunked.items()) + "\r\n"
+        filler = b"x" * 8192
+        events = b"data: " + filler + b"\n\n"
+        start, piece = {
+            "endless-head": (b"HTTP/1.1 200 OK\r\nX-Filler: ", filler),
+            "endless-interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+            "endless-chunk-header": (head.encode() + b"1;x=", filler),
+            "endless-trailer": (head.encode() + b"0\r\nX-Filler: ", filler),
+            "endless-events": (head.encode(), (f"{len(events):x}\r\n".encode() + events + b"\r\n")),
+            "endless-body": (head.encode(), f"{len(filler):x}\r\n".encode() + filler + b"\r\n"),
+        }[behaviour]
+        writer.write(start)
+        while not writer.transport.is_closing():
+            writer.write(piece)
+            await writer.drain()
+        return False
+
+
 
 class Store(Listener):
     """Tables with conditional writes and a change feed. `mode` is ok, busy (503), silent (no response), lost (writes
-    are applied without a response) or late (writes are applied after 1 s without a response)."""
+    are applied without a response), late (writes are applied after 1 s without a response) or one of
+    send_without_end()."""
 
     def __init__(self):
         super().__init__()
@@ -161,6 +186,8 @@
         if self.mode == "silent":
             await asyncio.sleep(30)
             return False
+        if self.mode.startswith("endless"):
+            return await self.send_without_end(request, writer, self.mode)
         if request.path == "/rows-tx":
             if self.mode == "late":
                 await asyncio.sleep(1)
@@ -356,25 +383,6 @@
             writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         writer.transport.abort()
 
-    async def send_without_end(self, request, writer, behaviour):
-        """Sends bytes that are no response, until the caller closes the connection."""
-        chunked = {**self.headers(request), "Transfer-Encoding": "chunked", "Content-Type": "text/event-stream"}
-        head = "HTTP/1.1 200 OK\r\n" + "".join(f"{name}: {value}\r\n" for name, value in chunked.items()) + "\r\n"
-        filler = b"x" * 8192
-        events = b"data: " + filler + b"\n\n"
-        start, piece = {
-            "endless-head": (b"HTTP/1.1 200 OK\r\nX-Filler: ", filler),
-            "endless-interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
-            "endless-chunk-header": (head.encode() + b"1;x=", filler),
-            "endless-events": (head.encode(), (f"{len(events):x}\r\n".encode() + events + b"\r\n")),
-            "endless-body": (head.encode(), f"{len(filler):x}\r\n".encode() + filler + b"\r\n"),
-        }[behaviour]
-        writer.write(start)
-        while not writer.transport.is_closing():
-            writer.write(piece)
-            await writer.drain()
-        return False
-
 
 class Engine(Backend):
     """A model engine: streams `events` events with increasing ids, starting after Last-Event-Id."""
@@ -428,6 +436,10 @@
     async def run(self, request, reader, writer, behaviour):
         if behaviour.startswith("endless"):
             return await self.send_without_end(request, writer, behaviour)
+        if behaviour.startswith("resumed-endless"):
+            if request.headers.get("last-event-id"):
+                return await self.send_without_end(request, writer, behaviour[8:])
+            behaviour = "break"
         if behaviour in self.ERRORS and request.headers.get("last-event-id"):
             return await self.answer_error(request, writer, behaviour)
         if behaviour.startswith("unframed"):
