Build the owner of a turn and its room as the linter's compiler takes it; name a lookup by what it does

The linter's compiler does not accept std::make_shared of an aggregate by its members. RetentionSchedule::EndRenewal() only looked a record up, so it is FindRenewing(). No change of behaviour: vl_conversation_test passed.

--- a/packages/conversation/include/vanillalever/conversation/retention_schedule.h
+++ b/packages/conversation/include/vanillalever/conversation/retention_schedule.h
@@ -102,8 +102,9 @@
   // Sets when the record is to be renewed, if it is to be.
   void Schedule(const std::string& id, Kept& kept);
   void SetDue(const std::string& id, Kept& kept, base::TimePoint due);
-  // Ends the renewal in progress; returns null if there is none.
-  Kept* EndRenewal(const std::string& id);
+  // The record if it is being renewed, else null: it may have expired
+  // meanwhile.
+  Kept* FindRenewing(const std::string& id);
 
   std::unordered_map<std::string, Kept> kept_;
   // Ids by the time at which they may have expired; one entry for each record.
--- a/packages/conversation/src/retention_schedule.cc
+++ b/packages/conversation/src/retention_schedule.cc
@@ -117,14 +117,15 @@
   return renewals;
 }
 
-RetentionSchedule::Kept* RetentionSchedule::EndRenewal(const std::string& id) {
+RetentionSchedule::Kept* RetentionSchedule::FindRenewing(
+    const std::string& id) {
   auto found = kept_.find(id);
   return found == kept_.end() || !found->second.renewing ? nullptr
                                                          : &found->second;
 }
 
 void RetentionSchedule::OnUnchanged(const std::string& id) {
-  Kept* kept = EndRenewal(id);
+  Kept* kept = FindRenewing(id);
   if (kept == nullptr)
     return;
   // The record was read later than the renewal began.
@@ -135,7 +136,7 @@
 void RetentionSchedule::OnRewritten(const OwnedRecord& record,
                                     base::Duration retention,
                                     base::TimePoint now) {
-  Kept* kept = EndRenewal(record.id);
+  Kept* kept = FindRenewing(record.id);
   if (kept == nullptr)
     return;
   kept->version = record.version;
@@ -150,7 +151,7 @@
 void RetentionSchedule::OnRenewalFailed(const std::string& id,
                                         bool taken_by_other,
                                         base::TimePoint now) {
-  Kept* kept = EndRenewal(id);
+  Kept* kept = FindRenewing(id);
   if (kept == nullptr)
     return;
   auto started = *std::exchange(kept->renewing, std::nullopt);
--- a/packages/conversation/src/turn_memory.cc
+++ b/packages/conversation/src/turn_memory.cc
@@ -42,7 +42,7 @@
     Reservation room;
   };
   std::size_t bytes = turn.bytes();
-  auto kept = std::make_shared<Kept>(std::move(turn), Hold(bytes));
+  auto kept = std::make_shared<Kept>(Kept{std::move(turn), Hold(bytes)});
   return {kept, &kept->turn};
 }
 
