--- a/packages/http/tests/endless_response_test.cc
+++ b/packages/http/tests/endless_response_test.cc
@@ -89,10 +89,16 @@
   std::thread thread_;
 };
 
-const std::string kFiller(8192, 'x');
-const std::string kChunkedHead =
-    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-const std::string kChunk = "2000\r\n" + kFiller + "\r\n";
+// Pieces of responses.
+std::string Filler() {
+  return std::string(8192, 'x');
+}
+std::string ChunkedHead() {
+  return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+std::string Chunk() {
+  return "2000\r\n" + Filler() + "\r\n";
+}
 // What the kernel may hold between the two.
 constexpr std::size_t kSocketBuffers = 16 << 20;
 
@@ -105,11 +111,11 @@
     std::string piece;
   };
   const Form forms[] = {
-      {"head", "HTTP/1.1 200 OK\r\nX: ", kFiller},
-      {"status line", "HTTP/1.1 200 ", kFiller},
-      {"chunk header", kChunkedHead + "1;x=", kFiller},
-      {"trailer", kChunkedHead + "0\r\nX: ", kFiller},
-      {"no response", "", kFiller},
+      {"head", "HTTP/1.1 200 OK\r\nX: ", Filler()},
+      {"status line", "HTTP/1.1 200 ", Filler()},
+      {"chunk header", ChunkedHead() + "1;x=", Filler()},
+      {"trailer", ChunkedHead() + "0\r\nX: ", Filler()},
+      {"no response", "", Filler()},
   };
   for (const Form& form : forms) {
     INFO(form.name);
@@ -125,13 +131,15 @@
 // Guards against many bodies, each below its limit, that use up memory
 // together.
 TEST_CASE("the bodies of all responses in progress are bounded together") {
-  EndlessServer server(kChunkedHead, kChunk);
+  EndlessServer server(ChunkedHead(), Chunk());
   ClientSettings settings;
   settings.max_total_bytes = 4 << 20;
   BlockingClient client(settings);
+  constexpr int kCallers = 8;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   std::atomic<int> failed = 0;
-  for (int i = 0; i < 8; ++i) {
+  for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       ClientResult result = client.Send(server.Make());
       failed += result.error ? 1 : 0;
@@ -139,8 +147,8 @@
   }
   for (std::thread& caller : callers)
     caller.join();
-  CHECK(failed == 8);
-  CHECK(server.sent() < 8 * kSocketBuffers + settings.max_total_bytes);
+  CHECK(failed == kCallers);
+  CHECK(server.sent() < kCallers * kSocketBuffers + settings.max_total_bytes);
   // Streamed bodies count too: their receiver keeps them.
   std::size_t received = 0;
   ClientResult streamed = client.Send(
@@ -152,7 +160,7 @@
 
 // Guards against a budget that is not returned.
 TEST_CASE("a large response is read after others were given up") {
-  EndlessServer endless(kChunkedHead, kChunk);
+  EndlessServer endless(ChunkedHead(), Chunk());
   std::string body(3 << 20, 'y');
   EndlessServer sound(
       "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
