Remove only as many cached turns as a conversation needs room

Cause: MakeRoom() emptied the whole cache when one turn did not fit, so that at the bound every program would read its conversation from the store again. Seen in a reading of the diff, not measured as a loss. Change: the least recently used turns go one by one until there is room.

--- a/packages/conversation/include/vanillalever/conversation/turn_cache.h
+++ b/packages/conversation/include/vanillalever/conversation/turn_cache.h
@@ -32,8 +32,8 @@
   TurnPtr Find(const std::string& id, base::TimePoint now);
   // Adds the turn and its predecessors.
   void Put(const TurnPtr& turn, base::TimePoint now);
-  // Removes the least recently used turns until `bytes` at most are cached.
-  void ShrinkTo(std::size_t bytes);
+  // Removes the least recently used turn. Returns false if there is none.
+  bool RemoveOldest();
   // Removes turns that have not been used for the maximum idle time.
   void RemoveIdle(base::TimePoint now);
 
@@ -48,7 +48,7 @@
   };
 
   void Touch(const TurnPtr& turn, base::TimePoint now);
-  void RemoveOldest();
+  void Shrink();
 
   TurnCacheSettings settings_;
   std::size_t bytes_ = 0;
--- a/packages/conversation/src/turn_cache.cc
+++ b/packages/conversation/src/turn_cache.cc
@@ -19,7 +19,7 @@
     chain.push_front(next);
   for (const TurnPtr* next : chain)
     Touch(*next, now);
-  ShrinkTo(settings_.max_bytes);
+  Shrink();
 }
 
 void TurnCache::Touch(const TurnPtr& turn, base::TimePoint now) {
@@ -36,17 +36,18 @@
   entry.last_used = now;
 }
 
-void TurnCache::RemoveOldest() {
+bool TurnCache::RemoveOldest() {
+  if (recency_.empty())
+    return false;
   auto oldest = entries_.find(recency_.back());
   bytes_ -= oldest->second.turn->bytes();
   entries_.erase(oldest);
   recency_.pop_back();
+  return true;
 }
 
-void TurnCache::ShrinkTo(std::size_t bytes) {
-  // A single turn is kept whatever its size, unless none is to be.
-  std::size_t least = bytes > 0 ? 1 : 0;
-  while (bytes_ > bytes && recency_.size() > least)
+void TurnCache::Shrink() {
+  while (bytes_ > settings_.max_bytes && recency_.size() > 1)
     RemoveOldest();
 }
 
--- a/packages/conversation/tests/turn_cache_test.cc
+++ b/packages/conversation/tests/turn_cache_test.cc
@@ -50,5 +50,19 @@
   CHECK(cache.bytes() == 0);
 }
 
+// Guards against a cache that is emptied for the sake of a little room.
+TEST_CASE("the oldest turn can be removed alone") {
+  TurnCache cache;
+  CHECK_FALSE(cache.RemoveOldest());
+  cache.Put(MakeTurn("a", nullptr, 10), kStart);
+  cache.Put(MakeTurn("b", nullptr, 10), kStart);
+  CHECK(cache.RemoveOldest());
+  CHECK_FALSE(cache.Find("a", kStart));
+  CHECK(cache.Find("b", kStart));
+  CHECK(cache.RemoveOldest());
+  CHECK_FALSE(cache.RemoveOldest());
+  CHECK(cache.bytes() == 0);
+}
+
 }  // namespace
 }  // namespace vanillalever::conversation
--- a/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
@@ -107,7 +107,8 @@
   };
   using LookupPtr = std::shared_ptr<Lookup>;
 
-  // Whether `bytes` of turns may be read. Removes cached turns first.
+  // Whether there is room for `bytes` more of turns. Removes as many cached
+  // ones as that takes, the least recently used first.
   bool MakeRoom(std::size_t bytes);
   void ReadMore(const LookupPtr& lookup);
   // Reads the rows of a record.
--- a/packages/forwarding/src/conversation_service.cc
+++ b/packages/forwarding/src/conversation_service.cc
@@ -42,10 +42,12 @@
       writer_(context, table, kTurnTable, random_.Next()) {}
 
 bool ConversationService::MakeRoom(std::size_t bytes) {
-  if (memory_.Fits(bytes))
-    return true;
-  cache_.ShrinkTo(0);
-  return memory_.Fits(bytes);
+  // Removing a turn that a request or a cached successor uses frees nothing.
+  while (!memory_.Fits(bytes)) {
+    if (!cache_.RemoveOldest())
+      return false;
+  }
+  return true;
 }
 
 std::optional<conversation::TurnMemory::Reservation> ConversationService::Admit(
