--- a/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
+++ b/packages/forwarding/include/vanillalever/forwarding/budget_peers.h
@@ -87,9 +87,9 @@
   // Whether the live gateways together know all programs in use, where this
   // gateway knows those that had rows at `listed_at`.
   virtual bool complete(base::TimePoint listed_at) const = 0;
-  // Whether every gateway that may be at work is heard from. Another one may be
-  // cut off from this gateway, but not from the store, and begin programs after
-  // any listing.
+  // Whether no gateway that was heard from lately is silent now. Such a one may
+  // be cut off from this gateway, but not from the store, and begin programs
+  // after any listing.
   virtual bool all_heard() const = 0;
   // Whether this gateway may be cut off from most others, so that callers are
   // served better elsewhere.
--- a/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_directory.h
@@ -78,9 +78,10 @@
   // rows at `listed_at` are known: no gateway has become silent since, within
   // the longest pause. A run that replaces another one lists what that knew.
   bool Complete(base::TimePoint listed_at, base::TimePoint now) const;
-  // Whether every gateway that may be at work is live. One that is silent, or
-  // that is registered and was never heard from, may be cut off from this
-  // gateway only, and may do anything that needs no reply of it.
+  // Whether every gateway that was heard from within the longest pause is live.
+  // A silent one may be cut off from this gateway only, and may do anything
+  // that needs no reply of it. One that was never heard from counts as gone:
+  // rows of gateways that were killed stay.
   bool AllHeard(base::TimePoint now) const;
   // Whether the run was heard from within the retention time and is not live.
   bool Silent(PeerId run, base::TimePoint now) const;
--- a/packages/forwarding/src/peer_directory.cc
+++ b/packages/forwarding/src/peer_directory.cc
@@ -140,8 +140,8 @@
 bool PeerDirectory::AllHeard(base::TimePoint now) const {
   return std::all_of(peers_.begin(), peers_.end(), [&](const auto& item) {
     const Peer& peer = item.second;
-    base::TimePoint since = peer.id != 0 ? peer.last_message_at : peer.added_at;
-    return peer.live || now - since > settings_.longest_pause;
+    return peer.live || peer.id == 0 ||
+           now - peer.last_message_at > settings_.longest_pause;
   });
 }
 
