Test responses with malformed field names, which already reach no caller

Servers in trouble may send heads in which the name of a field holds a blank or a control byte. Here the parser rejects them already; nothing but tests changes.

--- /dev/null
+++ b/packages/http/tests/scripted_server.h
@@ -0,0 +1,126 @@
+#ifndef VANILLALEVER_HTTP_TESTS_SCRIPTED_SERVER_H_
+#define VANILLALEVER_HTTP_TESTS_SCRIPTED_SERVER_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "vanillalever/base/clock.h"
+
+namespace vanillalever::http {
+
+// Bytes that a ScriptedServer writes some time after it has read a request.
+struct ScriptedBytes {
+  base::milliseconds delay{0};
+  std::string bytes;
+};
+
+// Server that sends prepared bytes, which need not be responses. It never
+// closes a connection and reads on while bytes are still to be sent.
+class ScriptedServer {
+ public:
+  using Script = std::vector<ScriptedBytes>;
+
+  // `script`: what to send for a request with this target.
+  explicit ScriptedServer(
+      std::function<Script(const std::string& target)> script)
+      : script_(std::move(script)),
+        acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    Accept();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  ~ScriptedServer() {
+    context_.stop();
+    thread_.join();
+  }
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  int connections() const { return connections_; }
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  struct Session {
+    explicit Session(Socket accepted) : socket(std::move(accepted)) {}
+    Socket socket;
+    boost::beast::flat_buffer input;
+    boost::beast::http::request<boost::beast::http::string_body> request;
+  };
+  using SessionPtr = std::shared_ptr<Session>;
+
+  void Accept() {
+    acceptor_.async_accept(
+        [this](boost::system::error_code error, Socket socket) {
+          if (error)
+            return;
+          ++connections_;
+          Serve(std::make_shared<Session>(std::move(socket)));
+          Accept();
+        });
+  }
+
+  void Serve(const SessionPtr& session) {
+    session->request = {};
+    boost::beast::http::async_read(
+        session->socket, session->input, session->request,
+        [this, session](boost::system::error_code error, std::size_t) {
+          if (error)
+            return;
+          for (auto& [delay, bytes] :
+               script_(std::string(session->request.target())))
+            SendAfter(session, delay, std::move(bytes));
+          Serve(session);
+        });
+  }
+
+  void SendAfter(const SessionPtr& session,
+                 base::milliseconds delay,
+                 std::string bytes) {
+    auto send = [session, bytes = std::move(bytes)] {
+      boost::system::error_code ignored;
+      boost::asio::write(session->socket, boost::asio::buffer(bytes), ignored);
+    };
+    if (delay.count() == 0)
+      return send();
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
+    timer->async_wait(
+        [timer, send = std::move(send)](boost::system::error_code error) {
+          if (!error)
+            send();
+        });
+  }
+
+  const std::function<Script(const std::string& target)> script_;
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<int> connections_{0};
+  std::thread thread_;
+};
+
+// Complete response with this status line, after "HTTP/1.1 ", and body.
+inline std::string ResponseText(const std::string& status,
+                                const std::string& body,
+                                const std::string& fields = "") {
+  return "HTTP/1.1 " + status + "\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace vanillalever::http
+
+#endif  // VANILLALEVER_HTTP_TESTS_SCRIPTED_SERVER_H_
--- /dev/null
+++ b/packages/http/tests/unusable_response_test.cc
@@ -0,0 +1,122 @@
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "scripted_server.h"
+#include "vanillalever/http/blocking_client.h"
+
+namespace vanillalever::http {
+namespace {
+
+// Time limit of a request, and a bound for what must not wait for it.
+constexpr base::seconds kTimeout{10};
+constexpr base::seconds kAtOnce{5};
+// Until a server that sends a response in pieces sends the next one.
+constexpr base::milliseconds kPause{30};
+
+struct Form {
+  std::string name;
+  ScriptedServer::Script script;
+};
+
+ClientRequest RequestFor(const ScriptedServer& server, std::string target) {
+  ClientRequest request;
+  request.address = server.address();
+  request.target = std::move(target);
+  request.timeout = kTimeout;
+  return request;
+}
+
+// Sends "/next" its target as the body, everything else `script`.
+ScriptedServer ServerOf(const ScriptedServer::Script& script) {
+  return ScriptedServer([script](const std::string& target) {
+    if (target == "/next")
+      return ScriptedServer::Script{{{}, ResponseText("200 OK", target)}};
+    return script;
+  });
+}
+
+// Checks that a response of this form is an error at once, and that its
+// connection carries no other request.
+void CheckUnusable(const Form& form) {
+  INFO(form.name);
+  ScriptedServer server = ServerOf(form.script);
+  BlockingClient client;
+  auto started = base::TimePoint::clock::now();
+  ClientResult result = client.Send(RequestFor(server, "/"));
+  CHECK(base::TimePoint::clock::now() - started < kAtOnce);
+  CHECK(result.status == 0);
+  CHECK(result.body.empty());
+  REQUIRE(result.error);
+  CHECK(result.error->ran == base::ExecutionStatus::kUnknown);
+  CHECK(result.error->code == base::ErrorCode::kUnavailable);
+  ClientResult next = client.Send(RequestFor(server, "/next"));
+  CHECK_FALSE(next.error);
+  CHECK(next.body == "/next");
+  CHECK(server.connections() == 2);
+}
+
+// Guards against a field that is none being taken for one, and against a body
+// whose extent such a field conceals.
+TEST_CASE("a response with a malformed field name is an error") {
+  const std::string names[] = {"Leak Field: x",
+                               "Leak\tField: x",
+                               "Leak\x01"
+                               "Field: x",
+                               "Leak\x7f"
+                               "Field: x",
+                               "Leak\xc3\xa9: x",
+                               std::string("Leak\0Field: x", 13),
+                               "Leak\rField: x",
+                               "Leak\vField: x",
+                               "Leak : x",
+                               ": leak",
+                               "Leak",
+                               " Leak: x",
+                               "Content Length: 1",
+                               "Transfer\x01"
+                               "Encoding: chunked"};
+  for (const std::string& line : names) {
+    for (const char* status : {"200 OK", "404 Not Found", "503 X", "103 X"})
+      CheckUnusable({line + " with " + status,
+                     {{{}, ResponseText(status, "leak", line + "\r\n")}}});
+    CheckUnusable({line + " as a trailer",
+                   {{{},
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "4\r\nleak\r\n0\r\n" +
+                         line + "\r\n\r\n"}}});
+  }
+}
+
+// Guards against rejecting responses that are unusual but sound.
+TEST_CASE("unusual responses are read") {
+  struct Sound {
+    std::string status;
+    std::string fields;
+  };
+  const Sound forms[] = {{"299 X", ""},
+                         {"418 X", ""},
+                         {"599 X", ""},
+                         {"200 ", ""},
+                         {"200 OK", "Empty:\r\n"},
+                         {"200 OK", "Tab: a\tb\r\n"},
+                         {"200 OK", "Utf: \xc3\xa9\r\n"},
+                         {"200 OK", "X!#$%&'*+-.^_`|~1: x\r\n"}};
+  for (const Sound& form : forms) {
+    INFO(form.status << " " << form.fields);
+    ScriptedServer server =
+        ServerOf({{{}, ResponseText(form.status, "body", form.fields)}});
+    BlockingClient client;
+    ClientResult result = client.Send(RequestFor(server, "/"));
+    CHECK_FALSE(result.error);
+    CHECK(result.status == std::stoi(form.status));
+    CHECK(result.body == "body");
+    CHECK(client.Send(RequestFor(server, "/next")).body == "/next");
+    CHECK(server.connections() == 1);
+  }
+}
+
+}  // namespace
+}  // namespace vanillalever::http
