Reject responses whose status is out of range

Callers saw: a response with status 000, 001 or 099 made the gateway wait for the whole time limit and answer 504, also on a repeatable GET with two sound servers beside it. Where a 200 followed on the same connection it was passed on as the response. A status from 600 on reached the caller with its body. The client of the store, of other gateways, of vanillaleverd and vanillaleverctl reported status 0 and its body as a response, and gave what followed on the connection to the next request.

Cause: the parser takes any three digits for a status. ServerConnection took all below 200 for interim responses and skipped them, Call took all as they are.

Change: http::ClassifyResponse states what a head is to a client, for both. What it calls unusable fails the send at once and closes the connection, so that the present retry rules apply: another server where the route allows it, else 502. Nothing that follows on that connection can be taken for a response.

--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -11,6 +11,7 @@
 
 #include "vanillalever/base/logging.h"
 #include "vanillalever/http/address.h"
+#include "vanillalever/http/response_head.h"
 #include "vanillalever/http/socket_options.h"
 
 namespace vanillalever::forwarding {
@@ -25,7 +26,6 @@
 constexpr int kMaxInterimResponses = 20;
 // A connection is given up after this many refusals, all of which it remembers.
 constexpr std::size_t kMaxRefusedRequests = 32;
-constexpr int kFirstFinalStatus = 200;
 constexpr int kFirstRedirectStatus = 300;
 
 }  // namespace
@@ -232,7 +232,12 @@
 bool ServerConnection::OnHead() {
   const auto& message = parser_->get();
   int status = static_cast<int>(message.result_int());
-  if (status < kFirstFinalStatus) {
+  http::ResponseKind kind = http::ClassifyResponse(message.result_int());
+  if (http::IsUnusable(kind)) {
+    Fail(std::string(http::kResponseKindNames.name(kind)));
+    return false;
+  }
+  if (kind == http::ResponseKind::kInterim) {
     if (++interim_responses_ > kMaxInterimResponses) {
       Fail("too many interim responses");
       return false;
--- /dev/null
+++ b/packages/http/include/vanillalever/http/response_head.h
@@ -0,0 +1,34 @@
+#ifndef VANILLALEVER_HTTP_RESPONSE_HEAD_H_
+#define VANILLALEVER_HTTP_RESPONSE_HEAD_H_
+
+#include "vanillalever/base/name_table.h"
+
+namespace vanillalever::http {
+
+// What a response is to the client that sent the request, by its head.
+enum class ResponseKind {
+  kFinal,          // the response to the request
+  kInterim,        // precedes the response to the request
+  kInvalidStatus,  // unusable: its status is outside the range of HTTP
+};
+
+// For the reasons of failures.
+inline constexpr base::NameTable<ResponseKind, 3> kResponseKindNames({
+    "final response",
+    "interim response",
+    "response with an invalid status",
+});
+
+// Classifies a response whose head was parsed without an error; the parser
+// takes any three digits for a status. The connection of an unusable response
+// must be closed: what follows on it belongs to no request.
+ResponseKind ClassifyResponse(unsigned status);
+
+// Whether the response can neither be passed on nor be skipped.
+constexpr bool IsUnusable(ResponseKind kind) {
+  return kind != ResponseKind::kFinal && kind != ResponseKind::kInterim;
+}
+
+}  // namespace vanillalever::http
+
+#endif  // VANILLALEVER_HTTP_RESPONSE_HEAD_H_
--- a/packages/http/src/call.cc
+++ b/packages/http/src/call.cc
@@ -9,6 +9,7 @@
 
 #include "vanillalever/base/logging.h"
 #include "vanillalever/http/address.h"
+#include "vanillalever/http/response_head.h"
 #include "vanillalever/http/socket_options.h"
 
 namespace vanillalever::http {
@@ -135,6 +136,10 @@
 void Call::OnHead(boost::system::error_code error) {
   if (error)
     return OnFailure(error);
+  ResponseKind kind = ClassifyResponse(parser_->get().result_int());
+  if (IsUnusable(kind))
+    return Fail(base::ErrorCode::kUnavailable,
+                std::string(kResponseKindNames.name(kind)));
   ReadBody();
 }
 
--- /dev/null
+++ b/packages/http/src/response_head.cc
@@ -0,0 +1,20 @@
+#include "vanillalever/http/response_head.h"
+
+namespace vanillalever::http {
+namespace {
+
+// Range of the statuses of HTTP (RFC 9110, section 15).
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kLastStatus = 599;
+constexpr unsigned kFirstFinalStatus = 200;
+
+}  // namespace
+
+ResponseKind ClassifyResponse(unsigned status) {
+  if (status < kFirstStatus || status > kLastStatus)
+    return ResponseKind::kInvalidStatus;
+  return status < kFirstFinalStatus ? ResponseKind::kInterim
+                                    : ResponseKind::kFinal;
+}
+
+}  // namespace vanillalever::http
--- a/packages/http/tests/unusable_response_test.cc
+++ b/packages/http/tests/unusable_response_test.cc
@@ -58,6 +58,25 @@
   CHECK(server.connections() == 2);
 }
 
+// Guards against a status that is none being taken for one, and against the
+// next request getting the response that follows it.
+TEST_CASE("a response whose status is out of range is an error") {
+  std::vector<Form> forms;
+  for (std::string status : {"000", "001", "099", "600", "999"}) {
+    forms.push_back({status, {{{}, ResponseText(status + " X", "leak")}}});
+    forms.push_back({status + " in chunks",
+                     {{{},
+                       "HTTP/1.1 " + status +
+                           " X\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           "4\r\nleak\r\n0\r\n\r\n"}}});
+    forms.push_back({status + " before another response",
+                     {{{}, ResponseText(status + " X", "")},
+                      {kPause, ResponseText("200 OK", "leak")}}});
+  }
+  for (const Form& form : forms)
+    CheckUnusable(form);
+}
+
 // Guards against a field that is none being taken for one, and against a body
 // whose extent such a field conceals.
 TEST_CASE("a response with a malformed field name is an error") {
--- a/tests/fuzz/session_targets.cc
+++ b/tests/fuzz/session_targets.cc
@@ -21,6 +21,9 @@
 
 constexpr std::size_t kMaxBodyBytes = 4096;
 constexpr std::chrono::seconds kMostTime{5};
+// Statuses that the response to a request may have (RFC 9110, section 15).
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 
 std::vector<std::string> HttpTokens() {
   return {"\r\n",
@@ -63,7 +66,8 @@
       ("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 503 X\r\nRequest-Id: "
        "1\r\nNot-Executed: "
        "1\r\nContent-Length: 0\r\n\r\n"),
-      "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Seal: s\r\n\r\nto the end"};
+      "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nServer-Seal: s\r\n\r\nto the end",
+      "HTTP/1.1 600 X\r\nRequest-Id: 1\r\nContent-Length: 5\r\n\r\nhello"};
 }
 
 std::size_t Count(std::string_view text, std::string_view part) {
@@ -232,6 +236,8 @@
                       const HttpFields&,
                       const forwarding::ResponseMetadata& metadata) override {
     ++heads_;
+    if (status < kFirstFinalStatus || status > kLastStatus)
+      throw Finding("a status that is none was accepted");
     if (status / 100 == 2 && !metadata.authenticated)
       throw Finding("a success without the server's proof was accepted");
     if (metadata.request_id != "1")
--- a/tests/gateway/unusable_response_test.py
+++ b/tests/gateway/unusable_response_test.py
@@ -168,6 +168,18 @@
         self.assertIsNone(self.gateway.process.poll())
 
 
+class StatusTest(UnusableResponseCase):
+    """Guards against a status that is none: passed on, or taken for an interim one, so that the caller waits or gets what
+    follows."""
+
+    FORMS = {status: Response(f"{status} X") for status in ("000", "001", "099", "600", "999")}
+    FORMS |= {"chunks": Response("000 X", coding="chunks"), "no-reason": Response("000 ", coding="none"),
+              "then": Response("000 X", body=b"", then=Response()), "head-then": Response("000", coding="none", then=Response())}
+
+    def test_response_whose_status_is_out_of_range(self):
+        self.check_forms()
+
+
 MALFORMED_LINES = {"blank": b"Leak Field: x", "tab": b"Leak\tField: x", "control": b"Leak\x01Field: x", "nul": b"Leak\0Field: x",
                    "del": b"Leak\x7fField: x", "cr": b"Leak\rField: x", "vt": b"Leak\vField: x", "byte": b"Leak\xe9: x",
                    "blank-end": b"Leak : x", "no-name": b": leak", "no-colon": b"Leak", "folded": b" Leak: x",
