Skip interim responses in the HTTP client

Callers saw: a store behind a proxy that sends early hints made the gateway take 'status 103' for the answer; the real answer, 20 ms later, went to the next call on the connection. Among them were answers to writes, so that the answer to one write may be taken for that of another.

Cause: Call ended at the first head. An interim response has no body, so that its connection went back to the pool as complete.

Change: Call reads on after an interim response, up to the 20 that the gateway allows a server (kMaxInterimResponses, now shared). A request whose server has sent one and then closes a reused connection is not sent again.

--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -23,7 +23,6 @@
 constexpr int kMaxSkippedResponses = 3;
 // Input that the parser cannot use yet, for example an endless chunk header.
 constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes + kReadSizeBytes;
-constexpr int kMaxInterimResponses = 20;
 // A connection is given up after this many refusals, all of which it remembers.
 constexpr std::size_t kMaxRefusedRequests = 32;
 constexpr int kFirstRedirectStatus = 300;
@@ -238,7 +237,7 @@
     return false;
   }
   if (kind == http::ResponseKind::kInterim) {
-    if (++interim_responses_ > kMaxInterimResponses) {
+    if (++interim_responses_ > http::kMaxInterimResponses) {
       Fail("too many interim responses");
       return false;
     }
--- a/packages/http/include/vanillalever/http/response_head.h
+++ b/packages/http/include/vanillalever/http/response_head.h
@@ -19,6 +19,10 @@
     "response with an invalid status",
 });
 
+// Interim responses to one request; a server that sends more of them is taken
+// for one that sends without end.
+inline constexpr int kMaxInterimResponses = 20;
+
 // Classifies a response whose head was parsed without an error; the parser
 // takes any three digits for a status. The connection of an unusable response
 // must be closed: what follows on it belongs to no request.
--- a/packages/http/src/call.cc
+++ b/packages/http/src/call.cc
@@ -140,7 +140,11 @@
   if (IsUnusable(kind))
     return Fail(base::ErrorCode::kUnavailable,
                 std::string(kResponseKindNames.name(kind)));
-  ReadBody();
+  if (kind == ResponseKind::kFinal)
+    return ReadBody();
+  if (++interim_responses_ > kMaxInterimResponses)
+    return Fail(base::ErrorCode::kUnavailable, "too many interim responses");
+  ReadHead();
 }
 
 void Call::ReadBody() {
@@ -216,8 +220,8 @@
   // The server closed an idle keep-alive connection, and no part of a response
   // was received. The request can be sent again: callers use `new_connection`
   // for requests that must not be repeated.
-  bool closed_while_idle =
-      reused_ && !abort_error_ && (!parser_ || !parser_->got_some());
+  bool responded = interim_responses_ > 0 || (parser_ && parser_->got_some());
+  bool closed_while_idle = reused_ && !abort_error_ && !responded;
   if (closed_while_idle) {
     reused_ = false;
     buffer_.clear();
--- a/packages/http/src/call.h
+++ b/packages/http/src/call.h
@@ -75,6 +75,8 @@
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
       parser_;
+  // Informational (1xx) responses that preceded the one in `parser_`.
+  int interim_responses_ = 0;
   bool reused_ = false;
   // Whether a part of the request may have reached the server.
   bool sent_ = false;
--- a/packages/http/tests/scripted_server.h
+++ b/packages/http/tests/scripted_server.h
@@ -25,10 +25,12 @@
 struct ScriptedBytes {
   base::milliseconds delay{0};
   std::string bytes;
+  // Whether the connection ends after them.
+  bool close = false;
 };
 
-// Server that sends prepared bytes, which need not be responses. It never
-// closes a connection and reads on while bytes are still to be sent.
+// Server that sends prepared bytes, which need not be responses. It reads on
+// while bytes are still to be sent.
 class ScriptedServer {
  public:
   using Script = std::vector<ScriptedBytes>;
@@ -82,28 +84,26 @@
         [this, session](boost::system::error_code error, std::size_t) {
           if (error)
             return;
-          for (auto& [delay, bytes] :
+          for (ScriptedBytes& step :
                script_(std::string(session->request.target())))
-            SendAfter(session, delay, std::move(bytes));
+            Send(session, std::move(step));
           Serve(session);
         });
   }
 
-  void SendAfter(const SessionPtr& session,
-                 base::milliseconds delay,
-                 std::string bytes) {
-    auto send = [session, bytes = std::move(bytes)] {
-      boost::system::error_code ignored;
-      boost::asio::write(session->socket, boost::asio::buffer(bytes), ignored);
+  void Send(const SessionPtr& session, ScriptedBytes step) {
+    auto timer =
+        std::make_shared<boost::asio::steady_timer>(context_, step.delay);
+    auto send = [session, timer,
+                 step = std::move(step)](boost::system::error_code error) {
+      if (error)
+        return;
+      boost::asio::write(session->socket, boost::asio::buffer(step.bytes),
+                         error);
+      if (step.close)
+        session->socket.shutdown(Socket::shutdown_both, error);
     };
-    if (delay.count() == 0)
-      return send();
-    auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
-    timer->async_wait(
-        [timer, send = std::move(send)](boost::system::error_code error) {
-          if (!error)
-            send();
-        });
+    timer->async_wait(std::move(send));
   }
 
   const std::function<Script(const std::string& target)> script_;
--- a/packages/http/tests/unusable_response_test.cc
+++ b/packages/http/tests/unusable_response_test.cc
@@ -1,5 +1,7 @@
+#include <atomic>
 #include <chrono>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -109,6 +111,57 @@
   }
 }
 
+// Guards against an interim response being taken for the response to the
+// request, which the next request gets then.
+TEST_CASE("interim responses precede the response") {
+  for (std::string status : {"100 Continue", "102 X", "103 Early Hints"}) {
+    INFO(status);
+    const std::string interim = "HTTP/1.1 " + status + "\r\nLink: x\r\n\r\n";
+    ScriptedServer server =
+        ServerOf({{{}, interim},
+                  {kPause, interim + ResponseText("201 Created", "body")}});
+    BlockingClient client;
+    ClientResult result = client.Send(RequestFor(server, "/"));
+    CHECK_FALSE(result.error);
+    CHECK(result.status == 201);
+    CHECK(result.body == "body");
+    CHECK(result.headers.count("link") == 0);
+    std::string streamed;
+    client.Send(RequestFor(server, "/"),
+                [&streamed](std::string_view data) { streamed += data; });
+    CHECK(streamed == "body");
+    CHECK(client.Send(RequestFor(server, "/next")).body == "/next");
+    CHECK(server.connections() == 1);
+  }
+}
+
+// Guards against interim responses without end.
+TEST_CASE("too many interim responses are an error") {
+  std::string interim;
+  for (int i = 0; i < 100; ++i)
+    interim += "HTTP/1.1 102 X\r\n\r\n";
+  CheckUnusable({"100 interim responses", {{{}, interim}}});
+}
+
+// Guards against a request that is sent a second time to a server which has
+// begun to respond on a reused connection.
+TEST_CASE("a request is not repeated after an interim response") {
+  std::atomic<int> requests = 0;
+  ScriptedServer server([&requests](const std::string& target) {
+    if (target == "/next")
+      return ScriptedServer::Script{{{}, ResponseText("200 OK", target)}};
+    ++requests;
+    return ScriptedServer::Script{{{}, "HTTP/1.1 103 X\r\n\r\n"},
+                                  {kPause, "", true}};
+  });
+  BlockingClient client;
+  REQUIRE_FALSE(client.Send(RequestFor(server, "/next")).error);
+  ClientResult result = client.Send(RequestFor(server, "/"));
+  REQUIRE(result.error);
+  CHECK(result.error->ran == base::ExecutionStatus::kUnknown);
+  CHECK(requests == 1);
+}
+
 // Guards against rejecting responses that are unusual but sound.
 TEST_CASE("unusual responses are read") {
   struct Sound {
--- a/tests/gateway/unusable_response_test.py
+++ b/tests/gateway/unusable_response_test.py
@@ -11,6 +11,7 @@
 
 import gateway_test
 import standin
+from conversation_test import ConversationCase, output
 from gateway_test import Caller, GatewayCase, turn, wait_until
 
 # Time limit of a request, and a bound for what must not wait for it.
@@ -230,6 +231,58 @@
         self.assertTrue(any(server.reused for server in self.servers))
 
 
+class OddStore(standin.StoreProxy):
+    """Sends `first` ahead of every third response, which follows 20 ms later."""
+
+    def __init__(self, store):
+        super().__init__(store)
+        self.first = b""
+        self.calls = 0
+        self.sent = 0
+
+    async def handle(self, request, reader, writer):
+        self.calls += 1
+        if self.first and self.calls % 3 == 0:
+            self.sent += 1
+            writer.write(self.first)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        return await super().handle(request, reader, writer)
+
+
+class StoreTest(ConversationCase):
+    """Guards against responses of the store that are given to the next call, or taken for what they are not."""
+
+    TURNS = 40
+
+    def check(self, first):
+        """A conversation goes on, and each turn has all turns before it. Returns the gateway."""
+        store = self.platform.call(self.platform.make(OddStore, self.platform.store))
+        self.addCleanup(lambda: self.platform.call(store.stop()))
+        gateway = self.start(store_port=store.port)
+        self.platform.run(setattr, store, "first", first)
+        last, expected = None, b""
+        for number in range(self.TURNS):
+            text = f"turn {number} ".encode()
+            status, last, _ = self.say(gateway, text, last)
+            self.assertEqual(status, 200)
+            self.assertEqual(self.prompts()[last], expected + text)
+            expected += text + output()
+        self.assertGreater(store.sent, self.TURNS // 6)
+        self.assertEqual(gateway.log().count("store_answer_unreadable"), 0)
+        return gateway
+
+    def test_interim_responses_of_the_store(self):
+        gateway = self.check(b"HTTP/1.1 103 X\r\nLink: x\r\n\r\n")
+        self.assertEqual(gateway.log().count("status 103"), 0)
+
+    def test_responses_of_the_store_whose_status_is_out_of_range(self):
+        self.check(b"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n")
+
+    def test_responses_of_the_store_with_a_malformed_field_name(self):
+        self.check(b"HTTP/1.1 200 X\r\nBad Name: x\r\nContent-Length: 0\r\n\r\n")
+
+
 if __name__ == "__main__":
     gateway_test.GATEWAY = sys.argv.pop(1)
     unittest.main()
