Reject a change of protocol that no request asked for

Callers saw: after a 101 the gateway waited for the whole time limit (504), or passed on as the response whatever the server sent next on that connection. The HTTP client did the same with the store and other gateways.

Cause: 101 was skipped like an interim response, but no response follows it in HTTP. The gateway and the client never send Upgrade, so that it is no answer to anything that they asked.

Change: ClassifyResponse calls it unusable: the send fails at once, and its connection is closed.

--- a/packages/http/include/vanillalever/http/response_head.h
+++ b/packages/http/include/vanillalever/http/response_head.h
@@ -10,13 +10,15 @@
   kFinal,          // the response to the request
   kInterim,        // precedes the response to the request
   kInvalidStatus,  // unusable: its status is outside the range of HTTP
+  kUpgrade,        // unusable: another protocol, which no client asks for
 };
 
 // For the reasons of failures.
-inline constexpr base::NameTable<ResponseKind, 3> kResponseKindNames({
+inline constexpr base::NameTable<ResponseKind, 4> kResponseKindNames({
     "final response",
     "interim response",
     "response with an invalid status",
+    "response with a change of protocol",
 });
 
 // Interim responses to one request; a server that sends more of them is taken
--- a/packages/http/tests/unusable_response_test.cc
+++ b/packages/http/tests/unusable_response_test.cc
@@ -79,6 +79,16 @@
     CheckUnusable(form);
 }
 
+// Guards against waiting for a response on a connection that the server has
+// switched to another protocol, and against taking what follows for one.
+TEST_CASE("a change of protocol that was not asked for is an error") {
+  const std::string head =
+      "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n";
+  CheckUnusable({"alone", {{{}, head}}});
+  CheckUnusable({"before another response",
+                 {{{}, head}, {kPause, ResponseText("200 OK", "leak")}}});
+}
+
 // Guards against a field that is none being taken for one, and against a body
 // whose extent such a field conceals.
 TEST_CASE("a response with a malformed field name is an error") {
@@ -172,6 +182,7 @@
                          {"418 X", ""},
                          {"599 X", ""},
                          {"200 ", ""},
+                         {"200 OK", "Upgrade: x\r\n"},
                          {"200 OK", "Empty:\r\n"},
                          {"200 OK", "Tab: a\tb\r\n"},
                          {"200 OK", "Utf: \xc3\xa9\r\n"},
--- a/tests/gateway/unusable_response_test.py
+++ b/tests/gateway/unusable_response_test.py
@@ -209,6 +209,16 @@
         self.check_forms()
 
 
+class UpgradeTest(UnusableResponseCase):
+    """Guards against waiting for a response on a connection that the server has switched to another protocol."""
+
+    SWITCH = {"status": "101 X", "fields": b"Upgrade: leak\r\n", "coding": "none"}
+    FORMS = {"alone": Response(**SWITCH), "then": Response(**SWITCH, then=Response())}
+
+    def test_change_of_protocol_that_was_not_asked_for(self):
+        self.check_forms()
+
+
 class SoundResponseTest(UnusableResponseCase):
     """Guards against rejecting responses that are unusual but sound."""
 
