Reject responses in an unknown transfer coding

Callers saw: bytes in a coding that they did not ask for as the body of a 200 ('gzip, chunked'; gzip and chunked in two fields; gzip followed by a length), or 504 after the whole time limit ('gzip', 'identity', 'chunked, gzip' on a connection that stays open). The HTTP client gave the same to its callers.

Cause: the parser uses the codings that it knows and ignores the others. The gateway removes Transfer-Encoding, which concerns one connection only, so that the caller cannot even see that the body is encoded.

Change: ClassifyResponse calls a response with a body in anything but chunks unusable. Neither the gateway nor the client offers another coding (TE is removed from requests). Responses to HEAD, 204 and 304 have no body and are passed on as before.

--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -231,7 +231,7 @@
 bool ServerConnection::OnHead() {
   const auto& message = parser_->get();
   int status = static_cast<int>(message.result_int());
-  http::ResponseKind kind = http::ClassifyResponse(message.result_int());
+  http::ResponseKind kind = http::ClassifyResponse(message, head_only_);
   if (http::IsUnusable(kind)) {
     Fail(std::string(http::kResponseKindNames.name(kind)));
     return false;
--- a/packages/http/src/call.cc
+++ b/packages/http/src/call.cc
@@ -136,7 +136,7 @@
 void Call::OnHead(boost::system::error_code error) {
   if (error)
     return OnFailure(error);
-  ResponseKind kind = ClassifyResponse(parser_->get().result_int());
+  ResponseKind kind = ClassifyResponse(parser_->get(), /*head_only=*/false);
   if (IsUnusable(kind))
     return Fail(base::ErrorCode::kUnavailable,
                 std::string(kResponseKindNames.name(kind)));
--- a/packages/http/tests/unusable_response_test.cc
+++ b/packages/http/tests/unusable_response_test.cc
@@ -89,6 +89,33 @@
                  {{{}, head}, {kPause, ResponseText("200 OK", "leak")}}});
 }
 
+// Guards against a body in a coding that is unknown here being taken for the
+// body itself, and against waiting for its end.
+TEST_CASE("a response in an unknown transfer coding is an error") {
+  const std::string chunks = "4\r\nleak\r\n0\r\n\r\n";
+  const Form forms[] = {
+      {"gzip", {{{}, "Transfer-Encoding: gzip\r\n\r\nleak"}}},
+      {"gzip, chunked",
+       {{{}, "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks}}},
+      {"gzip and chunked",
+       {{{},
+         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n" +
+             chunks}}},
+      {"gzip with a length",
+       {{{}, "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nleak"}}},
+      {"a length with gzip",
+       {{{}, "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n\r\nleak"}}},
+      {"chunked, gzip",
+       {{{}, "Transfer-Encoding: chunked, gzip\r\n\r\n" + chunks}}},
+      {"chunked twice",
+       {{{}, "Transfer-Encoding: chunked, chunked\r\n\r\n" + chunks}}},
+      {"identity", {{{}, "Transfer-Encoding: identity\r\n\r\nleak"}}}};
+  for (Form form : forms) {
+    form.script.front().bytes.insert(0, "HTTP/1.1 200 OK\r\n");
+    CheckUnusable(form);
+  }
+}
+
 // Guards against a field that is none being taken for one, and against a body
 // whose extent such a field conceals.
 TEST_CASE("a response with a malformed field name is an error") {
--- a/tests/gateway/unusable_response_test.py
+++ b/tests/gateway/unusable_response_test.py
@@ -35,7 +35,7 @@
         chunks = b"%x\r\n%s\r\n0\r\n%s\r\n" % (len(self.body), self.body, self.trailer)
         framing, body = {"length": (b"Content-Length: %d\r\n" % len(self.body), self.body),
                          "chunks": (b"Transfer-Encoding: chunked\r\n", chunks),
-                         "none": (b"", b"")}[self.coding]
+                         "open": (b"", self.body), "none": (b"", b"")}[self.coding]
         return text + framing + b"\r\n" + (b"" if head_only else body)
 
 
@@ -219,6 +219,23 @@
         self.check_forms()
 
 
+class CodingTest(UnusableResponseCase):
+    """Guards against a body in a coding that is unknown here: passed on as the body itself, or waited for to its end."""
+
+    CODINGS = {"gzip": b"gzip", "gzip-chunked": b"gzip, chunked", "gzip-and-chunked": b"gzip\r\nTransfer-Encoding: chunked",
+               "chunked-gzip": b"chunked, gzip", "identity": b"identity"}
+    FORMS = {name: Response(fields=b"Transfer-Encoding: " + coding + b"\r\n", coding="open",
+                            body=b"4\r\nleak\r\n0\r\n\r\n" if b"chunked" in coding else MARK)
+             for name, coding in CODINGS.items()}
+    FORMS |= {"gzip-length": Response(fields=b"Transfer-Encoding: gzip\r\n"),
+              "length-gzip": Response(fields=b"Content-Length: 4\r\nTransfer-Encoding: gzip\r\n", coding="open")}
+
+    def test_response_in_an_unknown_transfer_coding(self):
+        # The response to a HEAD has no body.
+        self.REQUESTS = [request for request in self.REQUESTS if request[0] != "HEAD"]
+        self.check_forms()
+
+
 class SoundResponseTest(UnusableResponseCase):
     """Guards against rejecting responses that are unusual but sound."""
 
