Take no unusable response for a crash of the backend server

Callers of vanillaleverd saw: after five calls whose responses had status 000, 8 of the next 45 sound calls were refused with 429, 'the expected wait leaves too little time', at an idle service; each of the five waited 0.3 s longer than needed.

Cause: the HTTP client reports an unusable response and a lost connection by the same code. The sidecar took both for a possible crash and probed the server for 300 ms, during which the call counted as running without progress; that lowers the measured rate of the server and raises the expected wait.

Change: ClientResult::unusable_response says that the server did respond, with something that the parser or ClassifyResponse rejects. IsConnectionLost() is false then, and the call ends at once with an unknown outcome.

--- a/packages/http/include/vanillalever/http/client.h
+++ b/packages/http/include/vanillalever/http/client.h
@@ -39,6 +39,9 @@
   // Has step connect and ran = not_run if no byte of the request was sent; step
   // run and ran = unknown if the connection failed or timed out after that.
   std::optional<base::ErrorInfo> error;
+  // On an error: the server responded, with bytes that are no usable response.
+  // So it was reachable.
+  bool unusable_response = false;
   int status = 0;
   // Header fields with lower-case names.
   std::map<std::string, std::string> headers;
--- a/packages/http/src/call.cc
+++ b/packages/http/src/call.cc
@@ -16,6 +16,19 @@
 
 namespace bhttp = boost::beast::http;
 
+namespace {
+
+// Whether the parser rejected what the server sent, rather than the connection
+// having ended.
+bool IsMalformed(const boost::system::error_code& error) {
+  return error.category() ==
+             make_error_code(bhttp::error::bad_value).category() &&
+         error != bhttp::error::end_of_stream &&
+         error != bhttp::error::partial_message;
+}
+
+}  // namespace
+
 Call::Call(boost::asio::io_context& context,
            const ClientSettings& settings,
            std::shared_ptr<ConnectionPool> pool,
@@ -138,12 +151,11 @@
     return OnFailure(error);
   ResponseKind kind = ClassifyResponse(parser_->get(), /*head_only=*/false);
   if (IsUnusable(kind))
-    return Fail(base::ErrorCode::kUnavailable,
-                std::string(kResponseKindNames.name(kind)));
+    return RejectResponse(std::string(kResponseKindNames.name(kind)));
   if (kind == ResponseKind::kFinal)
     return ReadBody();
   if (++interim_responses_ > kMaxInterimResponses)
-    return Fail(base::ErrorCode::kUnavailable, "too many interim responses");
+    return RejectResponse("too many interim responses");
   ReadHead();
 }
 
@@ -230,9 +242,16 @@
   }
   if (abort_error_)
     return Fail(abort_error_->code, abort_error_->message);
+  if (IsMalformed(error))
+    return RejectResponse(error.message());
   Fail(base::ErrorCode::kUnavailable, error.message());
 }
 
+void Call::RejectResponse(const std::string& reason) {
+  unusable_response_ = true;
+  Fail(base::ErrorCode::kUnavailable, reason);
+}
+
 void Call::Succeed() {
   auto message = parser_->release();
   ClientResult result;
@@ -252,6 +271,7 @@
 
 void Call::Fail(base::ErrorCode code, const std::string& message) {
   ClientResult result;
+  result.unusable_response = unusable_response_;
   base::ErrorInfo info;
   info.code = code;
   info.message = message;
--- a/packages/http/src/call.h
+++ b/packages/http/src/call.h
@@ -51,6 +51,8 @@
   void DeliverData();
   void Succeed();
   void Fail(base::ErrorCode code, const std::string& message);
+  // The server sent no usable response.
+  void RejectResponse(const std::string& reason);
   void Complete(ClientResult result);
 
   boost::asio::io_context& context_;
@@ -77,6 +79,7 @@
       parser_;
   // Informational (1xx) responses that preceded the one in `parser_`.
   int interim_responses_ = 0;
+  bool unusable_response_ = false;
   bool reused_ = false;
   // Whether a part of the request may have reached the server.
   bool sent_ = false;
--- a/packages/sidecar/src/backend.cc
+++ b/packages/sidecar/src/backend.cc
@@ -24,9 +24,10 @@
   return info;
 }
 
-bool IsConnectionLost(const base::ErrorInfo& error) {
-  return error.code == base::ErrorCode::kUnavailable &&
-         error.step != base::Step::kConnect;
+bool IsConnectionLost(const http::ClientResult& response) {
+  return response.error && !response.unusable_response &&
+         response.error->code == base::ErrorCode::kUnavailable &&
+         response.error->step != base::Step::kConnect;
 }
 
 void ProbeServer(http::Client& client,
--- a/packages/sidecar/src/backend.h
+++ b/packages/sidecar/src/backend.h
@@ -73,8 +73,9 @@
                             const std::string& address);
 
 // Whether the connection was lost after it was established and before the
-// response was complete.
-bool IsConnectionLost(const base::ErrorInfo& error);
+// response was complete. A server that sends an unusable response has not
+// crashed.
+bool IsConnectionLost(const http::ClientResult& response);
 
 // Checks whether the server is reachable by requesting its load.
 void ProbeServer(http::Client& client,
--- a/packages/sidecar/src/engine_backend.cc
+++ b/packages/sidecar/src/engine_backend.cc
@@ -89,8 +89,8 @@
                        const std::string& address) {
   BackendResult result;
   if (response.error) {
+    result.connection_lost = IsConnectionLost(response);
     result.error = std::move(response.error);
-    result.connection_lost = IsConnectionLost(*result.error);
   } else if (response.status / 100 != 2) {
     result.error = StatusError(response.status, response.body, address);
   } else if (!stream.complete()) {
--- a/packages/sidecar/src/service_backend.cc
+++ b/packages/sidecar/src/service_backend.cc
@@ -29,8 +29,8 @@
                              http::ClientResult response) {
           BackendResult result;
           if (response.error) {
+            result.connection_lost = IsConnectionLost(response);
             result.error = std::move(response.error);
-            result.connection_lost = IsConnectionLost(*result.error);
           } else if (response.status / 100 != 2) {
             result.error = StatusError(response.status, response.body, address);
           }
