--- a/packages/http/tests/unusable_response_test.cc
+++ b/packages/http/tests/unusable_response_test.cc
@@ -121,10 +121,8 @@
 TEST_CASE("a response with a malformed field name is an error") {
   const std::string names[] = {"Leak Field: x",
                                "Leak\tField: x",
-                               "Leak\x01"
-                               "Field: x",
-                               "Leak\x7f"
-                               "Field: x",
+                               "Leak\001Field: x",
+                               "Leak\177Field: x",
                                "Leak\xc3\xa9: x",
                                std::string("Leak\0Field: x", 13),
                                "Leak\rField: x",
@@ -134,8 +132,7 @@
                                "Leak",
                                " Leak: x",
                                "Content Length: 1",
-                               "Transfer\x01"
-                               "Encoding: chunked"};
+                               "Transfer\001Encoding: chunked"};
   for (const std::string& line : names) {
     for (const char* status : {"200 OK", "404 Not Found", "503 X", "103 X"})
       CheckUnusable({line + " with " + status,
--- a/packages/sidecar/tests/backend_test.cc
+++ b/packages/sidecar/tests/backend_test.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -22,19 +23,19 @@
 using MakeBackend = std::unique_ptr<Backend> (*)(http::Client&, std::string);
 constexpr MakeBackend kBackends[] = {&MakeEngineBackend, &MakeServiceBackend};
 
-// Responses that cannot be used.
 std::string EventField() {
   return "Content-Type: text/event-stream\r\n";
 }
-const std::string kForms[] = {
-    ResponseText("000 X", "data: leak\n\n", EventField()),
-    ResponseText("101 X", "", EventField()),
-    ResponseText("200 OK", "data: leak\n\n", "Leak Field: x\r\n"),
-    ResponseText("200 OK",
-                 "data: leak\n\n",
-                 "Leak\x01"
-                 "Field: x\r\n"),
-    ResponseText("200 OK", "data: leak\n\n", "Transfer-Encoding: gzip\r\n")};
+
+// Responses that cannot be used.
+std::vector<std::string> Forms() {
+  const std::string body = "data: leak\n\n";
+  return {ResponseText("000 X", body, EventField()),
+          ResponseText("101 X", "", EventField()),
+          ResponseText("200 OK", body, "Leak Field: x\r\n"),
+          ResponseText("200 OK", body, "Leak\001Field: x\r\n"),
+          ResponseText("200 OK", body, "Transfer-Encoding: gzip\r\n")};
+}
 
 // A backend server that sends `script`, and what calls it.
 class Calls {
@@ -84,7 +85,7 @@
 // a search for a crash that did not happen.
 TEST_CASE("a response of a backend server that cannot be used is an error") {
   for (MakeBackend make : kBackends) {
-    for (const std::string& form : kForms) {
+    for (const std::string& form : Forms()) {
       INFO(form);
       Calls calls({{{}, form}, {kPause, ResponseText("200 OK", "{}")}}, make);
       auto started = base::TimePoint::clock::now();
@@ -102,7 +103,7 @@
 
 // Guards against a release that no engine has confirmed.
 TEST_CASE("a response that cannot be used confirms no release") {
-  for (const std::string& form : kForms) {
+  for (const std::string& form : Forms()) {
     INFO(form);
     Calls calls({{{}, form}, {kPause, ResponseText("200 OK", "{}")}},
                 &MakeEngineBackend);
@@ -113,7 +114,7 @@
 // A health probe only tells whether the server accepts connections: one that
 // sends bytes that are no response has not crashed.
 TEST_CASE("a server whose response to a probe cannot be used is reachable") {
-  for (const std::string& form : kForms) {
+  for (const std::string& form : Forms()) {
     INFO(form);
     Calls calls({{{}, form}}, &MakeServiceBackend);
     auto started = base::TimePoint::clock::now();
--- a/tests/system/system_test.py
+++ b/tests/system/system_test.py
@@ -17,6 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "tools" / "lib"))
 from deployment import ADMIN_TOKEN, Deployment  # noqa: E402
+from relay import Relay  # noqa: E402
 
 BUILD = sys.argv.pop(1) if len(sys.argv) > 1 and "build" in sys.argv[1] else "build"
 CALLER_TOKENS = {"casca": "casca-sample-token", "tan": "tan-sample-token"}
@@ -42,10 +43,13 @@
         self.addCleanup(self.deployment.__exit__)
         deployment = self.deployment
         deployment.start_platform()
+        deployment.platform = self.address_in_front_of(deployment.platform)
         self.engine_doubles = [
             deployment.start_engine(f"engine-{i}", *self.engine_flags()) for i in range(self.engines)
         ]
         self.service_doubles = [deployment.start_service(f"service-{i}") for i in range(2)]
+        for double in self.service_doubles:
+            double.addresses["http"] = self.address_in_front_of(double.addresses["http"])
         self.engine_sidecars = [
             deployment.start_sidecar(f"engine-sidecar-{i}", double, "engine", "model-bench", "dc-a")
             for i, double in enumerate(self.engine_doubles)
@@ -69,6 +73,10 @@
     def entry_flags():
         return ()
 
+    def address_in_front_of(self, address):
+        """The address by which the daemons know the platform or a service."""
+        return address
+
     def apply(self, base_version, put, entry=0, token=None):
         """Applies a configuration change; returns status and parsed response."""
         body = {
@@ -295,6 +303,110 @@
         self.assertLessEqual(self.executions("hung-1"), 1)
 
 
+class UnusableResponse(SystemTest):
+    """Guards against bytes that are no response being taken for one, and against waiting for more of them."""
+
+    FORMS = {
+        "status": b"HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\nleak",
+        "blank": b"HTTP/1.1 200 OK\r\nLeak Field: x\r\nContent-Length: 4\r\n\r\nleak",
+        "control": b"HTTP/1.1 200 OK\r\nLeak\x01Field: x\r\nContent-Length: 4\r\n\r\nleak",
+        "upgrade": b"HTTP/1.1 101 X\r\nUpgrade: leak\r\n\r\n",
+        "coding": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nleak",
+    }
+    EARLY = b"HTTP/1.1 103 X\r\nLink: x\r\n\r\n"
+    # Time limit of a call, and a bound for what must not wait for it.
+    LIMIT_MS = 15000
+    AT_ONCE_S = 7
+
+    engines = 1
+    # The retries that successful calls earn are counted by each entry.
+    entry_count = 1
+
+    def setUp(self):
+        self.relays = []
+        super().setUp()
+        self.platform_relay, *self.service_relays = self.relays
+
+    def address_in_front_of(self, address):
+        relay = Relay(address)
+        self.addCleanup(relay.close)
+        self.relays.append(relay)
+        return relay.address
+
+    def run_call(self, operation, ref):
+        """Runs a call as the first turn of a new program. Returns status and body of the response."""
+        program = self.create(ref)
+        body = {"turn": 1, "pool": "shop-app", "operation": operation, "body": {"ref": ref}, "deadline_ms": self.LIMIT_MS}
+        started = time.monotonic()
+        status, answer = self.call(0, f"/v1/programs/{program}/calls", body, timeout=60)
+        self.assertLess(time.monotonic() - started, self.AT_ONCE_S)
+        self.assertNotIn("leak", json.dumps(answer).lower())
+        return status, answer
+
+    def run_sound_calls(self, name):
+        """Calls that succeed, without which no call is tried a second time."""
+        for relay in self.service_relays:
+            relay.instead = b""
+        for number in range(40):
+            self.assertEqual(self.run_call("read_stock", f"sound-{name}-{number}")[0], 200)
+
+    def test_responses_of_services(self):
+        first, second = self.service_relays
+        first.only = second.only = b"/re"
+        for name, form in self.FORMS.items():
+            with self.subTest(form=name):
+                self.run_sound_calls(name)
+                first.instead = second.instead = form
+                status, answer = self.run_call("refund", f"refund-{name}")
+                self.assertEqual((status, answer["error"]["ran"]), (502, "unknown"), answer)
+                self.assertEqual(self.executions(f"refund-{name}"), 1)
+                # Another service may run what may be repeated.
+                for sound in self.service_relays:
+                    first.instead = second.instead = form
+                    sound.instead = b""
+                    status, answer = self.run_call("read_stock", f"{sound.address}-{name}")
+                    self.assertEqual(status, 200, answer)
+                first.instead = second.instead = form
+                status, answer = self.run_call("read_stock", f"all-{name}")
+                self.assertEqual((status, answer["error"]["ran"]), (503, "unknown"), answer)
+        first.instead = second.instead = b""
+        first.ahead = second.ahead = self.EARLY
+        for operation in ("refund", "read_stock"):
+            self.assertEqual(self.run_call(operation, f"early-{operation}")[0], 200)
+            self.assertEqual(self.executions(f"early-{operation}"), 1)
+
+    def test_responses_of_the_platform(self):
+        """A response that cannot be used says nothing about whether the write was done."""
+        for name, form in self.FORMS.items():
+            with self.subTest(form=name):
+                self.platform_relay.instead, self.platform_relay.every = form, 5
+                self.check_load(self.start_load(programs=10))
+                self.assertGreater(self.platform_relay.sent, 0)
+        self.platform_relay.instead, self.platform_relay.ahead, self.platform_relay.every = b"", self.EARLY, 1
+        self.check_load(self.start_load(programs=10))
+
+    def test_responses_to_the_operators_tool(self):
+        entry = self.entries[0]
+        expected = self.deployment.ctl(entry, "get", "--output=json")
+        self.assertEqual(expected.returncode, 0, expected.stderr)
+        relay = Relay(entry.addresses["admin"])
+        self.addCleanup(relay.close)
+        known = dict(entry.addresses)
+        entry.addresses["admin"] = relay.address
+        self.addCleanup(entry.addresses.update, known)
+        for name, form in self.FORMS.items():
+            with self.subTest(form=name):
+                relay.instead = form
+                started = time.monotonic()
+                for command in (["get"], ["status"], ["history"]):
+                    result = self.deployment.ctl(entry, *command, "--output=json", f"--timeout_ms={self.LIMIT_MS}")
+                    self.assertEqual((result.returncode, result.stdout), (4, ""))
+                    self.assertNotIn("leak", result.stderr.lower())
+                self.assertLess(time.monotonic() - started, self.AT_ONCE_S)
+        relay.instead, relay.ahead = b"", self.EARLY
+        self.assertEqual(self.deployment.ctl(entry, "get", "--output=json").stdout, expected.stdout)
+
+
 class CrashingRequest(SystemTest):
     engines = 4
 
