--- a/tests/gateway/unusable_response_test.py
+++ b/tests/gateway/unusable_response_test.py
@@ -242,21 +242,33 @@
     FORMS = {"299": Response("299 X"), "418": Response("418 X"), "599": Response("599 X"), "no-reason": Response("200 "),
              "empty": Response(fields=b"Odd:\r\n"), "tab": Response(fields=b"Odd: a\tb\r\n"),
              "utf-8": Response(fields="Odd: é\r\n".encode()), "token": Response(fields=b"X!#$%&'*+-.^_`|~1: x\r\n"),
-             "early": Response("103 X", fields=b"Link: x\r\n", coding="none", then=Response())}
+             "early": Response("103 X", fields=b"Link: x\r\n", coding="none", then=Response()),
+             "early-events": Response("103 X", coding="none", then=Response(body=b"id: 3\ndata: x\n\n"))}
 
     def test_unusual_response_is_passed_on(self):
         self.gateway = self.start()
         for name, form in self.FORMS.items():
+            body = (form.then or form).body
             for method, path in (("GET", "/read/" + name), ("POST", "/pay/" + name), ("HEAD", "/read/" + name)):
                 with self.subTest(method=method, path=path):
                     received = self.exchange(method, path, {})
                     status = (form.then or form).status.split(" ")[0].encode()
                     self.assertEqual(received.split(b" ", 2)[1][:3], status)
-                    self.assertTrue(received.endswith(b"\r\n\r\n" if method == "HEAD" else b"\r\n\r\n" + MARK), received)
-                    self.assertEqual(form.fields.replace(b":\r", b": \r") in received, not form.then)
+                    self.assertTrue(received.endswith(b"\r\n\r\n" if method == "HEAD" else b"\r\n\r\n" + body), received)
+                    if form.fields:
+                        self.assertEqual(form.fields.replace(b":\r", b": \r") in received, not form.then)
         # Their connections go on to be used.
         self.assertTrue(any(server.reused for server in self.servers))
 
+    def test_stream_after_an_early_response_is_passed_on(self):
+        self.gateway = self.start()
+        for path, extra in (("/once/", {}), ("/turn/", {}), ("/chat/", {}), ("/turn/again/", {"Last_Event_Id": "2", "Resumes": "a1"})):
+            with self.subTest(path=path):
+                received = self.exchange("POST", path + "early-events", extra)
+                self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+                self.assertEqual(received.count(b"id: 3\ndata: x\n\n"), 1)
+                self.assertTrue(received.endswith(b"0\r\n\r\n"))
+
 
 class OddStore(standin.StoreProxy):
     """Sends `first` ahead of every third response, which follows 20 ms later."""
