--- a/tests/gateway/unusable_response_test.py
+++ b/tests/gateway/unusable_response_test.py
@@ -61,7 +61,6 @@
         form = self.forms.get(request.path.split("/")[-1])
         resumes = bool(request.headers.get("last-event-id"))
         if "taken-up" in request.path and not resumes:
-            # Only once: "break" makes the server serve the path afterwards.
             return await standin.Engine.run(self, request, reader, writer, "break")
         if form is None or not self.faulty:
             events = self.service == "models" and request.method != "HEAD"
@@ -79,7 +78,8 @@
 
 
 class UnusableResponseCase(GatewayCase):
-    """Sends a request for each form on each route to servers that all respond so, then to three of which one does. Every server's response must be given up at once, and its connection never be used again."""
+    """Sends a request for each form on each route to servers that all respond so, then to three of which one does. Every
+    such response must be given up at once, and its connection never be used again."""
 
     FORMS = {}
     # Servers of each service, and how many of them may run a request.
@@ -175,14 +175,16 @@
 
     FORMS = {status: Response(f"{status} X") for status in ("000", "001", "099", "600", "999")}
     FORMS |= {"chunks": Response("000 X", coding="chunks"), "no-reason": Response("000 ", coding="none"),
-              "then": Response("000 X", body=b"", then=Response()), "head-then": Response("000", coding="none", then=Response())}
+              "then": Response("000 X", body=b"", then=Response()),
+              "head-then": Response("000", coding="none", then=Response())}
 
     def test_response_whose_status_is_out_of_range(self):
         self.check_forms()
 
 
-MALFORMED_LINES = {"blank": b"Leak Field: x", "tab": b"Leak\tField: x", "control": b"Leak\x01Field: x", "nul": b"Leak\0Field: x",
-                   "del": b"Leak\x7fField: x", "cr": b"Leak\rField: x", "vt": b"Leak\vField: x", "byte": b"Leak\xe9: x",
+MALFORMED_LINES = {"blank": b"Leak Field: x", "tab": b"Leak\tField: x", "control": b"Leak\x01Field: x",
+                   "nul": b"Leak\0Field: x", "del": b"Leak\x7fField: x", "cr": b"Leak\rField: x", "vt": b"Leak\vField: x",
+                   "byte": b"Leak\xe9: x",
                    "blank-end": b"Leak : x", "no-name": b": leak", "no-colon": b"Leak", "folded": b" Leak: x",
                    "length": b"Content Length: 1", "coding": b"Transfer\x01Encoding: chunked"}
 
@@ -262,7 +264,8 @@
 
     def test_stream_after_an_early_response_is_passed_on(self):
         self.gateway = self.start()
-        for path, extra in (("/once/", {}), ("/turn/", {}), ("/chat/", {}), ("/turn/again/", {"Last_Event_Id": "2", "Resumes": "a1"})):
+        for path, extra in (("/once/", {}), ("/turn/", {}), ("/chat/", {}),
+                            ("/turn/again/", {"Last_Event_Id": "2", "Resumes": "a1"})):
             with self.subTest(path=path):
                 received = self.exchange("POST", path + "early-events", extra)
                 self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
--- a/tests/system/relay.py
+++ b/tests/system/relay.py
@@ -12,7 +12,8 @@
             return b""
         data += piece
     head = data.partition(b"\r\n\r\n")[0]
-    length = next((int(line.split(b":")[1]) for line in head.split(b"\r\n") if line.lower().startswith(b"content-length:")), 0)
+    lengths = [line for line in head.lower().split(b"\r\n") if line.startswith(b"content-length:")]
+    length = int(lengths[0].split(b":")[1]) if lengths else 0
     while len(data) < len(head) + 4 + length:
         data += connection.recv(65536)
     return data
