Take a response that is reset while the request is written for incomplete

Seen by callers: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; the part was passed on as the complete response, on every kind of route. `http::Client` returned it too.

Cause: the kernel reports the error of a connection to one operation. With a write pending that is the write; the next read reports an end of data, which completes a response without a length. ServerConnection and http::Call dropped the error of the write.

Change: http::TookConnectionError() says whether a write took that error; both readers of responses then fail the response instead of completing it. ServerConnection writes and reads at the same time, so that an end of data may be handled before the result of the write: it ends the write and waits for that result first, which takes no time. A broken pipe does not count, as the server's end of data came before the reset. A connection whose write failed is not reused.

--- a/packages/forwarding/include/vanillalever/forwarding/server_connection.h
+++ b/packages/forwarding/include/vanillalever/forwarding/server_connection.h
@@ -86,9 +86,13 @@
   using Parser = boost::beast::http::response_parser<AppendedBody>;
 
   void Write();
+  void OnWritten(boost::system::error_code error);
   void Read();
   void OnRead(boost::system::error_code error, std::size_t size);
   void ReadResponse(boost::system::error_code error);
+  // The input ended before the write did. Goes on with OnWritten(), as the
+  // write may have taken the error that ended the connection.
+  void EndWrite();
   void OnEof();
   // Parses the buffer. Returns whether more input is needed.
   bool Parse();
@@ -110,8 +114,11 @@
   std::function<void()> on_idle_closed_;
   bool refused_ = false;
   bool sent_ = false;
-  bool written_ = false;
+  bool writing_ = false;
+  // Result of the last write that has ended.
+  boost::system::error_code write_error_;
   bool reading_ = false;
+  bool input_ended_ = false;
   bool paused_ = false;
   bool head_received_ = false;
   // The response being read is informational or belongs to another request.
--- a/packages/forwarding/src/server_connection.cc
+++ b/packages/forwarding/src/server_connection.cc
@@ -11,6 +11,7 @@
 
 #include "vanillalever/base/logging.h"
 #include "vanillalever/http/address.h"
+#include "vanillalever/http/connection_error.h"
 #include "vanillalever/http/response_head.h"
 #include "vanillalever/http/socket_options.h"
 
@@ -89,7 +90,8 @@
 
 void ServerConnection::Write() {
   sent_ = true;
-  written_ = false;
+  writing_ = true;
+  write_error_ = {};
   reusable_ = false;
   head_received_ = false;
   skipping_response_ = false;
@@ -97,20 +99,24 @@
   interim_responses_ = 0;
   paused_ = false;
   parser_.reset();
-  boost::asio::async_write(socket_, request_.Buffers(),
-                           [self = shared_from_this()](
-                               boost::system::error_code error, std::size_t) {
-                             self->request_ = {};
-                             // A server may respond before it has read the
-                             // whole request, so the read reports a failed
-                             // write.
-                             if (!error)
-                               self->written_ = true;
-                           });
+  boost::asio::async_write(
+      socket_, request_.Buffers(),
+      [self = shared_from_this()](boost::system::error_code error,
+                                  std::size_t) { self->OnWritten(error); });
+}
+
+// A server may respond before it has read the whole request, so the response is
+// read even if the write fails.
+void ServerConnection::OnWritten(boost::system::error_code error) {
+  writing_ = false;
+  write_error_ = error;
+  request_ = {};
+  if (input_ended_)
+    OnRead(boost::asio::error::eof, 0);
 }
 
 void ServerConnection::Read() {
-  if (reading_ || closed_)
+  if (reading_ || closed_ || input_ended_)
     return;
   reading_ = true;
   socket_.async_read_some(buffer_.prepare(kReadSizeBytes),
@@ -147,6 +153,11 @@
 }
 
 void ServerConnection::ReadResponse(boost::system::error_code error) {
+  if (error == boost::asio::error::eof && writing_)
+    return EndWrite();
+  if (error == boost::asio::error::eof &&
+      http::TookConnectionError(write_error_))
+    error = write_error_;
   if (error == boost::asio::error::eof)
     return OnEof();
   if (error)
@@ -165,6 +176,12 @@
     Read();
 }
 
+void ServerConnection::EndWrite() {
+  input_ended_ = true;
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
 void ServerConnection::OnEof() {
   auto self = shared_from_this();
   bool complete_at_eof = parser_ && parser_->is_header_done() &&
@@ -268,8 +285,8 @@
 
 void ServerConnection::Finish() {
   const auto& message = parser_->get();
-  reusable_ = written_ && message.keep_alive() && buffer_.size() == 0 &&
-              !parser_->need_eof() &&
+  reusable_ = !writing_ && !write_error_ && message.keep_alive() &&
+              buffer_.size() == 0 && !parser_->need_eof() &&
               refused_requests_.size() < kMaxRefusedRequests;
   idle_since_ = base::TimePoint::clock::now();
   auto* handler = std::exchange(handler_, nullptr);
--- a/packages/http/src/call.cc
+++ b/packages/http/src/call.cc
@@ -9,6 +9,7 @@
 
 #include "vanillalever/base/logging.h"
 #include "vanillalever/http/address.h"
+#include "vanillalever/http/connection_error.h"
 #include "vanillalever/http/response_head.h"
 #include "vanillalever/http/socket_options.h"
 
@@ -130,6 +131,7 @@
   // A server that rejects a large body may send the response and close the
   // connection before it has read the whole body, so the response is read even
   // if the write failed.
+  write_error_ = error;
   if (error && reused_)
     return OnFailure(error);
   ReadHead();
@@ -165,7 +167,7 @@
                 "the responses in progress are too large");
   DeliverData();
   if (parser_->is_done())
-    return Succeed();
+    return OnResponseEnd();
   bhttp::async_read_some(
       *stream_, buffer_, *parser_,
       boost::asio::bind_executor(
@@ -181,6 +183,12 @@
   ReadBody();
 }
 
+void Call::OnResponseEnd() {
+  if (parser_->need_eof() && TookConnectionError(write_error_))
+    return OnFailure(write_error_);
+  Succeed();
+}
+
 bool Call::TakeBody() {
   std::size_t held = parser_->get().body().size();
   std::size_t added = held - std::exchange(held_bytes_, held);
@@ -263,7 +271,9 @@
     result.headers[name] = std::string(field.value());
   }
   result.body = std::move(message.body());
-  if (message.keep_alive() && buffer_.size() == 0 && !abort_error_)
+  bool reusable = !write_error_ && message.keep_alive() &&
+                  buffer_.size() == 0 && !abort_error_;
+  if (reusable)
     pool_->Release(request_.address, {std::move(stream_), opened_at_},
                    base::TimePoint::clock::now());
   Complete(std::move(result));
--- a/packages/http/src/call.h
+++ b/packages/http/src/call.h
@@ -40,6 +40,7 @@
   void OnHead(boost::system::error_code error);
   void ReadBody();
   void OnBodyData(boost::system::error_code error);
+  void OnResponseEnd();
   // The response did not arrive in time.
   void OnTimeout();
   // The connection is silent, and so may be the idle ones.
@@ -81,6 +82,8 @@
   int interim_responses_ = 0;
   bool unusable_response_ = false;
   bool reused_ = false;
+  // Result of the write of the request.
+  boost::system::error_code write_error_;
   // Whether a part of the request may have reached the server.
   bool sent_ = false;
   bool done_ = false;
--- /dev/null
+++ b/packages/http/tests/early_response_test.cc
@@ -0,0 +1,197 @@
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "scripted_server.h"
+#include "vanillalever/http/blocking_client.h"
+
+namespace vanillalever::http {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Larger than what the buffers of a connection hold.
+constexpr std::size_t kUploadBytes = 8 << 20;
+// Time limit of a request, and a bound for what must not wait for it.
+constexpr base::seconds kTimeout{10};
+constexpr base::seconds kAtOnce{5};
+
+// Bytes of a response that begin with a sound status line.
+std::string Ok(const std::string& rest) {
+  return "HTTP/1.1 200 OK\r\n" + rest;
+}
+
+// What a server does after its response.
+enum class End { kReset, kClose, kCloseAndReset };
+
+struct EarlyResponse {
+  std::string bytes;
+  End end = End::kReset;
+  // Until the end, and between its steps.
+  base::milliseconds delay{0};
+};
+
+// Server that responds when it has read the head of a POST, and reads no more.
+// It responds to a GET with its target and keeps the connection.
+class EarlyServer {
+ public:
+  explicit EarlyServer(EarlyResponse response)
+      : response_(std::move(response)),
+        acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    Accept();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  ~EarlyServer() {
+    context_.stop();
+    thread_.join();
+  }
+
+  ClientRequest Get() const {
+    ClientRequest request;
+    request.address =
+        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    request.target = "/next";
+    request.timeout = kTimeout;
+    return request;
+  }
+  ClientRequest Upload() const {
+    ClientRequest request = Get();
+    request.method = "POST";
+    request.body.assign(kUploadBytes, 'u');
+    return request;
+  }
+  int connections() const { return connections_; }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept(
+        [this](boost::system::error_code error, tcp::socket socket) {
+          if (error)
+            return;
+          ++connections_;
+          sockets_.push_back(std::make_unique<tcp::socket>(std::move(socket)));
+          Read(*sockets_.back(), std::make_shared<std::string>());
+          Accept();
+        });
+  }
+
+  void Read(tcp::socket& socket, std::shared_ptr<std::string> input) {
+    boost::asio::async_read_until(
+        socket, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
+        [this, &socket, input](boost::system::error_code error,
+                               std::size_t size) {
+          if (error)
+            return;
+          bool upload = input->starts_with("POST");
+          input->erase(0, size);
+          if (upload)
+            return Respond(socket);
+          boost::asio::write(
+              socket, boost::asio::buffer(ResponseText("200 OK", "/next")),
+              error);
+          Read(socket, input);
+        });
+  }
+
+  void Respond(tcp::socket& socket) {
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(response_.bytes), ignored);
+    std::this_thread::sleep_for(response_.delay);
+    if (response_.end != End::kReset)
+      socket.shutdown(tcp::socket::shutdown_send, ignored);
+    if (response_.end == End::kClose)
+      return;
+    if (response_.end == End::kCloseAndReset)
+      std::this_thread::sleep_for(response_.delay);
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+  }
+
+  const EarlyResponse response_;
+  boost::asio::io_context context_;
+  tcp::acceptor acceptor_;
+  std::vector<std::unique_ptr<tcp::socket>> sockets_;
+  std::atomic<int> connections_{0};
+  std::thread thread_;
+};
+
+// A reset comes at once, or while the client waits for room in the connection.
+constexpr base::milliseconds kDelays[] = {base::milliseconds(0),
+                                          base::milliseconds(100)};
+
+// Guards against a part of a response that is taken for all of it: the reset is
+// reported to the write that is still in progress, and the next read reports an
+// end of data.
+TEST_CASE("a response that is reset while the request is written is an error") {
+  const std::string parts[] = {
+      Ok("\r\n"),
+      Ok("\r\nleak"),
+      Ok("\r\n") + std::string(30000, 'x'),
+      "HTTP/1.1 500 X\r\n\r\nleak",
+      Ok("Content-Length: 900000\r\n\r\nleak"),
+      Ok("Transfer-Encoding: chunked\r\n\r\n4\r\nleak\r\n"),
+      Ok("Leak: ")};
+  for (const std::string& part : parts) {
+    for (base::milliseconds delay : kDelays) {
+      for (bool kept : {false, true}) {
+        INFO(part.substr(0, 60) << " after " << delay.count() << " ms"
+                                << (kept ? " on a kept connection" : ""));
+        EarlyServer server({part, End::kReset, delay});
+        BlockingClient client;
+        if (kept)
+          REQUIRE(client.Send(server.Get()).body == "/next");
+        auto started = base::TimePoint::clock::now();
+        ClientResult result = client.Send(server.Upload());
+        CHECK(result.error);
+        CHECK(result.status == 0);
+        CHECK(result.body.empty());
+        result = client.Send(server.Upload(), [](std::string_view) {});
+        CHECK(result.error);
+        CHECK(base::TimePoint::clock::now() - started < kAtOnce);
+        int connections = server.connections();
+        CHECK(client.Send(server.Get()).body == "/next");
+        CHECK(server.connections() == connections + 1);
+      }
+    }
+  }
+}
+
+// Guards against losing a whole response because the rest of the request cannot
+// be written.
+TEST_CASE("a whole response to a part of the request is read") {
+  const EarlyResponse responses[] = {
+      {ResponseText("200 OK", "body"), End::kReset},
+      {ResponseText("200 OK", "body"), End::kCloseAndReset},
+      {Ok("Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"),
+       End::kReset},
+      {Ok("\r\nbody"), End::kCloseAndReset}};
+  for (EarlyResponse response : responses) {
+    for (base::milliseconds delay : kDelays) {
+      response.delay = delay;
+      INFO(response.bytes << " after " << delay.count() << " ms");
+      EarlyServer server(response);
+      BlockingClient client;
+      ClientResult result = client.Send(server.Upload());
+      CHECK_FALSE(result.error);
+      CHECK(result.status == 200);
+      CHECK(result.body == "body");
+      CHECK(client.Send(server.Get()).body == "/next");
+      CHECK(server.connections() == 2);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace vanillalever::http
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -19,8 +19,9 @@
         self.query = {k: v[0] for k, v in urllib.parse.parse_qs(query, keep_blank_values=True).items()}
 
 
-async def read_request(reader):
-    """Reads the next request of a connection; returns None at its end."""
+async def read_head(reader):
+    """Reads the head of the next request of a connection; returns the request without its body, or None at the end of the
+    connection."""
     head = b""
     while not head.endswith(b"\r\n\r\n"):
         line = await reader.readline()
@@ -33,8 +34,15 @@
     for line in lines[1:]:
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return Request(method, target, headers, body)
+    return Request(method, target, headers, b"")
+
+
+async def read_request(reader):
+    """Reads the next request of a connection; returns None at its end."""
+    request = await read_head(reader)
+    if request is not None:
+        request.body = await reader.readexactly(int(request.headers.get("content-length", 0)))
+    return request
 
 
 def response(status, headers=None, body=b""):
@@ -65,7 +73,7 @@
     async def serve(self, reader, writer):
         self.writers.add(writer)
         try:
-            while (request := await read_request(reader)) is not None:
+            while (request := await self.read(reader)) is not None:
                 if not await self.handle(request, reader, writer):
                     break
                 await writer.drain()
@@ -75,6 +83,9 @@
             self.writers.discard(writer)
             writer.transport.abort()
 
+    async def read(self, reader):
+        return await read_request(reader)
+
     def headers(self, request):
         return {}
 
--- a/tests/gateway/unusable_response_test.py
+++ b/tests/gateway/unusable_response_test.py
@@ -82,6 +82,7 @@
     such response must be given up at once, and its connection never be used again."""
 
     FORMS = {}
+    SERVER = Server
     # Servers of each service, and how many of them may run a request.
     COUNT = 3
     # Method, prefix, fields of the request.
@@ -89,16 +90,19 @@
                 ("POST", "/once/", {}), ("POST", "/turn/", {}), ("POST", "/chat/", {}), ("HEAD", "/turn/", {}),
                 # A caller takes up its stream; the gateway does.
                 ("POST", "/turn/again/", {"Last_Event_Id": "2", "Resumes": "a1"}), ("POST", "/turn/taken-up/", {})]
+    # Body of the requests that have one.
+    BODY = b""
     REPEATABLE = ("/read/", "/turn/", "/turn/again/", "/turn/taken-up/")
 
     def setUp(self):
         super().setUp()
         self.platform.configure(
             [dict(route, timeoutMs=LIMIT_MS, maxAttempts=self.COUNT) for route in gateway_test.ROUTES + [
-                {"prefix": "/chat/", "kind": "streaming", "service": "models", "stateful": True}]])
+                {"prefix": "/chat/", "kind": "streaming", "service": "models", "stateful": True}]],
+            maxBodyBytes=max(65536, len(self.BODY)))
         for server in self.tools + self.models:
             self.platform.run(self.platform.store.put, "servers", server.identity, None)
-        self.servers = [self.platform.add(Server, f"{service}-{number}", service, forms=self.FORMS)
+        self.servers = [self.platform.add(self.SERVER, f"{service}-{number}", service, forms=self.FORMS)
                         for service in ("tools", "models") for number in range(self.COUNT)]
 
     def set_faulty(self, *servers):
@@ -110,10 +114,10 @@
         fields = Caller(self.gateway).headers({"Deadline-Ms": str(LIMIT_MS), "Connection": "close", **{
             name.replace("_", "-"): value for name, value in turn("p", budget=10**6, **extra).items()}})
         text = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-        length = "" if method == "GET" else "Content-Length: 0\r\n"
+        length = "" if method == "GET" else f"Content-Length: {len(self.BODY)}\r\n"
         received = b""
         with socket.create_connection(("127.0.0.1", self.gateway.front), timeout=AT_ONCE_S) as connection:
-            connection.sendall(f"{method} {path} HTTP/1.1\r\n{text}{length}\r\n".encode())
+            connection.sendall(f"{method} {path} HTTP/1.1\r\n{text}{length}\r\n".encode() + self.BODY)
             while piece := connection.recv(65536):
                 received += piece
         return received
