Test early responses that are reset in vanillaleverd and vanillaleverctl

The same fault as in the gateway, by the shared http::Client: a part of a service's response became the recorded result of a turn, and `vanillaleverctl validate` called a change valid by a part of the entry's response.

--- a/tests/system/system_test.py
+++ b/tests/system/system_test.py
@@ -10,6 +10,7 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 import unittest
@@ -313,6 +314,9 @@
         "upgrade": b"HTTP/1.1 101 X\r\nUpgrade: leak\r\n\r\n",
         "coding": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nleak",
     }
+    # A part of a response, and the size of a body that the buffers of a connection do not hold.
+    EARLY_PART = b"HTTP/1.1 200 OK\r\n\r\nleak"
+    UPLOAD_BYTES = 3900000
     EARLY = b"HTTP/1.1 103 X\r\nLink: x\r\n\r\n"
     # Time limit of a call, and a bound for what must not wait for it.
     LIMIT_MS = 15000
@@ -333,10 +337,11 @@
         self.relays.append(relay)
         return relay.address
 
-    def run_call(self, operation, ref):
+    def run_call(self, operation, ref, **extra):
         """Runs a call as the first turn of a new program. Returns status and body of the response."""
         program = self.create(ref)
-        body = {"turn": 1, "pool": "shop-app", "operation": operation, "body": {"ref": ref}, "deadline_ms": self.LIMIT_MS}
+        body = {"turn": 1, "pool": "shop-app", "operation": operation, "body": {"ref": ref, **extra},
+                "deadline_ms": self.LIMIT_MS}
         started = time.monotonic()
         status, answer = self.call(0, f"/v1/programs/{program}/calls", body, timeout=60)
         self.assertLess(time.monotonic() - started, self.AT_ONCE_S)
@@ -375,6 +380,25 @@
             self.assertEqual(self.run_call(operation, f"early-{operation}")[0], 200)
             self.assertEqual(self.executions(f"early-{operation}"), 1)
 
+    def test_response_of_a_service_that_is_reset_while_the_request_is_written(self):
+        """Guards against a part of a response that is taken for all of it."""
+        first, second = self.service_relays
+        first.only = second.only = b"/re"
+        upload = {"text": "u" * self.UPLOAD_BYTES}
+        self.run_sound_calls("first")
+        for name, reset_after_s in (("at-once", 0.0), ("later", 0.1)):
+            with self.subTest(reset=name):
+                first.reset_after_s = second.reset_after_s = reset_after_s
+                first.early = second.early = self.EARLY_PART
+                status, answer = self.run_call("refund", f"refund-{name}", **upload)
+                self.assertEqual((status, answer["error"]["ran"]), (502, "unknown"), answer)
+                # Another service may run what may be repeated.
+                for sound in self.service_relays:
+                    first.early = second.early = self.EARLY_PART
+                    sound.early = b""
+                    status, answer = self.run_call("read_stock", f"{sound.address}-{name}", **upload)
+                    self.assertEqual(status, 200, answer)
+
     def test_responses_of_the_platform(self):
         """A response that cannot be used says nothing about whether the write was done."""
         for name, form in self.FORMS.items():
@@ -406,6 +430,24 @@
         relay.instead, relay.ahead = b"", self.EARLY
         self.assertEqual(self.deployment.ctl(entry, "get", "--output=json").stdout, expected.stdout)
 
+    def test_response_to_the_operators_tool_that_is_reset_while_the_request_is_written(self):
+        """Guards against a change that looks valid by a part of the entry's response."""
+        entry = self.entries[0]
+        objects = [{"kind": "budget", "name": f"budget-{number}-{'x' * 40}", "scope": "program", "tokens": 1}
+                   for number in range(self.UPLOAD_BYTES // 100)]
+        relay = Relay(entry.addresses["admin"])
+        self.addCleanup(relay.close)
+        self.addCleanup(entry.addresses.update, dict(entry.addresses))
+        entry.addresses["admin"] = relay.address
+        relay.only = b"/validate"
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "objects.json"
+            path.write_text(json.dumps(objects))
+            for relay.reset_after_s in (0.0, 0.1):
+                relay.early = b'HTTP/1.1 200 OK\r\n\r\n{"version": 0, "diff": []}'
+                result = self.deployment.ctl(entry, "validate", str(path), f"--timeout_ms={self.LIMIT_MS}")
+                self.assertEqual((result.returncode, result.stdout), (4, ""), result.stderr[-500:])
+
 
 class CrashingRequest(SystemTest):
     engines = 4
