--- a/tests/gateway/early_response_test.py
+++ b/tests/gateway/early_response_test.py
@@ -103,6 +103,14 @@
     def test_response_that_is_reset_while_the_request_is_written(self):
         self.check_forms()
 
+    def test_head_of_a_response_to_a_head_request(self):
+        """Its response has no body, so that only its head can be cut."""
+        self.gateway = self.start()
+        for when in self.DELAYS:
+            with self.subTest(form=when):
+                self.check_all_faulty("HEAD", f"/read/in-head-{when}", {})
+                self.check_one_faulty("HEAD", f"/read/in-head-{when}", {})
+
 
 class CutStreamTest(EarlyResponseCase):
     """The same where what has come are whole events, which may be passed on."""
