Decide in one place of the stand-ins how a request is answered

EarlyServer repeated the choice of a response's form and the reading of a body, Relay the match of a request's target. They call Server.form_of(), standin.read_body() and Relay.concerns() now; no check changes.

--- a/tests/gateway/early_response_test.py
+++ b/tests/gateway/early_response_test.py
@@ -39,20 +39,16 @@
         # Bytes that came on connections after a response, beyond the request's body.
         self.surplus = 0
 
-    def responds_early(self, request):
-        resumed = "taken-up" not in request.path or "last-event-id" in request.headers
-        return self.faulty and resumed and request.path.split("/")[-1] in self.forms
-
     async def read(self, reader):
         request = await standin.read_head(reader)
-        if request is not None and not self.responds_early(request):
-            request.body = await reader.readexactly(int(request.headers.get("content-length", 0)))
+        if request is not None and self.form_of(request) is None:
+            await standin.read_body(reader, request)
         return request
 
     async def handle(self, request, reader, writer):
-        if not self.responds_early(request):
+        form = self.form_of(request)
+        if form is None:
             return await super().handle(request, reader, writer)
-        form = self.forms[request.path.split("/")[-1]]
         # Ends the connection in its own way.
         await super().handle(request, reader, writer)
         await writer.drain()
--- a/tests/gateway/standin.py
+++ b/tests/gateway/standin.py
@@ -37,11 +37,15 @@
     return Request(method, target, headers, b"")
 
 
+async def read_body(reader, request):
+    request.body = await reader.readexactly(int(request.headers.get("content-length", 0)))
+
+
 async def read_request(reader):
     """Reads the next request of a connection; returns None at its end."""
     request = await read_head(reader)
     if request is not None:
-        request.body = await reader.readexactly(int(request.headers.get("content-length", 0)))
+        await read_body(reader, request)
     return request
 
 
--- a/tests/gateway/unusable_response_test.py
+++ b/tests/gateway/unusable_response_test.py
@@ -52,17 +52,26 @@
         # Paths of requests on connections that carried an unusable response before.
         self.reused = []
 
+    @staticmethod
+    def breaks_off(request):
+        return "taken-up" in request.path and not request.headers.get("last-event-id")
+
+    def form_of(self, request):
+        """The form of the response to a request; None if the server responds as usual."""
+        if not self.faulty or self.breaks_off(request):
+            return None
+        return self.forms.get(request.path.split("/")[-1])
+
     async def handle(self, request, reader, writer):
         if writer in self.spoiled:
             self.reused.append(request.path)
         return await super().handle(request, reader, writer)
 
     async def run(self, request, reader, writer, behaviour):
-        form = self.forms.get(request.path.split("/")[-1])
-        resumes = bool(request.headers.get("last-event-id"))
-        if "taken-up" in request.path and not resumes:
+        if self.breaks_off(request):
             return await standin.Engine.run(self, request, reader, writer, "break")
-        if form is None or not self.faulty:
+        form = self.form_of(request)
+        if form is None:
             events = self.service == "models" and request.method != "HEAD"
             return await (standin.Engine if events else standin.Backend).run(self, request, reader, writer, "ok")
         self.spoiled.add(writer)
--- a/tests/system/relay.py
+++ b/tests/system/relay.py
@@ -65,9 +65,12 @@
             self.connections.append(connection)
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
+    def concerns(self, request):
+        return self.only in request.partition(b"\r\n")[0]
+
     def applies(self, request):
         with self.lock:
-            if not (self.ahead or self.instead) or self.only not in request.partition(b"\r\n")[0]:
+            if not (self.ahead or self.instead) or not self.concerns(request):
                 return False
             self.matched += 1
             applies = self.matched % self.every == 0
@@ -79,7 +82,7 @@
             request = read_head(connection)
             if not request:
                 return connection.close()
-            if self.early and self.only in request.partition(b"\r\n")[0]:
+            if self.early and self.concerns(request):
                 connection.sendall(self.early)
                 time.sleep(self.reset_after_s)
                 return reset(connection)
