Let the stand-ins of the HTTP tests share one listener

Cause: EarlyServer, EndlessServer, CountingServer and ScriptedServer each repeated the accept loop, the thread and the address.

Change: LoopbackListener holds them. EarlyServer keeps a connection open that it does not end until the client ends it, as the others do, instead of all of them until its own end. No check changes.

--- a/packages/http/tests/connection_reuse_test.cc
+++ b/packages/http/tests/connection_reuse_test.cc
@@ -1,64 +1,44 @@
-#include <atomic>
 #include <memory>
 #include <string>
-#include <thread>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "loopback_listener.h"
 #include "vanillalever/http/blocking_client.h"
 
 namespace vanillalever::http {
 namespace {
 
-using boost::asio::ip::tcp;
-
 // Counts its connections. Does not respond to requests for "/silent".
 class CountingServer {
  public:
   CountingServer()
-      : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
-    Accept();
-    thread_ = std::thread([this] { context_.run(); });
-  }
-  ~CountingServer() {
-    context_.stop();
-    thread_.join();
-  }
+      : listener_([this](Socket socket) {
+          Serve(std::make_shared<Session>(std::move(socket)));
+        }) {}
 
   ClientRequest Make(std::string target) const {
     ClientRequest request;
-    request.address =
-        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    request.address = listener_.address();
     request.target = std::move(target);
     request.timeout = base::milliseconds(100);
     return request;
   }
-  int connections() const { return connections_; }
+  int connections() const { return listener_.connections(); }
 
  private:
+  using Socket = LoopbackListener::Socket;
+
   struct Session {
-    explicit Session(tcp::socket accepted) : socket(std::move(accepted)) {}
-    tcp::socket socket;
+    explicit Session(Socket accepted) : socket(std::move(accepted)) {}
+    Socket socket;
     std::string input;
   };
 
-  void Accept() {
-    acceptor_.async_accept(
-        [this](boost::system::error_code error, tcp::socket socket) {
-          if (error)
-            return;
-          ++connections_;
-          Serve(std::make_shared<Session>(std::move(socket)));
-          Accept();
-        });
-  }
-
   void Serve(const std::shared_ptr<Session>& session) {
     boost::asio::async_read_until(
         session->socket, boost::asio::dynamic_buffer(session->input),
@@ -76,10 +56,7 @@
         });
   }
 
-  boost::asio::io_context context_;
-  tcp::acceptor acceptor_;
-  std::atomic<int> connections_{0};
-  std::thread thread_;
+  LoopbackListener listener_;
 };
 
 // Guards against calls that time out one after the other on connections that
--- a/packages/http/tests/early_response_test.cc
+++ b/packages/http/tests/early_response_test.cc
@@ -1,27 +1,22 @@
-#include <atomic>
 #include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <thread>
 #include <utility>
-#include <vector>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "loopback_listener.h"
 #include "scripted_server.h"
 #include "vanillalever/http/blocking_client.h"
 
 namespace vanillalever::http {
 namespace {
 
-using boost::asio::ip::tcp;
-
 // Larger than what the buffers of a connection hold.
 constexpr std::size_t kUploadBytes = 8 << 20;
 // Time limit of a request, and a bound for what must not wait for it.
@@ -48,20 +43,14 @@
 class EarlyServer {
  public:
   explicit EarlyServer(EarlyResponse response)
-      : response_(std::move(response)),
-        acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
-    Accept();
-    thread_ = std::thread([this] { context_.run(); });
-  }
-  ~EarlyServer() {
-    context_.stop();
-    thread_.join();
-  }
+      : response_(std::move(response)), listener_([this](Socket socket) {
+          Read(std::make_shared<Socket>(std::move(socket)),
+               std::make_shared<std::string>());
+        }) {}
 
   ClientRequest Get() const {
     ClientRequest request;
-    request.address =
-        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    request.address = listener_.address();
     request.target = "/next";
     request.timeout = kTimeout;
     return request;
@@ -72,26 +61,18 @@
     request.body.assign(kUploadBytes, 'u');
     return request;
   }
-  int connections() const { return connections_; }
+  int connections() const { return listener_.connections(); }
 
  private:
-  void Accept() {
-    acceptor_.async_accept(
-        [this](boost::system::error_code error, tcp::socket socket) {
-          if (error)
-            return;
-          ++connections_;
-          sockets_.push_back(std::make_unique<tcp::socket>(std::move(socket)));
-          Read(*sockets_.back(), std::make_shared<std::string>());
-          Accept();
-        });
-  }
+  using Socket = LoopbackListener::Socket;
+  using SocketPtr = std::shared_ptr<Socket>;
 
-  void Read(tcp::socket& socket, std::shared_ptr<std::string> input) {
+  void Read(const SocketPtr& socket,
+            const std::shared_ptr<std::string>& input) {
     boost::asio::async_read_until(
-        socket, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
-        [this, &socket, input](boost::system::error_code error,
-                               std::size_t size) {
+        *socket, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
+        [this, socket, input](boost::system::error_code error,
+                              std::size_t size) {
           if (error)
             return;
           bool upload = input->starts_with("POST");
@@ -99,34 +80,34 @@
           if (upload)
             return Respond(socket);
           boost::asio::write(
-              socket, boost::asio::buffer(ResponseText("200 OK", "/next")),
+              *socket, boost::asio::buffer(ResponseText("200 OK", "/next")),
               error);
           Read(socket, input);
         });
   }
 
-  void Respond(tcp::socket& socket) {
+  void Respond(const SocketPtr& socket) {
     boost::system::error_code ignored;
-    boost::asio::write(socket, boost::asio::buffer(response_.bytes), ignored);
+    boost::asio::write(*socket, boost::asio::buffer(response_.bytes), ignored);
     std::this_thread::sleep_for(response_.delay);
-    if (response_.end == End::kNone)
-      return;
-    if (response_.end != End::kReset)
-      socket.shutdown(tcp::socket::shutdown_send, ignored);
-    if (response_.end == End::kClose)
-      return;
+    if (response_.end == End::kClose || response_.end == End::kCloseAndReset)
+      socket->shutdown(Socket::shutdown_send, ignored);
+    if (response_.end == End::kNone || response_.end == End::kClose)
+      return KeepOpen(socket);
     if (response_.end == End::kCloseAndReset)
       std::this_thread::sleep_for(response_.delay);
-    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    socket.close(ignored);
+    socket->set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket->close(ignored);
+  }
+
+  // Until the client ends the connection.
+  static void KeepOpen(const SocketPtr& socket) {
+    socket->async_wait(Socket::wait_error,
+                       [socket](boost::system::error_code) {});
   }
 
   const EarlyResponse response_;
-  boost::asio::io_context context_;
-  tcp::acceptor acceptor_;
-  std::vector<std::unique_ptr<tcp::socket>> sockets_;
-  std::atomic<int> connections_{0};
-  std::thread thread_;
+  LoopbackListener listener_;
 };
 
 // A reset comes at once, or while the client waits for room in the connection.
--- a/packages/http/tests/endless_response_test.cc
+++ b/packages/http/tests/endless_response_test.cc
@@ -7,19 +7,16 @@
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "loopback_listener.h"
 #include "vanillalever/http/blocking_client.h"
 
 namespace vanillalever::http {
 namespace {
 
-using boost::asio::ip::tcp;
-
 // Where it would stop by itself: far above every bound that is checked.
 constexpr std::size_t kMostBytes = 512 << 20;
 
@@ -31,36 +28,22 @@
   EndlessServer(std::string head, std::string piece)
       : head_(std::move(head)),
         piece_(std::move(piece)),
-        acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
-    Accept();
-    thread_ = std::thread([this] { context_.run(); });
-  }
-  ~EndlessServer() {
-    context_.stop();
-    thread_.join();
-  }
+        listener_([this](Socket socket) {
+          Serve(std::make_shared<Socket>(std::move(socket)));
+        }) {}
 
   ClientRequest Make() const {
     ClientRequest request;
-    request.address =
-        "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    request.address = listener_.address();
     request.timeout = base::seconds(3);
     return request;
   }
   std::size_t sent() const { return sent_; }
 
  private:
-  void Accept() {
-    acceptor_.async_accept(
-        [this](boost::system::error_code error, tcp::socket socket) {
-          if (error)
-            return;
-          Serve(std::make_shared<tcp::socket>(std::move(socket)));
-          Accept();
-        });
-  }
+  using Socket = LoopbackListener::Socket;
 
-  void Serve(const std::shared_ptr<tcp::socket>& socket) {
+  void Serve(const std::shared_ptr<Socket>& socket) {
     auto input = std::make_shared<std::string>();
     boost::asio::async_read_until(
         *socket, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
@@ -70,8 +53,7 @@
         });
   }
 
-  void Send(const std::shared_ptr<tcp::socket>& socket,
-            const std::string& text) {
+  void Send(const std::shared_ptr<Socket>& socket, const std::string& text) {
     boost::asio::async_write(
         *socket, boost::asio::buffer(text),
         [this, socket](boost::system::error_code error, std::size_t size) {
@@ -83,10 +65,8 @@
 
   const std::string head_;
   const std::string piece_;
-  boost::asio::io_context context_;
-  tcp::acceptor acceptor_;
   std::atomic<std::size_t> sent_{0};
-  std::thread thread_;
+  LoopbackListener listener_;
 };
 
 // Pieces of responses.
--- a/packages/http/tests/scripted_server.h
+++ b/packages/http/tests/scripted_server.h
@@ -1,22 +1,19 @@
 #ifndef VANILLALEVER_HTTP_TESTS_SCRIPTED_SERVER_H_
 #define VANILLALEVER_HTTP_TESTS_SCRIPTED_SERVER_H_
 
-#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
-#include <thread>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "loopback_listener.h"
 #include "vanillalever/base/clock.h"
 
 namespace vanillalever::http {
@@ -38,25 +35,15 @@
   // `script`: what to send for a request with this target.
   explicit ScriptedServer(
       std::function<Script(const std::string& target)> script)
-      : script_(std::move(script)),
-        acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
-    Accept();
-    thread_ = std::thread([this] { context_.run(); });
-  }
-  ~ScriptedServer() {
-    context_.stop();
-    thread_.join();
-  }
-  ScriptedServer(const ScriptedServer&) = delete;
-  ScriptedServer& operator=(const ScriptedServer&) = delete;
+      : script_(std::move(script)), listener_([this](Socket socket) {
+          Serve(std::make_shared<Session>(std::move(socket)));
+        }) {}
 
-  std::string address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-  }
-  int connections() const { return connections_; }
+  std::string address() const { return listener_.address(); }
+  int connections() const { return listener_.connections(); }
 
  private:
-  using Socket = boost::asio::ip::tcp::socket;
+  using Socket = LoopbackListener::Socket;
 
   struct Session {
     explicit Session(Socket accepted) : socket(std::move(accepted)) {}
@@ -66,17 +53,6 @@
   };
   using SessionPtr = std::shared_ptr<Session>;
 
-  void Accept() {
-    acceptor_.async_accept(
-        [this](boost::system::error_code error, Socket socket) {
-          if (error)
-            return;
-          ++connections_;
-          Serve(std::make_shared<Session>(std::move(socket)));
-          Accept();
-        });
-  }
-
   void Serve(const SessionPtr& session) {
     session->request = {};
     boost::beast::http::async_read(
@@ -92,8 +68,8 @@
   }
 
   void Send(const SessionPtr& session, ScriptedBytes step) {
-    auto timer =
-        std::make_shared<boost::asio::steady_timer>(context_, step.delay);
+    auto timer = std::make_shared<boost::asio::steady_timer>(
+        session->socket.get_executor(), step.delay);
     auto send = [session, timer,
                  step = std::move(step)](boost::system::error_code error) {
       if (error)
@@ -107,10 +83,7 @@
   }
 
   const std::function<Script(const std::string& target)> script_;
-  boost::asio::io_context context_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  std::atomic<int> connections_{0};
-  std::thread thread_;
+  LoopbackListener listener_;
 };
 
 // Complete response with this status line, after "HTTP/1.1 ", and body.
