--- a/tests/gateway/early_response_test.py
+++ b/tests/gateway/early_response_test.py
@@ -131,7 +131,6 @@
                     self.assertTrue(is_whole(received), received)
         self.assertTrue(all(server.spoiled and not server.reused for server in self.servers[self.COUNT:]))
 
-
     def test_turn_that_is_reset_while_it_is_written_is_no_part_of_its_conversation(self):
         self.gateway = self.start()
         self.set_faulty()
