Keep conversations by what is in the store, not by gateways that go on with them

Cause: a gateway that goes on with a conversation promises that all turns before are kept, but the promise was a renewal in its memory; the right to delete lay with the gateway that wrote the record, which knew of nothing else. The reverse side of the same: records of a gateway that never comes back were deleted by nobody, and a turn in memory was continued after its record had been deleted.

Change: the transaction that writes a record writes an entry beside it: the turn that it continues, its retention time, its rows. A record is deleted only when it is old enough and no entry continues it (conversation::TurnIndex), by whichever gateway watches that part of the index (forwarding::TurnCollector). RetentionSchedule and the renewals are removed.

--- a/packages/conversation/include/vanillalever/conversation/turn.h
+++ b/packages/conversation/include/vanillalever/conversation/turn.h
@@ -29,8 +29,9 @@
   std::string input;
   // Data of each event of the response, each followed by a line feed.
   std::string output;
-  // How long the turn is kept after its last use. Zero if its record was
-  // written by a release that did not state it.
+  // How long the turn is promised to be kept, with all turns before it, after
+  // its response. Zero if its record was written by a release that did not
+  // state it.
   base::Duration retention{};
 
   std::size_t bytes() const {
--- a/packages/conversation/include/vanillalever/conversation/turn_cache.h
+++ b/packages/conversation/include/vanillalever/conversation/turn_cache.h
@@ -30,7 +30,10 @@
   // Returns null if the turn is not in the cache. Marks the turn and its
   // predecessors as used.
   TurnPtr Find(const std::string& id, base::TimePoint now);
-  // Adds the turn and its predecessors.
+  // The same, but null also if the turn has not been known to be in the store
+  // for its retention time: its record may have been deleted.
+  TurnPtr FindKept(const std::string& id, base::TimePoint now);
+  // Adds the turn and its predecessors, which are in the store now.
   void Put(const TurnPtr& turn, base::TimePoint now);
   // Removes the least recently used turn. Returns false if there is none.
   bool RemoveOldest();
@@ -44,9 +47,13 @@
   struct Entry {
     TurnPtr turn;
     base::TimePoint last_used{};
+    // When the turn was last known to be in the store.
+    base::TimePoint confirmed{};
     std::list<std::string>::iterator position;
   };
 
+  // Makes the turn the most recently used one, after its predecessors.
+  void Use(const TurnPtr& turn, base::TimePoint now);
   void Touch(const TurnPtr& turn, base::TimePoint now);
   void Shrink();
 
--- a/packages/conversation/include/vanillalever/conversation/turn_record.h
+++ b/packages/conversation/include/vanillalever/conversation/turn_record.h
@@ -22,7 +22,8 @@
   std::string output;
   // See Turn.
   std::optional<std::string> organisation;
-  // See Turn; the longest that any gateway has needed. Whole milliseconds.
+  // See Turn; in records that an earlier release wrote again, the longest that
+  // any gateway has needed. Whole milliseconds.
   base::Duration retention{};
   // Bytes of all turns before this one; zero if the record does not state it.
   std::uint64_t history_bytes = 0;
--- a/packages/conversation/src/turn_cache.cc
+++ b/packages/conversation/src/turn_cache.cc
@@ -7,11 +7,32 @@
   if (found == entries_.end())
     return nullptr;
   TurnPtr turn = found->second.turn;
-  Put(turn, now);
+  Use(turn, now);
   return turn;
 }
 
+TurnPtr TurnCache::FindKept(const std::string& id, base::TimePoint now) {
+  auto found = entries_.find(id);
+  if (found == entries_.end())
+    return nullptr;
+  const Entry& entry = found->second;
+  base::Duration retention = entry.turn->retention;
+  // Records of earlier releases state no retention time.
+  if (retention > base::Duration(0) && now - entry.confirmed > retention)
+    return nullptr;
+  return Find(id, now);
+}
+
 void TurnCache::Put(const TurnPtr& turn, base::TimePoint now) {
+  Use(turn, now);
+  for (const Turn* next = turn.get(); next != nullptr;
+       next = next->previous.get()) {
+    if (auto found = entries_.find(next->id); found != entries_.end())
+      found->second.confirmed = now;
+  }
+}
+
+void TurnCache::Use(const TurnPtr& turn, base::TimePoint now) {
   // The newest turn becomes the most recently used one, since it holds its
   // predecessors in memory.
   std::list<const TurnPtr*> chain;
--- a/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
+++ b/packages/forwarding/include/vanillalever/forwarding/conversation_service.h
@@ -15,7 +15,6 @@
 #include "vanillalever/base/name_table.h"
 #include "vanillalever/base/random.h"
 #include "vanillalever/conversation/chain_reader.h"
-#include "vanillalever/conversation/retention_schedule.h"
 #include "vanillalever/conversation/turn_cache.h"
 #include "vanillalever/conversation/turn_memory.h"
 #include "vanillalever/forwarding/record_writer.h"
@@ -49,7 +48,8 @@
 });
 
 // Keeps the turns of conversations in the shared table, and the recent ones in
-// memory. Event loop's thread only.
+// memory. The entry that is written with each record tells TurnCollector how
+// long the turns before it are needed. Event loop's thread only.
 class ConversationService {
  public:
   using FindCallback =
@@ -82,8 +82,7 @@
               base::TimePoint give_up,
               std::function<void(bool recorded)> done);
 
-  // Deletes expired records, renews those of conversations that go on, and
-  // removes idle turns from memory. Call periodically.
+  // Removes idle turns from memory. Call periodically.
   void Tick();
 
   // Bytes of turns in memory, and of those that are about to be.
@@ -128,19 +127,6 @@
   void Finish(const LookupPtr& lookup,
               TurnLookup outcome,
               const conversation::TurnPtr& turn);
-  void DeleteRecord(const conversation::RetentionSchedule::OwnedRecord& record);
-  // Reads a record, and writes it again if another gateway has written it or if
-  // it states too short a retention time.
-  void Renew(const conversation::RetentionSchedule::Renewal& renewal);
-  void OnRenewalRead(const conversation::RetentionSchedule::Renewal& renewal,
-                     const ReadResult& read);
-  // Writes the rows of a record, which replace those in `present`.
-  void Rewrite(const std::string& id,
-               const conversation::TurnRecord& record,
-               const std::vector<TableRow>& present);
-  void OnRenewalFailed(const std::string& id,
-                       bool taken_by_other,
-                       const std::string& reason);
 
   boost::asio::io_context& context_;
   SharedTable& table_;
@@ -148,7 +134,6 @@
   base::Random random_;
   conversation::TurnMemory memory_;
   conversation::TurnCache cache_;
-  conversation::RetentionSchedule retention_;
   RecordWriter writer_;
   std::map<std::string, LookupPtr> lookups_;
 };
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -17,6 +17,7 @@
 #include "vanillalever/forwarding/caller_session.h"
 #include "vanillalever/forwarding/forwarding_context.h"
 #include "vanillalever/forwarding/memory_monitor.h"
+#include "vanillalever/forwarding/turn_collector.h"
 
 namespace vanillalever::forwarding {
 
@@ -133,6 +134,8 @@
   // Accepts the connections that callers have already established, and no more.
   void StopAccepting();
   std::vector<std::shared_ptr<CallerSession>> Sessions() const;
+  // Whether this gateway does a task that one of them is to do.
+  bool ResponsibleFor(const std::string& task) const;
   void CheckIsolation();
   // Whether the configuration may be relied on for keys by callers that come
   // now.
@@ -153,6 +156,7 @@
   AsioLoopTimer loop_timer_;
   BudgetService budgets_;
   ConversationService conversations_;
+  TurnCollector turn_collector_;
   StreamOrigins origins_;
   CrashMonitor crashes_;
   AllotmentService allotments_;
--- a/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway_metrics.h
@@ -48,6 +48,7 @@
   base::Counter& requests_in_crashes;
   base::Counter& crash_refusals;
   base::Counter& conversation_bytes;
+  base::Counter& indexed_turns;
   base::Counter& overload_refusals;
   base::Counter& unknown_keys;
   base::Counter& unconfirmed_keys;
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -100,6 +100,9 @@
     return directory_.store_addresses();
   }
   void SetStoreReachable(bool reachable) override;
+  // Whether this gateway is the first by rendezvous hashing of the task among
+  // the live ones that reach the store. During changes none or several may be.
+  bool LeadsAtStore(const std::string& task) const;
 
   void SendStrikes(const std::vector<StrikeReport>& reports) override;
 
--- a/packages/forwarding/include/vanillalever/forwarding/record_writer.h
+++ b/packages/forwarding/include/vanillalever/forwarding/record_writer.h
@@ -47,10 +47,12 @@
                std::string name,
                std::uint64_t seed);
 
-  // Writes `rows` as the record `id`, and repeats the write until it
-  // succeeds or `give_up` has passed. Must not need more than one transaction.
+  // Writes `rows` as the record `id`, together with `entry`, a row of another
+  // table in the same partition, and repeats the write until it succeeds or
+  // `give_up` has passed. Must not need more than one transaction.
   void Write(const std::string& id,
              std::vector<std::string> rows,
+             TableWrite entry,
              base::TimePoint give_up,
              Callback done);
 
@@ -58,6 +60,7 @@
   struct Job {
     std::string id;
     std::vector<std::string> rows;
+    TableWrite entry;
     std::size_t bytes = 0;
     base::TimePoint give_up{};
     Callback done;
--- a/packages/forwarding/src/conversation_service.cc
+++ b/packages/forwarding/src/conversation_service.cc
@@ -7,16 +7,16 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "vanillalever/base/logging.h"
+#include "vanillalever/conversation/turn_index.h"
 #include "vanillalever/forwarding/duration_text.h"
+#include "vanillalever/forwarding/turn_rows.h"
 
 namespace vanillalever::forwarding {
 namespace {
 
 using base::milliseconds;
-using conversation::RetentionSchedule;
 using conversation::TurnPtr;
 
-constexpr const char* kTurnTable = "turns";
 constexpr milliseconds kFirstRetryDelay{15};
 constexpr milliseconds kMaxRetryDelay{150};
 // Assumed size of a record that is not read yet.
@@ -62,7 +62,7 @@
                                base::TimePoint give_up,
                                FindCallback done) {
   auto now = base::TimePoint::clock::now();
-  if (TurnPtr turn = cache_.Find(id, now))
+  if (TurnPtr turn = cache_.FindKept(id, now))
     return done(TurnLookup::kFound, turn);
   // No record can have such an id.
   if (id.size() > kMaxIdBytes)
@@ -223,132 +223,30 @@
   auto rows = conversation::SplitIntoRows(
       conversation::EncodeTurnRecord(conversation::MakeTurnRecord(*turn)),
       settings_.max_row_bytes);
-  std::size_t count = rows.size();
+  conversation::TurnIndexEntry entry;
+  entry.previous = turn->previous ? turn->previous->id : "";
+  entry.retention = turn->retention;
+  entry.rows = rows.size();
+  TableWrite entry_write;
+  entry_write.name = TurnIndexRow(conversation::TurnIndexPart(*turn), turn->id);
+  entry_write.value = conversation::EncodeTurnIndexEntry(entry);
   std::size_t bytes = 0;
   for (const std::string& row : rows)
     bytes += row.size();
   auto room = std::make_shared<conversation::TurnMemory::Reservation>(
       memory_.Hold(bytes));
   const std::string& id = turn->id;
-  writer_.Write(
-      id, std::move(rows), give_up,
-      [this, turn, count, room,
-       done = std::move(done)](RecordWriter::Outcome outcome) {
-        auto now = base::TimePoint::clock::now();
-        if (outcome.recorded) {
-          retention_.OnRecorded(turn, {turn->id, outcome.version, count}, now);
-          cache_.Put(turn, now);
-        }
-        done(outcome.recorded);
-      });
+  writer_.Write(id, std::move(rows), std::move(entry_write), give_up,
+                [this, turn, room,
+                 done = std::move(done)](RecordWriter::Outcome outcome) {
+                  if (outcome.recorded)
+                    cache_.Put(turn, base::TimePoint::clock::now());
+                  done(outcome.recorded);
+                });
 }
 
 void ConversationService::Tick() {
-  auto now = base::TimePoint::clock::now();
-  cache_.RemoveIdle(now);
-  for (const auto& record : retention_.TakeExpired(now))
-    DeleteRecord(record);
-  for (const auto& renewal : retention_.TakeRenewals(now))
-    Renew(renewal);
-}
-
-void ConversationService::DeleteRecord(
-    const RetentionSchedule::OwnedRecord& record) {
-  std::vector<TableWrite> deletes;
-  for (std::size_t i = 0; i < record.rows; ++i)
-    deletes.push_back({RecordRowName(kTurnTable, record.id, i), record.version,
-                       std::nullopt});
-  table_.Transact(
-      std::move(deletes), [id = record.id](const TransactionResult& result) {
-        // A conflict: another gateway has taken the record over.
-        if (result.outcome == StoreOutcome::kDone ||
-            result.outcome == StoreOutcome::kConflict)
-          return;
-        base::LogEvent(base::LogLevel::kWarning, "turn_delete_failed",
-                       {{"turn", id}, {"reason", result.reason}});
-      });
-}
-
-void ConversationService::Renew(const RetentionSchedule::Renewal& renewal) {
-  ReadRows(renewal.id, [this, renewal](const ReadResult& read) {
-    OnRenewalRead(renewal, read);
-  });
-}
-
-void ConversationService::OnRenewalRead(
-    const RetentionSchedule::Renewal& renewal,
-    const ReadResult& read) {
-  if (read.outcome != StoreOutcome::kDone)
-    return OnRenewalFailed(renewal.id, false, read.reason);
-  auto now = base::TimePoint::clock::now();
-  if (read.rows.empty()) {
-    // Kept in memory it can be written anew; otherwise it is lost.
-    TurnPtr turn = cache_.Find(renewal.id, now);
-    base::LogEvent(
-        base::LogLevel::kError, "turn_record_missing",
-        {{"turn", renewal.id}, {"restored", turn ? "true" : "false"}});
-    if (!turn)
-      return retention_.OnLost(renewal.id);
-    conversation::TurnRecord record = conversation::MakeTurnRecord(*turn);
-    record.retention = std::max(record.retention, renewal.retention);
-    return Rewrite(renewal.id, record, {});
-  }
-  std::vector<std::string> values;
-  for (const TableRow& row : read.rows)
-    values.push_back(row.value);
-  std::optional<conversation::TurnRecord> record;
-  if (auto encoded = conversation::JoinRows(values))
-    record = conversation::DecodeTurnRecord(*encoded);
-  if (!record)
-    return OnRenewalFailed(renewal.id, false, "the record is unreadable");
-  if (read.rows.front().version == renewal.version &&
-      record->retention >= renewal.retention)
-    return retention_.OnUnchanged(renewal.id);
-  record->retention = std::max(record->retention, renewal.retention);
-  Rewrite(renewal.id, *record, read.rows);
-}
-
-void ConversationService::Rewrite(const std::string& id,
-                                  const conversation::TurnRecord& record,
-                                  const std::vector<TableRow>& present) {
-  auto values = conversation::SplitIntoRows(
-      conversation::EncodeTurnRecord(record), settings_.max_row_bytes);
-  std::size_t count = values.size();
-  std::vector<TableWrite> writes;
-  for (std::size_t i = 0; i < std::max(count, present.size()); ++i) {
-    TableWrite write{RecordRowName(kTurnTable, id, i), 0, std::nullopt};
-    // Rows of an earlier release are copied; their owner deletes them.
-    if (i < present.size() && present[i].name.partition == write.name.partition)
-      write.expected_version = present[i].version;
-    if (i < count)
-      write.value = std::move(values[i]);
-    else if (write.expected_version == 0)
-      continue;
-    writes.push_back(std::move(write));
-  }
-  table_.Transact(
-      std::move(writes), [this, id, count, retention = record.retention](
-                             const TransactionResult& result) {
-        if (result.outcome != StoreOutcome::kDone)
-          return OnRenewalFailed(id, result.outcome == StoreOutcome::kConflict,
-                                 result.reason);
-        base::LogEvent(base::LogLevel::kInfo, "turn_renewed",
-                       {{"turn", id},
-                        {"rows", std::to_string(count)},
-                        {"retention_ms", Ms(retention)}});
-        retention_.OnRewritten({id, result.version, count}, retention,
-                               base::TimePoint::clock::now());
-      });
-}
-
-void ConversationService::OnRenewalFailed(const std::string& id,
-                                          bool taken_by_other,
-                                          const std::string& reason) {
-  base::LogEvent(base::LogLevel::kWarning, "turn_renewal_failed",
-                 {{"turn", id},
-                  {"taken_by_other", taken_by_other ? "true" : "false"},
-                  {"reason", reason}});
-  retention_.OnRenewalFailed(id, taken_by_other, base::TimePoint::clock::now());
+  cache_.RemoveIdle(base::TimePoint::clock::now());
 }
 
 }  // namespace vanillalever::forwarding
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -59,6 +59,10 @@
       loop_timer_(io),
       budgets_(loop_timer_, table, peers_, random_.Next(), settings_.budget),
       conversations_(io, table, random_.Next(), settings_.conversations),
+      turn_collector_(
+          loop_timer_,
+          table,
+          [this](const std::string& task) { return ResponsibleFor(task); }),
       origins_(io, table, registry_, peers_),
       crashes_(io, table, peers_, metrics_.requests_in_crashes),
       allotments_(peers_,
@@ -217,6 +221,7 @@
   metrics_.keys.Set(static_cast<std::int64_t>(config->keys.size()));
   context_.config = std::move(config);
   allotments_.ApplyConfig(*context_.config);
+  turn_collector_.ApplyConfig(*context_.config);
   return true;
 }
 
@@ -331,6 +336,7 @@
     origins_.OnServersChanged();
   origins_.Tick();
   crashes_.Tick();
+  turn_collector_.Tick();
   if (now - last_cleanup_ >= kCleanupInterval) {
     last_cleanup_ = now;
     pool_.CloseExpired(now);
@@ -338,6 +344,8 @@
     conversations_.Tick();
     metrics_.conversation_bytes.Set(
         static_cast<std::int64_t>(conversations_.bytes_in_memory()));
+    metrics_.indexed_turns.Set(
+        static_cast<std::int64_t>(turn_collector_.records()));
     origins_.DeleteExpired();
   }
   memory_.Tick(now);
@@ -352,6 +360,10 @@
     CheckDrained();
 }
 
+bool Gateway::ResponsibleFor(const std::string& task) const {
+  return !draining_ && peers_.LeadsAtStore(task);
+}
+
 void Gateway::CheckIsolation() {
   bool isolated = !store_connected_ && peers_.in_minority();
   if (std::exchange(isolated_, isolated) == isolated)
--- a/packages/forwarding/src/gateway_metrics.cc
+++ b/packages/forwarding/src/gateway_metrics.cc
@@ -90,6 +90,9 @@
       conversation_bytes(registry.gauge(
           "vl_gateway_conversation_bytes",
           "Turns in memory: cached, used, being read or written.")),
+      indexed_turns(registry.gauge(
+          "vl_gateway_indexed_turns",
+          "Records of turns in the store that this gateway deletes.")),
       overload_refusals(registry.counter(
           "vl_gateway_overload_refusals_total",
           "Requests refused because the servers would complete them too "
--- a/packages/forwarding/src/peer_link_budget.cc
+++ b/packages/forwarding/src/peer_link_budget.cc
@@ -16,6 +16,11 @@
 
 namespace {
 
+// Rendezvous hashing: the gateway with the largest weight comes first.
+std::uint64_t Weight(const std::string& task, const std::string& address) {
+  return base::Hash64(task, base::Hash64(address));
+}
+
 void WriteKnowledge(const std::string& program,
                     const BudgetKnowledge& knowledge,
                     wire::BudgetKnowledge::Builder to) {
@@ -42,13 +47,10 @@
 }  // namespace
 
 std::vector<RunId> PeerLink::Ranked(const std::string& program) const {
-  auto weight = [&program](const std::string& address) {
-    return base::Hash64(program, base::Hash64(address));
-  };
   std::vector<std::pair<std::uint64_t, RunId>> ranked{
-      {weight(settings_.address), id_}};
+      {Weight(program, settings_.address), id_}};
   for (const auto& [run, address] : directory_.live_runs())
-    ranked.emplace_back(weight(address), run);
+    ranked.emplace_back(Weight(program, address), run);
   std::sort(ranked.rbegin(), ranked.rend());
   std::vector<RunId> runs;
   runs.reserve(ranked.size());
@@ -57,6 +59,16 @@
   return runs;
 }
 
+bool PeerLink::LeadsAtStore(const std::string& task) const {
+  if (!reaches_store_)
+    return false;
+  auto others = directory_.store_addresses();
+  return std::all_of(
+      others.begin(), others.end(),
+      [this, own = Weight(task, settings_.address), &task](
+          const std::string& address) { return Weight(task, address) < own; });
+}
+
 std::size_t PeerLink::Reclaim(const ReclaimRequest& request) {
   capnp::MallocMessageBuilder builder;
   auto body = StartMessage(builder).initBudgetCallIn();
--- a/packages/forwarding/src/record_writer.cc
+++ b/packages/forwarding/src/record_writer.cc
@@ -66,14 +66,15 @@
 
 void RecordWriter::Write(const std::string& id,
                          std::vector<std::string> rows,
+                         TableWrite entry,
                          base::TimePoint give_up,
                          Callback done) {
   std::size_t index = PartitionOf(id);
-  std::size_t bytes = 0;
+  std::size_t bytes = entry.value ? entry.value->size() : 0;
   for (const std::string& row : rows)
     bytes += row.size();
   partitions_[index].waiting.push_back(
-      {id, std::move(rows), bytes, give_up, std::move(done)});
+      {id, std::move(rows), std::move(entry), bytes, give_up, std::move(done)});
   if (!partitions_[index].busy)
     StartTransaction(index);
 }
@@ -92,7 +93,7 @@
       partition.waiting.pop_front();
       continue;
     }
-    rows += next.rows.size();
+    rows += next.rows.size() + 1;
     bytes += next.bytes;
     if (!partition.writing.empty() &&
         (rows > SharedTable::kMaxWrites || bytes > kMaxBytes))
@@ -106,6 +107,7 @@
     for (const Job& job : partition.writing) {
       for (std::size_t i = 0; i < job.rows.size(); ++i)
         writes.push_back({RecordRowName(name_, job.id, i), 0, job.rows[i]});
+      writes.push_back(job.entry);
     }
     table_.Transact(std::move(writes),
                     [this, index](const TransactionResult& result) {
@@ -141,14 +143,18 @@
 
 void RecordWriter::OnConflict(Partition& partition,
                               const TransactionResult& result) {
-  std::map<std::string, const TableRow*> present;
+  std::map<std::pair<std::string, std::string>, const TableRow*> present;
   for (const TableRow& row : result.current)
-    present.emplace(row.name.key, &row);
+    present.emplace(std::pair(row.name.table, row.name.key), &row);
   auto jobs = std::exchange(partition.writing, {});
   std::reverse(jobs.begin(), jobs.end());
   for (Job& job : jobs) {
-    auto first = present.find(job.id);
+    auto first = present.find({name_, job.id});
     if (first == present.end()) {
+      // An entry that was left without its record is replaced.
+      auto entry = present.find({job.entry.name.table, job.entry.name.key});
+      job.entry.expected_version =
+          entry == present.end() ? 0 : entry->second->version;
       partition.waiting.push_front(std::move(job));
       continue;
     }
--- a/packages/forwarding/tests/record_writer_test.cc
+++ b/packages/forwarding/tests/record_writer_test.cc
@@ -13,10 +13,15 @@
 #include <boost/asio/io_context.hpp>
 
 #include "vanillalever/forwarding/record_writer.h"
+#include "vanillalever/forwarding/turn_rows.h"
 
 namespace vanillalever::forwarding {
 namespace {
 
+TableWrite EntryOf(const std::string& id) {
+  return {TurnIndexRow(0, id), 0, "entry"};
+}
+
 // A store that applies transactions only when told, and refuses those with more
 // writes than the platform's store takes: 100 entries, two for each write.
 class BoundedTable final : public SharedTable {
@@ -84,7 +89,7 @@
   ForgetfulTable table;
   RecordWriter writer(io, table, "turns", 1);
   RecordWriter::Outcome seen;
-  writer.Write("turn", {"value"},
+  writer.Write("turn", {"value"}, EntryOf("turn"),
                base::TimePoint::clock::now() + base::seconds(60),
                [&seen](RecordWriter::Outcome outcome) { seen = outcome; });
   io.run();
@@ -109,7 +114,8 @@
   std::size_t recorded = 0;
   constexpr std::size_t kRecords = 4000;
   for (std::size_t i = 0; i < kRecords; ++i) {
-    writer.Write("turn-" + std::to_string(i), {"value"}, give_up,
+    std::string id = "turn-" + std::to_string(i);
+    writer.Write(id, {"value"}, EntryOf(id), give_up,
                  [&recorded](RecordWriter::Outcome outcome) {
                    recorded += outcome.recorded ? 1 : 0;
                  });
--- a/packages/protocol/schema/turn.capnp
+++ b/packages/protocol/schema/turn.capnp
@@ -19,11 +19,20 @@
   # absent in deployments without organisations, and in records of versions that
   # knew none.
   organisation @3 :Text;
-  # How long the turn is kept after its last use: the longest time that any
-  # gateway which continued it has needed. Zero in records of versions that did
-  # not state it.
+  # How long the turn is promised to be kept after its response. Zero in records
+  # of versions that did not state it.
   retentionMs @4 :UInt64;
   # Size of the inputs and outputs of all turns before this one. Zero in records
   # of versions that did not state it.
   historyBytes @5 :UInt64;
 }
+
+# What the deletion of records needs to know of one, kept in a row of its own.
+struct TurnIndexEntry {
+  # Id of the turn before this one; empty for the first of a conversation.
+  previous @0 :Text;
+  # As in TurnRecord.
+  retentionMs @1 :UInt64;
+  # Number of rows of the record.
+  rows @2 :UInt32;
+}
--- a/tests/gateway/conversation_test.py
+++ b/tests/gateway/conversation_test.py
@@ -17,6 +17,7 @@
     {"prefix": "/chat/", "kind": "streaming", "service": "models", "stateful": True, "sticky": True},
     {"prefix": "/brief/", "kind": "streaming", "service": "models", "stateful": True, "retentionS": 1.0},
     {"prefix": "/short/", "kind": "streaming", "service": "models", "stateful": True, "retentionS": 2.0},
+    {"prefix": "/pausing/", "kind": "streaming", "service": "models", "stateful": True, "retentionS": 4.0},
 ]
 
 
@@ -254,6 +255,75 @@
         self.assertEqual(status, 200)
         self.assertEqual(self.prompts()[third], b"one " + output() + b"three")
 
+    def index_entries(self):
+        return [key for table, _, key in self.platform.store.rows if table.startswith("turn_index")]
+
+    def test_conversation_outlives_the_gateways_that_go_on_with_it(self):
+        """Guards against review/12: gateways that go on with a conversation end, planned or killed, and the one that
+        began it deletes its oldest turn."""
+        pause_s = 3.3
+        first, fresh = self.start(), self.start(name="edge-fresh")
+        lines = []
+        for kind in (signal.SIGTERM, signal.SIGKILL):
+            gateways = [self.start(name=f"edge-{kind}-{n}") for n in range(3)]
+            lines.append((kind, gateways, [self.say(first, b"0", path="/pausing/1")[1]]))
+        started = time.monotonic()
+        for number in range(3):
+            time.sleep(max(0, started + (number + 1) * pause_s - time.monotonic()))
+            for kind, gateways, turns in lines:
+                status, identity, _ = self.say(gateways[number], str(number + 1).encode(), turns[-1], path="/pausing/1")
+                self.assertEqual(status, 200)
+                turns.append(identity)
+                gateways[number].process.send_signal(kind)
+        # Three retention times after the first turns, and within one of the last.
+        time.sleep(max(0, started + 12.9 - time.monotonic()))
+        for kind, _, turns in lines:
+            with self.subTest(kind=kind):
+                status, final, _ = self.say(fresh, b"end", turns[-1], path="/pausing/1")
+                self.assertEqual(status, 200)
+                inputs = re.sub(rb"token \d+\n", b"", self.prompts()[final])
+                self.assertEqual(inputs, b"0123end")
+
+    def test_long_retention_lengthens_that_of_the_turns_before(self):
+        """Guards against a turn that is kept for the time of its own route, while one that continues it is promised for
+        longer by a gateway that has ended."""
+        _, first, _ = self.say(self.start(), b"one ", path="/brief/1")
+        other = self.start(name="edge-2")
+        _, second, _ = self.say(other, b"two ", first)
+        other.process.kill()
+        time.sleep(6)
+        status, third, _ = self.say(self.start(name="edge-3"), b"three", second)
+        self.assertEqual(status, 200)
+        self.assertEqual(self.prompts()[third], b"one " + output() + b"two " + output() + b"three")
+
+    def test_records_of_gateways_that_never_come_back_are_deleted(self):
+        """Guards against a store that fills up with what killed gateways kept, also where its history is short."""
+        other = self.start(name="edge-2")
+        gateway = self.start()
+        last = None
+        for number in range(12):
+            _, last, _ = self.say(gateway, b"x", last, path="/brief/1")
+        _, branch, _ = self.say(gateway, b"y", last, path="/brief/1")
+        self.say(other, b"z", last, path="/brief/1")
+        gateway.process.kill()
+        self.assertEqual(len(self.records()), 14)
+        self.assertEqual(len(self.index_entries()), 14)
+        time.sleep(1)
+        self.platform.run(self.platform.store.compact)
+        self.assertTrue(wait_until(lambda: not self.records() and not self.index_entries(), 15),
+                        (self.records(), self.index_entries()))
+
+    def test_turn_that_may_be_deleted_is_looked_up_again(self):
+        """Guards against a turn that is continued from memory after its record is gone, so that the conversation can go
+        on at this gateway only."""
+        gateway = self.start()
+        other = self.start(name="edge-2")
+        _, first, _ = self.say(gateway, b"one ", path="/brief/1")
+        self.assertTrue(wait_until(lambda: not self.records(), 10))
+        status, second, _ = self.say(gateway, b"two ", first, path="/brief/1")
+        self.assertEqual(status, 404)
+        self.assertEqual(self.say(other, b"two ", first, path="/brief/1")[0], 404)
+
 
 if __name__ == "__main__":
     gateway_test.GATEWAY = sys.argv.pop(1)
