Conclude that a write was not done only if every copy of it was refused

Cause: an outcome that was unknown became "not done" by the answer to another call. The HTTP client sends a request again whose kept connection ended, and the refusal of the second copy was taken for the outcome of both; a repetition of a release in doubt that was refused gave its tokens back; PacedTable and RelayedTable forgot the doubt of an earlier copy in the same way. A row that was gone was written again without end at its last version.

A conflict without a row counts as its removal. Origins that an unseen copy wrote are deleted.

Unit tests of each place.

--- a/packages/forwarding/include/vanillalever/forwarding/paced_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/paced_table.h
@@ -55,6 +55,8 @@
     base::TimePoint since{};
     // Sent in a transaction of its own.
     bool alone = false;
+    // The outcome of an earlier transaction with these writes is not known.
+    bool in_doubt = false;
   };
   using Jobs = std::deque<Job>;
 
--- a/packages/forwarding/include/vanillalever/forwarding/reservation_ledger.h
+++ b/packages/forwarding/include/vanillalever/forwarding/reservation_ledger.h
@@ -98,11 +98,20 @@
   // The row with the claims that are not yet in it.
   std::optional<BudgetReservation> ClaimWrite(const std::string& program) const;
   // Takes the program's unused tokens and makes the row that returns them;
-  // nothing if they are not releasable. They are available again once a later
-  // row shows that it was not written.
+  // nothing if they are not releasable. They are available again once it is
+  // certain that it was not written and will not be.
   std::optional<BudgetReservation> TakeRelease(const std::string& program,
                                                base::TimePoint now);
-  // The reservation was refused and will never be written.
+  // The same row again, while it is not known whether it was written: the
+  // condition of both lets only one of them be. Nothing otherwise.
+  std::optional<BudgetReservation> RepeatRelease(
+      const std::string& program) const;
+  // The outcome of the last write is not known. From now on only a later row
+  // tells whether a release was written: also once the row has been read
+  // without it, or another copy was refused.
+  void OnUnknown(const std::string& program);
+  // The last write was refused and will never be done. An earlier one whose
+  // outcome is unknown may be.
   void OnRefused(const std::string& program);
   // Applies a row of the store. Older rows than the known one are ignored.
   void ApplyRow(const std::string& program, const BudgetRow& row);
@@ -144,6 +153,8 @@
   // Total tokens reserved as last known, unwritten claims included; zero if
   // unknown.
   std::int64_t reserved(const std::string& program) const;
+  // Whether tokens are in a release whose outcome is not known.
+  bool ReleaseInDoubt(const std::string& program) const;
   // Tokens of this run's share that are not granted.
   std::int64_t available(const std::string& program) const;
   // Programs with releasable tokens.
@@ -169,6 +180,10 @@
     std::int64_t available = 0;
     // Tokens of the release in progress.
     std::int64_t releasing = 0;
+    // It may have been written, or may still be.
+    bool release_in_doubt = false;
+    // When it was last written.
+    base::TimePoint release_written{};
     BudgetRow row;
     // Claims that are not known to be in the row; this run's among them.
     std::map<RunId, std::int64_t> claims;
@@ -196,6 +211,8 @@
                   const std::vector<RunId>& standby,
                   std::int64_t left,
                   BudgetReservation* reservation) const;
+  // The row that returns the tokens of the release in progress.
+  BudgetReservation ReleaseRow(const ProgramRecord& record) const;
   // Applies what the row's share of this run says.
   void ApplyShare(const BudgetRow& row,
                   const BudgetShare& share,
--- a/packages/forwarding/include/vanillalever/forwarding/shared_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/shared_table.h
@@ -48,9 +48,11 @@
   kDone,
   // Not written, because the row had another version.
   kConflict,
-  // Refused or not sent: not written, and never will be.
+  // Refused or not sent, each time: not written, and never will be. Says
+  // nothing of an earlier call with the same write whose outcome is unknown.
   kNotDone,
-  // No response: may have been written or may still be.
+  // No response to one copy of the call at least: may have been written or may
+  // still be, as long as the rows have the expected versions.
   kUnknown,
 };
 
--- a/packages/forwarding/src/budget_service.cc
+++ b/packages/forwarding/src/budget_service.cc
@@ -146,6 +146,15 @@
   if (StartReclaim(program))
     return true;
   Pending& pending = pending_[program];
+  // Tokens that the program needs may be in a release whose outcome is unknown.
+  // Written again it shows whether they are in the row.
+  if (!peers_.store_lost() && !pending.store_call_open) {
+    if (auto release = ledger_.RepeatRelease(program)) {
+      Write(program, *release);
+      WaitForStore(program, kStoreTimeout);
+      return true;
+    }
+  }
   Reclaim& reclaim = reclaims_[program];
   if (peers_.store_lost() || timer_.now() - reclaim.confirmed < kConfirmedFor)
     return false;
@@ -157,7 +166,7 @@
 
 bool BudgetService::MayBeHeldElsewhere(const std::string& program,
                                        std::int64_t max_tokens) const {
-  if (!ledger_.Claimants(program).empty())
+  if (!ledger_.Claimants(program).empty() || ledger_.ReleaseInDoubt(program))
     return true;
   std::int64_t lacking = max_tokens - ledger_.available(program);
   const BudgetKnowledge knowledge = ledger_.Knowledge(program);
@@ -273,19 +282,18 @@
       break;
     }
     case StoreOutcome::kConflict:
-      if (result.current) {
+      if (result.current && result.current->version > 0)
         ledger_.ApplyRow(program, ParseBudgetRow(result.current->value,
                                                  result.current->version));
-      } else {
+      else
         ledger_.OnRowRemoved(program);
-        ledger_.OnRefused(program);
-      }
       break;
     case StoreOutcome::kNotDone:
       ledger_.OnRefused(program);
       return OnStoreFailure(program, "write", result.reason);
     case StoreOutcome::kUnknown:
       // The row shows whether it was written: now, or at the next call.
+      ledger_.OnUnknown(program);
       pending_[program].store_call_open = true;
       return ReadRow(program);
   }
--- a/packages/forwarding/src/paced_table.cc
+++ b/packages/forwarding/src/paced_table.cc
@@ -163,14 +163,20 @@
   if (result.throttled) {
     rate_.OnRefused(timer_.now());
     if (timer_.now() - batch.front().since < kMaxRefusedTime) {
+      for (Job& job : batch)
+        job.in_doubt |= result.outcome == StoreOutcome::kUnknown;
       PutBack(std::move(batch));
       return SendWaiting();
     }
   }
   if (result.outcome == StoreOutcome::kConflict && batch.size() > 1)
     return OnConflict(std::move(batch), result);
-  for (const Job& job : batch)
-    job.done(result);
+  for (const Job& job : batch) {
+    TransactionResult own = result;
+    if (job.in_doubt && own.outcome == StoreOutcome::kNotDone)
+      own.outcome = StoreOutcome::kUnknown;
+    job.done(std::move(own));
+  }
 }
 
 void PacedTable::PutBack(Jobs batch) {
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -162,13 +162,18 @@
   bool lists = range != nullptr && range->from.empty() && range->to.empty();
   request.timeout = lists ? kRelayedListTimeout : kRelayTimeout;
   request.patience = kReplyPatience;
-  client_.Send(std::move(request), [this,
-                                    call](const http::ClientResult& answer) {
-    bool replied = !answer.error && answer.status == kOk;
-    OnResult(call, replied
-                       ? DecodeReply(answer.body, static_cast<Result*>(nullptr))
-                       : FailedRelay<Result>(answer));
-  });
+  client_.Send(
+      std::move(request), [this, call](const http::ClientResult& answer) {
+        bool replied = !answer.error && answer.status == kOk;
+        Result result =
+            replied ? DecodeReply(answer.body, static_cast<Result*>(nullptr))
+                    : FailedRelay<Result>(answer);
+        // The other gateway may have made the call for the first copy.
+        if (answer.sent_twice && std::is_same_v<Result, TransactionResult> &&
+            result.outcome == StoreOutcome::kNotDone)
+          result.outcome = StoreOutcome::kUnknown;
+        OnResult(call, std::move(result));
+      });
   return true;
 }
 
--- a/packages/forwarding/src/reservation_ledger.cc
+++ b/packages/forwarding/src/reservation_ledger.cc
@@ -150,10 +150,8 @@
                                    base::TimePoint now) const {
   if (record.row.version == 0)
     return false;
-  // Written again: it is not known whether the first write was done, and the
-  // same condition lets only one of both be done.
   if (record.releasing > 0)
-    return true;
+    return now - record.release_written >= settings_.release_after;
   if (record.available == 0 || record.open_turns > 0 || record.max_tokens == 0)
     return false;
   if (stopping_)
@@ -168,16 +166,36 @@
   ProgramRecord& record = programs_[program];
   if (!CanRelease(record, now))
     return std::nullopt;
-  BudgetReservation reservation = StartReservation(record);
   if (record.releasing == 0)
     record.releasing = std::exchange(record.available, 0);
+  record.release_written = now;
+  return ReleaseRow(record);
+}
+
+std::optional<BudgetReservation> ReservationLedger::RepeatRelease(
+    const std::string& program) const {
+  const ProgramRecord* record = Find(program);
+  if (record == nullptr || !record->release_in_doubt)
+    return std::nullopt;
+  return ReleaseRow(*record);
+}
+
+BudgetReservation ReservationLedger::ReleaseRow(
+    const ProgramRecord& record) const {
+  BudgetReservation reservation = StartReservation(record);
   reservation.row.Add(run_, -record.releasing, record.claim_void);
   return reservation;
 }
 
+void ReservationLedger::OnUnknown(const std::string& program) {
+  ProgramRecord& record = programs_[program];
+  record.release_in_doubt |= record.releasing > 0;
+}
+
 void ReservationLedger::OnRefused(const std::string& program) {
   ProgramRecord& record = programs_[program];
-  record.available += std::exchange(record.releasing, 0);
+  if (!record.release_in_doubt)
+    record.available += std::exchange(record.releasing, 0);
 }
 
 void ReservationLedger::ApplyShare(const BudgetRow& row,
@@ -185,7 +203,8 @@
                                    ProgramRecord* record) {
   const BudgetShare* before = record->row.Find(run_);
   // Tells what became of this run's writes, those without a response too: a
-  // release that is not in this row can no longer be written.
+  // release that is not in this row can no longer be written, as it expects an
+  // earlier version.
   std::int64_t credit = share.tokens - (before ? before->tokens : 0) +
                         std::exchange(record->releasing, 0);
   bool claim_added = share.claimed && !(before && before->claimed);
@@ -210,6 +229,7 @@
     ApplyShare(row, *share, &record);
   else
     record.releasing = 0;
+  record.release_in_doubt = false;
   for (const BudgetShare& share : row.shares) {
     if (share.claimed)
       record.claims.erase(share.run);
@@ -221,7 +241,12 @@
 }
 
 void ReservationLedger::OnRowRemoved(const std::string& program) {
-  programs_[program].row.version = 0;
+  ProgramRecord& record = programs_[program];
+  record.row.version = 0;
+  // A release in doubt may have been written before the row was removed.
+  std::int64_t released = std::exchange(record.releasing, 0);
+  if (!std::exchange(record.release_in_doubt, false))
+    record.available += released;
 }
 
 BudgetKnowledge ReservationLedger::Knowledge(const std::string& program) const {
@@ -343,6 +368,11 @@
   return record == nullptr ? 0 : record->row.reserved + record->unwritten();
 }
 
+bool ReservationLedger::ReleaseInDoubt(const std::string& program) const {
+  const ProgramRecord* record = Find(program);
+  return record != nullptr && record->release_in_doubt;
+}
+
 std::int64_t ReservationLedger::available(const std::string& program) const {
   const ProgramRecord* record = Find(program);
   return record == nullptr ? 0 : record->available;
--- a/packages/forwarding/src/stream_origins.cc
+++ b/packages/forwarding/src/stream_origins.cc
@@ -249,13 +249,20 @@
     for (const std::string& request_id : request_ids)
       own_records_.push_back({request_id, result.version, expires_at});
   } else if (result.outcome == StoreOutcome::kConflict) {
-    // A caller has used an id twice: the other streams are written without it.
-    std::set<std::string> present;
+    // A caller has used an id twice, or an earlier copy of the call was done:
+    // the other streams are written without it.
+    std::map<std::string, const TableRow*> present;
     for (const TableRow& row : result.current)
-      present.insert(row.name.key);
+      present.emplace(row.name.key, &row);
+    auto expires_at = base::TimePoint::clock::now() + kRetention;
     for (const std::string& request_id : request_ids) {
-      if (!present.contains(request_id))
+      auto row = present.find(request_id);
+      auto recent = recent_.find(request_id);
+      if (row == present.end())
         unwritten_.push_back(request_id);
+      else if (recent != recent_.end() &&
+               row->second->value == EncodeStreamOrigin(recent->second.origin))
+        own_records_.push_back({request_id, row->second->version, expires_at});
     }
   } else {
     // Not repeated: these calls must not add to the load of the store.
--- a/packages/forwarding/tests/budget_service_test.cc
+++ b/packages/forwarding/tests/budget_service_test.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -136,6 +137,132 @@
   CHECK(fixture.result == BudgetOutcome::kGranted);
 }
 
+// A store whose transactions the test answers.
+class ScriptedTable final : public SharedTable {
+ public:
+  void Transact(std::vector<TableWrite> writes,
+                std::function<void(TransactionResult)> done) override {
+    written = writes;
+    ++transactions;
+    done(answer(writes));
+  }
+  void ReadRange(TableRange, std::function<void(ReadResult)> done) override {
+    ReadResult result;
+    result.outcome =
+        reads_answered ? StoreOutcome::kDone : StoreOutcome::kNotDone;
+    if (row.version > 0)
+      result.rows = {row};
+    done(std::move(result));
+  }
+  void AwaitChanges(std::string,
+                    std::uint64_t,
+                    base::milliseconds,
+                    std::function<void(ChangesResult)>) override {}
+
+  TransactionResult Apply(const std::vector<TableWrite>& writes) {
+    TransactionResult result;
+    if (writes.front().expected_version != row.version) {
+      result.outcome = StoreOutcome::kConflict;
+      if (row.version > 0)
+        result.current = {row};
+      return result;
+    }
+    result.outcome = StoreOutcome::kDone;
+    result.version = row.version = ++version;
+    row.name = writes.front().name;
+    row.value = *writes.front().value;
+    return result;
+  }
+  static TransactionResult Failed(StoreOutcome outcome) {
+    TransactionResult result;
+    result.outcome = outcome;
+    return result;
+  }
+
+  std::function<TransactionResult(const std::vector<TableWrite>&)> answer =
+      [this](const std::vector<TableWrite>& writes) { return Apply(writes); };
+  std::vector<TableWrite> written;
+  TableRow row;
+  std::uint64_t version = 0;
+  int transactions = 0;
+  bool reads_answered = true;
+};
+
+struct ScriptedFixture {
+  ScriptedFixture() { peers.lost = false; }
+
+  BudgetOutcome Begin(std::int64_t budget, std::int64_t tokens) {
+    std::optional<BudgetOutcome> result;
+    service.Begin(kProgram, {budget, tokens, {}},
+                  [&result](BudgetOutcome outcome) { result = outcome; });
+    for (int i = 0; i < 100 && !result; ++i) {
+      io.restart();
+      io.run_for(milliseconds(20));
+    }
+    return result.value_or(BudgetOutcome::kUnavailable);
+  }
+  void Wait(milliseconds time) {
+    std::this_thread::sleep_for(time);
+    io.restart();
+    io.poll();
+    service.Tick();
+  }
+
+  boost::asio::io_context io;
+  ScriptedTable table;
+  TestPeers peers;
+  AsioLoopTimer timer{io};
+  BudgetService service{timer, table, peers, 1};
+};
+
+// Guards against review/13: the store writes a release without a response, and
+// refuses the copies that follow.
+TEST_CASE("no copy that is refused makes a written release undone") {
+  ScriptedFixture fixture;
+  REQUIRE(fixture.Begin(100, 40) == BudgetOutcome::kGranted);
+  fixture.service.End(kProgram, 40, 10);
+  bool done = GENERATE(true, false);
+  // The first copy is done, now or late, and all others are refused.
+  int copies = 0;
+  fixture.table.answer = [&](const std::vector<TableWrite>& writes) {
+    if (++copies > 1)
+      return ScriptedTable::Failed(StoreOutcome::kNotDone);
+    if (done)
+      fixture.table.Apply(writes);
+    return ScriptedTable::Failed(StoreOutcome::kUnknown);
+  };
+  fixture.table.reads_answered = false;
+  fixture.Wait(milliseconds(600));
+  REQUIRE(copies == 1);
+  std::vector<TableWrite> release = fixture.table.written;
+  fixture.Wait(milliseconds(600));
+  CHECK(copies == 2);
+  CHECK(fixture.Begin(100, 40) == BudgetOutcome::kUnavailable);
+  if (!done)
+    fixture.table.Apply(release);
+  fixture.table.reads_answered = true;
+  fixture.table.answer = [&](const std::vector<TableWrite>& writes) {
+    return fixture.table.Apply(writes);
+  };
+  // 90 tokens are left: two turns of 40, and none from the released share.
+  CHECK(fixture.Begin(100, 40) == BudgetOutcome::kGranted);
+  CHECK(fixture.Begin(100, 40) == BudgetOutcome::kGranted);
+  CHECK(fixture.Begin(100, 40) == BudgetOutcome::kSpent);
+}
+
+// Guards against calls without end: a row that was removed, and is expected at
+// its last version with each attempt.
+TEST_CASE("a removed row is written anew") {
+  ScriptedFixture fixture;
+  REQUIRE(fixture.Begin(1000, 40) == BudgetOutcome::kGranted);
+  fixture.table.row = {};
+  int before = fixture.table.transactions;
+  for (int i = 0; i < 4; ++i)
+    REQUIRE(fixture.Begin(1000, 40) == BudgetOutcome::kGranted);
+  CHECK(fixture.table.transactions <= before + 3);
+  CHECK(fixture.table.row.version > 0);
+}
+
 // Guards against tokens of a program that one gateway knows and another one
 // does not.
 TEST_CASE("a claim is granted once every gateway has accepted it") {
--- a/packages/forwarding/tests/model/budget_model_test.cc
+++ b/packages/forwarding/tests/model/budget_model_test.cc
@@ -48,12 +48,13 @@
 constexpr std::uint64_t kTroubles = 12;
 constexpr std::uint64_t kTroublesInOutage = 9;
 
-inline constexpr base::NameTable<StoreMode, 5> kModeNames({
+inline constexpr base::NameTable<StoreMode, 6> kModeNames({
     "ok",
     "refuse",
     "silent",
     "lost",
     "late",
+    "erratic",
 });
 
 struct ScheduleSettings {
@@ -347,6 +348,58 @@
             << "\n";
 }
 
+// Guards against review/13: a release without a response, of which other copies
+// are refused, done or late.
+TEST_CASE("no mix of outcomes hands out more than the budget and one turn") {
+  constexpr int kLines = 6;
+  const std::string name = "q";
+  int broken = 0;
+  int outages = 0;
+  std::int64_t least = 0;
+  for (int number = 0; number < Schedules(); ++number) {
+    auto seed = First() + static_cast<std::uint64_t>(number);
+    World world(seed, {.gateways = 2, .budget = 800, .max_tokens = 100});
+    world.Start(0);
+    world.Start(1);
+    world.RunFor(seconds(2));
+    // Lines of turns that reserve much and use little: the rest is returned.
+    for (int outage = 0; outage < 2; ++outage) {
+      world.settings.used_tokens = 10;
+      for (int line = 0; line < kLines; ++line)
+        world.Turn(outage, name);
+      world.RunFor(milliseconds(100 + world.random.Below(300)));
+      world.SetModes(StoreMode::kErratic);
+      world.RunFor(milliseconds(500 + world.random.Below(1500)));
+      // The program goes on and grants what counts as not returned.
+      world.settings.used_tokens = 0;
+      for (std::uint64_t turn = world.random.Below(8); turn > 0; --turn) {
+        world.Turn(outage, name);
+        world.RunFor(milliseconds(100 + world.random.Below(300)));
+      }
+      world.SetModes(StoreMode::kOk);
+      world.RunFor(milliseconds(100 + world.random.Below(2000)));
+      ++outages;
+    }
+    world.settings.used_tokens = 0;
+    for (int refused = 0, turn = 0; refused < 6; ++turn) {
+      int served = world.programs[name].served;
+      world.Turn(turn % 2, name);
+      world.RunFor(milliseconds(400));
+      refused = world.programs[name].served > served ? 0 : refused + 1;
+    }
+    std::int64_t handed = world.programs[name].handed;
+    INFO("seed " << seed << ": " << handed);
+    CHECK(handed <= 800 + 100);
+    broken += handed > 800 + 100 ? 1 : 0;
+    least = number == 0 ? handed : std::min(least, handed);
+    // What is left covers no turn.
+    CHECK(handed > 800 - 100);
+  }
+  std::cout << "schedules with mixed outcomes " << outages / 2
+            << ", over the bound " << broken << ", least handed out " << least
+            << "\n";
+}
+
 // Guards against tokens that no caller was handed and that count as spent for
 // good, where no gateway ended and no datagram was lost.
 TEST_CASE("a budget is used up after an outage that no gateway ended in") {
--- a/packages/forwarding/tests/model/budget_world.cc
+++ b/packages/forwarding/tests/model/budget_world.cc
@@ -291,10 +291,12 @@
             return;
           served();
           ++found.served;
-          found.handed += tokens;
+          std::int64_t used =
+              settings.used_tokens > 0 ? settings.used_tokens : tokens;
+          found.handed += used;
           gateway.timer.RunAfter(milliseconds(5 + random.Below(40)),
-                                 [&gateway, name, tokens] {
-                                   gateway.service.End(name, tokens, tokens);
+                                 [&gateway, name, tokens, used] {
+                                   gateway.service.End(name, tokens, used);
                                  });
         });
   });
--- a/packages/forwarding/tests/model/budget_world.h
+++ b/packages/forwarding/tests/model/budget_world.h
@@ -29,10 +29,11 @@
 // What the store does with the calls of one gateway.
 enum class StoreMode {
   kOk,
-  kRefuse,  // 503, nothing is done
-  kSilent,  // no response, nothing is done
-  kLost,    // done, no response
-  kLate,    // no response; done a second later if the condition still holds
+  kRefuse,   // 503, nothing is done
+  kSilent,   // no response, nothing is done
+  kLost,     // done, no response
+  kLate,     // no response; done a second later if the condition still holds
+  kErratic,  // one of the above, drawn for each call
 };
 
 // After this time a call to the store has no response.
@@ -146,6 +147,8 @@
   int gateways = 3;
   std::int64_t budget = 480;
   std::int64_t max_tokens = 40;
+  // Tokens after which turns end; zero if they use all that they may.
+  std::int64_t used_tokens = 0;
   // Datagrams may be lost.
   bool lossy = false;
 };
@@ -322,6 +325,8 @@
           bool passes = as == address_ || (world_.connected(address_, as) &&
                                            world_.connected(as, address_));
           StoreMode mode = world_.modes_[static_cast<std::size_t>(as)];
+          if (mode == StoreMode::kErratic)
+            mode = static_cast<StoreMode>(world_.random.Below(5));
           switch (passes ? mode : StoreMode::kSilent) {
             case StoreMode::kOk:
               return timer->At(now + milliseconds(3),
@@ -336,6 +341,7 @@
               world_.schedule.At(now + seconds(1), [apply] { apply(); });
               break;
             case StoreMode::kSilent:
+            case StoreMode::kErratic:
               break;
           }
           timer->At(now + kNoResponse, [done, missing] { done(missing); });
--- a/packages/forwarding/tests/paced_table_test.cc
+++ b/packages/forwarding/tests/paced_table_test.cc
@@ -61,12 +61,16 @@
   std::map<std::string, std::uint64_t> versions;
   int calls = 0;
   bool refuses = false;
+  // Another copy of what is refused may have been done.
+  bool in_doubt = false;
 
  private:
   TransactionResult Apply(const std::vector<TableWrite>& writes) {
     TransactionResult result;
     if (refuses) {
       result.throttled = true;
+      if (in_doubt)
+        result.outcome = StoreOutcome::kUnknown;
       return result;
     }
     result.outcome = StoreOutcome::kDone;
@@ -182,6 +186,20 @@
     CHECK(outcome == StoreOutcome::kNotDone);
 }
 
+// Guards against review/13: a write that may have been done, and that counts as
+// not done since the copy of it was refused for the rate.
+TEST_CASE("a write in doubt stays so when another copy is refused") {
+  Fixture fixture(100);
+  fixture.store.refuses = true;
+  fixture.store.in_doubt = true;
+  fixture.Write("row");
+  fixture.store.CompleteAll();
+  REQUIRE(fixture.outcomes.empty());
+  fixture.store.in_doubt = false;
+  fixture.Run();
+  CHECK(fixture.outcomes.at("row") == StoreOutcome::kUnknown);
+}
+
 // Guards against refused writes that start to wait anew, behind later ones.
 TEST_CASE("a refused write is sent again before later ones") {
   Fixture fixture(20);
--- a/packages/forwarding/tests/relayed_table_test.cc
+++ b/packages/forwarding/tests/relayed_table_test.cc
@@ -100,6 +100,25 @@
   return ResponseText("200 OK", EncodeTableReply(result));
 }
 
+// Guards against review/13: the other gateway made the call, its connection
+// ended before the reply, and the second copy was refused.
+TEST_CASE("a refusal of the second copy leaves a relayed write unknown") {
+  TransactionResult refused;
+  refused.outcome = StoreOutcome::kNotDone;
+  int requests = 0;
+  ScriptedServer peer([&](const std::string&) {
+    if (++requests == 2)
+      return ScriptedServer::Script{{.delay = {}, .bytes = "", .close = true}};
+    return ScriptedServer::Script{
+        {{}, ResponseText("200 OK", EncodeTableReply(refused))}};
+  });
+  Relaying gateway(peer.address());
+  CHECK(gateway.Transact().outcome == StoreOutcome::kNotDone);
+  CHECK(gateway.Transact().outcome == StoreOutcome::kUnknown);
+  CHECK(gateway.Read().outcome == StoreOutcome::kNotDone);
+  CHECK(requests == 4);
+}
+
 // Guards against the outcome of a write being taken from a response that is
 // none, and against the next call getting what follows it.
 TEST_CASE("a reply of another gateway that is no response leaves it unknown") {
--- a/packages/forwarding/tests/reservation_ledger_test.cc
+++ b/packages/forwarding/tests/reservation_ledger_test.cc
@@ -281,6 +281,61 @@
   }
 }
 
+// Guards against review/13: a release that was written without a response, and
+// whose tokens are granted here as well because another copy of it was refused.
+TEST_CASE("a release in doubt is settled by a later row alone") {
+  ReservationLedger ledger(kRun);
+  BudgetRow row;
+  REQUIRE(BeginWithReservation(ledger, row, 100, 40));
+  ledger.End(kProgram, 40, 10);
+  auto now = kStart + seconds(1);
+  std::int64_t unused = ledger.available(kProgram);
+  CHECK_FALSE(ledger.RepeatRelease(kProgram));
+  auto release = ledger.TakeRelease(kProgram, now);
+  REQUIRE(release);
+  CHECK_FALSE(ledger.ReleaseInDoubt(kProgram));
+  ledger.OnUnknown(kProgram);
+  CHECK(ledger.ReleaseInDoubt(kProgram));
+  for (int i = 0; i < 3; ++i) {
+    // Not with each tick: calls to the store are limited.
+    CHECK_FALSE(ledger.TakeRelease(kProgram, now));
+    now += seconds(1);
+    auto again = ledger.TakeRelease(kProgram, now);
+    REQUIRE(again);
+    CHECK(again->expected_version == release->expected_version);
+    CHECK(again->row.reserved == release->row.reserved);
+    ledger.OnRefused(kProgram);
+    CHECK(ledger.available(kProgram) == 0);
+  }
+  SECTION("the first copy was written") {
+    WriteRow(*release, row);
+    ledger.ApplyRow(kProgram, row);
+    CHECK(ledger.available(kProgram) == 0);
+    CHECK(ledger.reserved(kProgram) == 10);
+  }
+  SECTION("another write came first") {
+    std::uint64_t version = row.version + 1;
+    row.Add(kOther, 5, false);
+    row.version = version;
+    ledger.ApplyRow(kProgram, row);
+    CHECK(ledger.available(kProgram) == unused);
+  }
+  SECTION("a reservation came first") {
+    std::int64_t before = row.Find(kRun)->tokens;
+    auto next = ledger.NextReservation(kProgram, 40, {});
+    REQUIRE(next);
+    WriteRow(*next, row);
+    ledger.ApplyRow(kProgram, row);
+    CHECK(ledger.available(kProgram) ==
+          unused + row.Find(kRun)->tokens - before);
+  }
+  SECTION("the row was removed, perhaps after the release") {
+    ledger.OnRowRemoved(kProgram);
+    CHECK(ledger.available(kProgram) == 0);
+  }
+  CHECK_FALSE(ledger.ReleaseInDoubt(kProgram));
+}
+
 // Guards against programs that only the gateway of their first turn can serve
 // in an outage.
 TEST_CASE("the first reservation fills the shares of other gateways") {
--- a/packages/http/include/vanillalever/http/client.h
+++ b/packages/http/include/vanillalever/http/client.h
@@ -41,9 +41,9 @@
   // limit until the response begins. A response that arrives slowly is not cut,
   // nor is one that waits behind a large one of the same server.
   std::optional<ResponsePatience> patience;
-  // Opens a new connection. Required for a non-idempotent request: the server
-  // may already have closed a reused keep-alive connection, and then it is
-  // unknown whether it read the request.
+  // Opens a new connection. Required for a non-idempotent request: a request
+  // that is sent on a kept connection is sent again if that ends before a
+  // response, and it is unknown whether the server read the first copy.
   bool new_connection = false;
 };
 
@@ -55,6 +55,10 @@
   // On an error: the server responded, with bytes that are no usable response.
   // So it was reachable.
   bool unusable_response = false;
+  // The request was sent twice: the first connection, a kept one, ended before
+  // a response. The server may have carried it out, or still do so, whatever it
+  // says of the second copy.
+  bool sent_twice = false;
   // On an error: the body of the response exceeds `max_body_bytes`.
   bool too_large = false;
   int status = 0;
--- a/packages/http/src/call.cc
+++ b/packages/http/src/call.cc
@@ -284,6 +284,7 @@
   bool closed_while_idle = reused_ && !abort_error_ && !responded;
   if (closed_while_idle) {
     reused_ = false;
+    sent_twice_ = true;
     buffer_.clear();
     parser_.reset();
     return Connect();
@@ -304,6 +305,7 @@
 void Call::Succeed() {
   auto message = parser_->release();
   ClientResult result;
+  result.sent_twice = sent_twice_;
   result.status = static_cast<int>(message.result_int());
   for (const auto& field : message) {
     std::string name(field.name_string());
@@ -322,6 +324,7 @@
 
 void Call::Fail(base::ErrorCode code, const std::string& message) {
   ClientResult result;
+  result.sent_twice = sent_twice_;
   result.unusable_response = unusable_response_;
   result.too_large = response_too_large_;
   base::ErrorInfo info;
--- a/packages/http/src/call.h
+++ b/packages/http/src/call.h
@@ -96,6 +96,7 @@
       parser_;
   // Informational (1xx) responses that preceded the one in `parser_`.
   int interim_responses_ = 0;
+  bool sent_twice_ = false;
   bool unusable_response_ = false;
   bool response_too_large_ = false;
   bool reused_ = false;
--- a/packages/http/tests/connection_reuse_test.cc
+++ b/packages/http/tests/connection_reuse_test.cc
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 
 #include "loopback_listener.h"
+#include "scripted_server.h"
 #include "vanillalever/http/blocking_client.h"
 
 namespace vanillalever::http {
@@ -74,6 +75,30 @@
   CHECK(server.connections() == 3);
 }
 
+// Guards against review/13: a request that was carried out before its
+// connection ended, and counts as rejected since its second copy was.
+TEST_CASE("a request that was sent twice says so") {
+  int requests = 0;
+  ScriptedServer server([&requests](const std::string&) {
+    if (++requests == 2)
+      return ScriptedServer::Script{{.delay = {}, .bytes = "", .close = true}};
+    return ScriptedServer::Script{
+        {.delay = {}, .bytes = ResponseText("503 X", "")}};
+  });
+  BlockingClient client;
+  ClientRequest request;
+  request.address = server.address();
+  request.method = "POST";
+  request.body = "x";
+  CHECK_FALSE(client.Send(request).sent_twice);
+  ClientResult result = client.Send(request);
+  CHECK(result.status == 503);
+  CHECK(result.sent_twice);
+  CHECK(requests == 3);
+  request.new_connection = true;
+  CHECK_FALSE(client.Send(request).sent_twice);
+}
+
 // Guards against connections that are kept for good.
 TEST_CASE("a connection beyond its age is not used again") {
   CountingServer server;
