--- a/packages/forwarding/src/peer_link_budget.cc
+++ b/packages/forwarding/src/peer_link_budget.cc
@@ -65,7 +65,7 @@
   auto others = directory_.store_addresses();
   return std::all_of(
       others.begin(), others.end(),
-      [this, own = Weight(task, settings_.address), &task](
+      [own = Weight(task, settings_.address), &task](
           const std::string& address) { return Weight(task, address) < own; });
 }
 
--- a/packages/forwarding/src/turn_collector.cc
+++ b/packages/forwarding/src/turn_collector.cc
@@ -12,7 +12,6 @@
 namespace {
 
 using base::milliseconds;
-using conversation::TurnIndex;
 
 constexpr milliseconds kAssignInterval{1000};
 // Changes are read this many times in the shortest retention time, so that
--- a/packages/http/tests/patience_test.cc
+++ b/packages/http/tests/patience_test.cc
@@ -64,7 +64,7 @@
   // Without patience the timeout is the limit.
   ClientRequest impatient = Get(server, "/");
   impatient.patience.reset();
-  CHECK(client.Send(std::move(impatient)).error);
+  CHECK(client.Send(impatient).error);
 }
 
 // Guards against calls that wait for a server which has stopped in the middle
