List the index of turns only where a gateway stays responsible for it

Cause, found by reading: gateways that start together do not know each other yet, so that each listed all 256 partitions of the index; an outage of the store for all gave up what each watched, and had it listed anew at the store's return; a deletion whose response came while the index was listed anew was never repeated; a response full of changes counted as all changes; relayed listings of partitioned tables waited 5 s for a gateway that stands still.

Change: a part is listed 2 s after this gateway became responsible; while no gateway reaches the store all stays as it is; a listing ends the doubt of deletions; a full response is followed by another call at once; only listings of tables without partitions, which hold the configuration, wait 5 s for their reply through another gateway.

--- a/packages/conversation/src/turn_index.cc
+++ b/packages/conversation/src/turn_index.cc
@@ -67,9 +67,12 @@
 
 void TurnIndex::BeginListing() {
   unlisted_.clear();
-  for (const auto& [id, node] : nodes_) {
+  for (auto& [id, node] : nodes_) {
     if (node.known)
       unlisted_.insert(id);
+    // What became of the deletion is seen in the listing.
+    if (std::exchange(node.deleting, false))
+      Queue(id, node, node.expires);
   }
 }
 
--- a/packages/conversation/tests/turn_index_test.cc
+++ b/packages/conversation/tests/turn_index_test.cc
@@ -189,6 +189,20 @@
   CHECK(expired.front().version == 8);
 }
 
+// Guards against records that stay for ever, since the response to their
+// deletion was ignored when the table was listed anew.
+TEST_CASE("a deletion in progress is seen in the next listing") {
+  TurnIndex index;
+  index.Put("deleted", After(""), 1, kStart);
+  index.Put("failed", After(""), 2, kStart);
+  base::TimePoint now = kStart + 3 * kRetention;
+  REQUIRE(index.TakeExpired(now, kMany).size() == 2);
+  index.BeginListing();
+  index.Put("failed", After(""), 2, now);
+  index.EndListing();
+  CHECK(Ids(index.TakeExpired(now, kMany)) == IdList{"failed"});
+}
+
 // Guards against memory and records that nobody frees: turns whose predecessor
 // has no entry, and one that names itself.
 TEST_CASE("turns without a known predecessor are deleted") {
--- a/packages/forwarding/include/vanillalever/forwarding/gateway.h
+++ b/packages/forwarding/include/vanillalever/forwarding/gateway.h
@@ -134,8 +134,8 @@
   // Accepts the connections that callers have already established, and no more.
   void StopAccepting();
   std::vector<std::shared_ptr<CallerSession>> Sessions() const;
-  // Whether this gateway does a task that one of them is to do.
-  bool ResponsibleFor(const std::string& task) const;
+  // See TurnCollector::Responsible.
+  std::optional<bool> ResponsibleFor(const std::string& task) const;
   void CheckIsolation();
   // Whether the configuration may be relied on for keys by callers that come
   // now.
--- a/packages/forwarding/include/vanillalever/forwarding/peer_link.h
+++ b/packages/forwarding/include/vanillalever/forwarding/peer_link.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -101,8 +102,9 @@
   }
   void SetStoreReachable(bool reachable) override;
   // Whether this gateway is the first by rendezvous hashing of the task among
-  // the live ones that reach the store. During changes none or several may be.
-  bool LeadsAtStore(const std::string& task) const;
+  // the live ones that reach the store; nothing if none reaches it. During
+  // changes none or several may be.
+  std::optional<bool> LeadsAtStore(const std::string& task) const;
 
   void SendStrikes(const std::vector<StrikeReport>& reports) override;
 
--- a/packages/forwarding/include/vanillalever/forwarding/turn_collector.h
+++ b/packages/forwarding/include/vanillalever/forwarding/turn_collector.h
@@ -22,8 +22,10 @@
 // the index alone. Event loop's thread only.
 class TurnCollector {
  public:
-  // Whether this gateway is the one to do a task, among those that are live.
-  using Responsible = std::function<bool(const std::string& task)>;
+  // Whether this gateway is the one to do a task, among those that are live and
+  // reach the store; nothing while none reaches it, so that all stays as it is.
+  using Responsible =
+      std::function<std::optional<bool>(const std::string& task)>;
 
   TurnCollector(const LoopTimer& timer,
                 SharedTable& table,
@@ -42,10 +44,12 @@
   struct Part {
     std::size_t number = 0;
     bool watched = false;
+    // Since when this gateway has been responsible.
+    std::optional<base::TimePoint> responsible_since;
     // Incremented when the part is listed anew or given up, so that responses
     // to earlier calls are ignored.
     std::uint64_t generation = 0;
-    // Partitions that are still to be listed; their number once all are.
+    // Partitions that are still to be listed.
     std::size_t unlisted = 0;
     // Version from which changes are read.
     std::uint64_t version = 0;
@@ -58,6 +62,8 @@
 
   // Begins or ends to watch parts as their responsible gateways change.
   void AssignParts();
+  void Watch(Part& part);
+  void Unwatch(Part& part);
   void StartListing(Part& part);
   void ListPartition(Part& part);
   void ReadChanges(Part& part);
--- a/packages/forwarding/src/gateway.cc
+++ b/packages/forwarding/src/gateway.cc
@@ -360,8 +360,8 @@
     CheckDrained();
 }
 
-bool Gateway::ResponsibleFor(const std::string& task) const {
-  return !draining_ && peers_.LeadsAtStore(task);
+std::optional<bool> Gateway::ResponsibleFor(const std::string& task) const {
+  return draining_ ? false : peers_.LeadsAtStore(task);
 }
 
 void Gateway::CheckIsolation() {
--- a/packages/forwarding/src/peer_link_budget.cc
+++ b/packages/forwarding/src/peer_link_budget.cc
@@ -59,7 +59,9 @@
   return runs;
 }
 
-bool PeerLink::LeadsAtStore(const std::string& task) const {
+std::optional<bool> PeerLink::LeadsAtStore(const std::string& task) const {
+  if (store_lost())
+    return std::nullopt;
   if (!reaches_store_)
     return false;
   auto others = directory_.store_addresses();
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -13,8 +13,8 @@
 constexpr milliseconds kConnectTimeout{200};
 // Longer than the other gateway's own call takes until its response begins.
 constexpr milliseconds kRelayTimeout{900};
-// A listing of a whole table may be large, and the other gateway reads all of
-// it before its reply begins.
+// A table without partitions may hold large rows, such as the configuration,
+// and the other gateway reads all of it before its reply begins.
 constexpr milliseconds kRelayedListTimeout{5000};
 constexpr http::ResponsePatience kReplyPatience{
     .stall = milliseconds(1000),
@@ -159,7 +159,8 @@
   request.content_type = "application/octet-stream";
   request.body = EncodeTableCall(call->call);
   auto* range = std::get_if<TableRange>(&call->call);
-  bool lists = range != nullptr && range->from.empty() && range->to.empty();
+  bool lists = range != nullptr && range->partition.empty() &&
+               range->from.empty() && range->to.empty();
   request.timeout = lists ? kRelayedListTimeout : kRelayTimeout;
   request.patience = kReplyPatience;
   client_.Send(
--- a/packages/forwarding/src/turn_collector.cc
+++ b/packages/forwarding/src/turn_collector.cc
@@ -13,7 +13,11 @@
 
 using base::milliseconds;
 
-constexpr milliseconds kAssignInterval{1000};
+constexpr milliseconds kAssignInterval{500};
+// A part is listed once this gateway has been responsible for this long: just
+// after a start the gateways do not know each other, and each takes itself for
+// the only one.
+constexpr milliseconds kSettleTime{2000};
 // Changes are read this many times in the shortest retention time, so that
 // records are deleted soon after they expire,
 constexpr int kReadsPerRetention = 8;
@@ -23,9 +27,9 @@
 constexpr milliseconds kRetryDelay{1000};
 // Largest number of records of one part that are deleted at a time.
 constexpr std::size_t kMaxDeletes = 100;
-// Time from the end of a turn's time limit until its record is durable, or
-// given up.
-constexpr milliseconds kRecordMargin{1000};
+// A response with this many changes may not hold all that there are: the store
+// returns as many rows of a listing at most.
+constexpr std::size_t kFullResponse = 500;
 
 }  // namespace
 
@@ -51,7 +55,7 @@
     interval_ = std::min(interval_.value_or(interval), interval);
     longest = std::max(longest, route.timeout);
   }
-  longest_turn_ = longest + kRecordMargin;
+  longest_turn_ = longest;
   for (Part& part : parts_)
     part.index.SetLongestTurn(longest_turn_);
 }
@@ -73,25 +77,43 @@
 }
 
 void TurnCollector::AssignParts() {
+  auto now = timer_.now();
   for (Part& part : parts_) {
     // Records may be left of routes that were stateful.
     bool needed = interval_ || part.index.size() > 0;
-    bool watch = needed && responsible_(TurnIndexTable(part.number));
-    if (watch == part.watched)
+    auto responsible = responsible_(TurnIndexTable(part.number));
+    if (needed && !responsible)
       continue;
-    part.watched = watch;
-    part.index = {};
-    part.index.SetLongestTurn(longest_turn_);
-    part.call_open = false;
-    if (watch)
-      StartListing(part);
-    else
-      ++part.generation;
+    if (!needed || !*responsible) {
+      part.responsible_since.reset();
+      Unwatch(part);
+      continue;
+    }
+    if (!part.responsible_since)
+      part.responsible_since = now;
+    if (now - *part.responsible_since >= kSettleTime)
+      Watch(part);
   }
 }
 
+void TurnCollector::Watch(Part& part) {
+  if (std::exchange(part.watched, true))
+    return;
+  part.index = {};
+  part.index.SetLongestTurn(longest_turn_);
+  StartListing(part);
+}
+
+void TurnCollector::Unwatch(Part& part) {
+  if (!std::exchange(part.watched, false))
+    return;
+  ++part.generation;
+  part.index = {};
+}
+
 void TurnCollector::StartListing(Part& part) {
   ++part.generation;
+  part.call_open = false;
   part.unlisted = kTablePartitions;
   part.version = 0;
   part.known_until.reset();
@@ -145,10 +167,14 @@
     part.next_call = timer_.now() + kRetryDelay;
     return;
   }
-  part.next_call = timer_.now() + interval_.value_or(kMaxInterval);
   part.version = std::max(part.version, result.version);
   for (const TableRow& row : result.rows)
     ApplyRow(part, row);
+  if (result.rows.size() >= kFullResponse) {
+    part.next_call = timer_.now();
+    return;
+  }
+  part.next_call = timer_.now() + interval_.value_or(kMaxInterval);
   part.known_until = sent;
   DeleteExpired(part);
 }
