--- a/packages/forwarding/tests/turn_collector_test.cc
+++ b/packages/forwarding/tests/turn_collector_test.cc
@@ -37,14 +37,13 @@
  public:
   void Transact(std::vector<TableWrite> writes,
                 std::function<void(TransactionResult)> done) override {
-    open_.push_back([this, writes = std::move(writes), done = std::move(done)] {
-      done(Apply(writes));
-    });
+    open_.emplace_back([this, writes = std::move(writes),
+                        done = std::move(done)] { done(Apply(writes)); });
   }
   void ReadRange(TableRange range,
                  std::function<void(ReadResult)> done) override {
     ++listings;
-    open_.push_back([this, range, done = std::move(done)] {
+    open_.emplace_back([this, range, done = std::move(done)] {
       ReadResult result;
       if (available) {
         result.outcome = StoreOutcome::kDone;
@@ -62,7 +61,7 @@
                     std::uint64_t after,
                     milliseconds,
                     std::function<void(ChangesResult)> done) override {
-    open_.push_back([this, table, after, done = std::move(done)] {
+    open_.emplace_back([this, table, after, done = std::move(done)] {
       ChangesResult result;
       if (available) {
         result.outcome = StoreOutcome::kDone;
