Keep what an organisation has used while a configuration leaves it out

Cause: AllotmentBook::SetLimits() forgot every organisation that the new configuration does not name, and took one that it did not know for unused.

Change: an allotment that ends limits nobody but is kept for one window and counts on; named again it goes on from there. RemoveEnded() forgets it after that.

Tests: two cases in allotment_book_test.cc.

--- a/packages/forwarding/src/allotment_service.cc
+++ b/packages/forwarding/src/allotment_service.cc
@@ -44,6 +44,7 @@
   if (book_.empty())
     return;
   book_.RemoveSilentPeers(now);
+  book_.RemoveEnded(now);
   for (const rate::AllotmentEpisode& episode : book_.TakeEnded(now)) {
     counters_.over.Add(-1);
     base::LogEvent(base::LogLevel::kInfo, "allotment_exceeded_until_now",
--- a/packages/rate/include/vanillalever/rate/allotment_book.h
+++ b/packages/rate/include/vanillalever/rate/allotment_book.h
@@ -94,9 +94,10 @@
  public:
   AllotmentBook(AllotmentSettings settings, std::uint64_t seed);
 
-  // Sets the allotments; those of organisations that are not listed end. At the
-  // first call no organisation has credit: a process that replaces another one
-  // does not know what that has used.
+  // Sets the allotments; those of organisations that are not listed end. One
+  // that is listed again within the window goes on with what it has used. At
+  // the first call no organisation has credit: a process that replaces another
+  // one does not know what that has used.
   void SetLimits(const std::vector<AllotmentLimit>& limits,
                  base::TimePoint now);
   // Call regularly, more often than AllotmentSettings::silence.
@@ -120,6 +121,9 @@
                  base::TimePoint now);
   // Forgets gateways that are out of contact for long. Call now and then.
   void RemoveSilentPeers(base::TimePoint now);
+  // Forgets allotments that ended a window ago: what they used is not judged
+  // any more. Call now and then.
+  void RemoveEnded(base::TimePoint now);
 
   // What has changed since the last call.
   std::vector<AllotmentUse> TakeChanges();
@@ -134,6 +138,9 @@
     std::string organisation;
     std::uint32_t hash = 0;
     double per_second = 0;
+    // Set while the configuration does not name it: it is not limited then, but
+    // what it uses still counts.
+    std::optional<base::TimePoint> ended_at;
     SharedRate rate;
     base::TimePoint last_taken_at{};
     // Requests taken since the last announcement.
@@ -159,6 +166,7 @@
   };
 
   RateLimit Limit(const AllotmentLimit& limit) const;
+  void AddEntry(const AllotmentLimit& limit, Entry& entry, base::TimePoint now);
   AllotmentRefusal Refuse(Entry& entry, base::TimePoint now);
   void CountRecent(Entry& entry, double own, double all, base::TimePoint now);
   static AllotmentUse Use(const Entry& entry);
--- a/packages/rate/src/allotment_book.cc
+++ b/packages/rate/src/allotment_book.cc
@@ -43,31 +43,53 @@
 
 void AllotmentBook::SetLimits(const std::vector<AllotmentLimit>& limits,
                               base::TimePoint now) {
-  std::unordered_map<std::string, Entry> before = std::exchange(entries_, {});
-  by_hash_.clear();
+  std::set<std::string> listed;
   for (const AllotmentLimit& limit : limits) {
     if (limit.per_second <= 0)
       continue;
-    auto known = before.find(limit.organisation);
-    Entry& entry = entries_[limit.organisation];
-    if (known != before.end()) {
-      entry = std::move(known->second);
-      entry.rate.SetLimit(Limit(limit), now);
-    } else {
-      entry.organisation = limit.organisation;
-      entry.hash = static_cast<std::uint32_t>(base::Hash64(limit.organisation));
-      entry.rate.SetReachableShare(std::max(reach_.share, kMinShare));
+    listed.insert(limit.organisation);
+    auto [found, added] = entries_.try_emplace(limit.organisation);
+    Entry& entry = found->second;
+    if (added)
+      AddEntry(limit, entry, now);
+    else
       entry.rate.SetLimit(Limit(limit), now);
-      // An allotment that begins while this process runs is unused.
-      entry.rate.Restart(limited_before_ ? base::TimePoint{}
-                                         : now + settings_.resumption);
-    }
     entry.per_second = limit.per_second;
-    by_hash_.emplace(entry.hash, &entry);
+    entry.ended_at.reset();
+  }
+  for (auto& [name, entry] : entries_) {
+    if (!entry.ended_at && !listed.contains(name))
+      entry.ended_at = now;
   }
   limited_before_ = true;
 }
 
+void AllotmentBook::AddEntry(const AllotmentLimit& limit,
+                             Entry& entry,
+                             base::TimePoint now) {
+  entry.organisation = limit.organisation;
+  entry.hash = static_cast<std::uint32_t>(base::Hash64(limit.organisation));
+  entry.rate.SetReachableShare(std::max(reach_.share, kMinShare));
+  entry.rate.SetLimit(Limit(limit), now);
+  // An allotment that begins while this process runs is unused.
+  entry.rate.Restart(limited_before_ ? base::TimePoint{}
+                                     : now + settings_.resumption);
+  by_hash_.emplace(entry.hash, &entry);
+}
+
+void AllotmentBook::RemoveEnded(base::TimePoint now) {
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    Entry& entry = it->second;
+    if (!entry.ended_at || now - *entry.ended_at < settings_.window) {
+      ++it;
+      continue;
+    }
+    std::erase_if(by_hash_,
+                  [&entry](const auto& item) { return item.second == &entry; });
+    it = entries_.erase(it);
+  }
+}
+
 void AllotmentBook::SetReach(const GatewayReach& reach, base::TimePoint now) {
   bool paused = reach_set_at_ != base::TimePoint{} &&
                 now - reach_set_at_ > settings_.silence;
@@ -96,7 +118,7 @@
     const std::string& organisation,
     base::TimePoint now) {
   auto found = entries_.find(organisation);
-  if (found == entries_.end())
+  if (found == entries_.end() || found->second.ended_at)
     return std::nullopt;
   Entry& entry = found->second;
   if (reach_.share <= 0 || entry.rate.next_at() > now)
@@ -169,7 +191,8 @@
 }
 
 bool AllotmentBook::limits(const std::string& organisation) const {
-  return entries_.contains(organisation);
+  auto found = entries_.find(organisation);
+  return found != entries_.end() && !found->second.ended_at;
 }
 
 void AllotmentBook::OnPeerMessage(std::uint64_t peer, base::TimePoint now) {
--- a/packages/rate/tests/allotment_book_test.cc
+++ b/packages/rate/tests/allotment_book_test.cc
@@ -99,6 +99,44 @@
   CHECK(taken == 6);
 }
 
+// Guards against review/15: an operator takes back a configuration that left an
+// organisation out, and all gateways forget what it has used.
+TEST_CASE("an organisation that is left out for a moment has no new burst") {
+  AllotmentBook book = Settled(1);
+  CHECK(CountTaken(book, 1000, kNow) == 6);
+  book.SetLimits({}, kNow + milliseconds(100));
+  CHECK_FALSE(book.limits("acme"));
+  CHECK_FALSE(book.Take("acme", kNow + milliseconds(200)));
+  book.RemoveEnded(kNow + milliseconds(500));
+  book.SetLimits(limits, kNow + milliseconds(600));
+  CHECK(book.limits("acme"));
+  // 10 a second.
+  CHECK(CountTaken(book, 1000, kNow + milliseconds(600)) == 6);
+  // What others have used counts while it is left out, too.
+  book.SetLimits({}, kNow + milliseconds(700));
+  book.OnPeerMessage(7, kNow + milliseconds(700));
+  AllotmentBook other = Settled(1);
+  CountTaken(other, 1000, kNow + milliseconds(700));
+  for (const AllotmentUse& use : other.TakeChanges())
+    book.OnPeerUse(7, use, kNow + milliseconds(800));
+  book.SetLimits(limits, kNow + milliseconds(900));
+  CHECK(CountTaken(book, 1000, kNow + milliseconds(900)) == 0);
+}
+
+// Guards against memory that grows with all organisations there ever were, and
+// against one that is held to what it used long ago.
+TEST_CASE("an allotment that has ended is forgotten after a window") {
+  AllotmentBook book = Settled(1);
+  CHECK(CountTaken(book, 1000, kNow) == 6);
+  book.SetLimits({}, kNow);
+  book.RemoveEnded(kNow + seconds(4));
+  CHECK_FALSE(book.empty());
+  book.RemoveEnded(kNow + seconds(6));
+  CHECK(book.empty());
+  book.SetLimits(limits, kNow + seconds(6));
+  CHECK(CountTaken(book, 1000, kNow + seconds(6)) == 6);
+}
+
 // Guards against callers that are sent away for longer than needed, and against
 // those that return together.
 TEST_CASE("refused callers are told different times, the first ones soon") {
