Wait behind a response only while it takes up the link, and not for long

Change: a response counts as slow once it has been arriving for 200 ms; other calls wait behind it for 3 s more at most (ResponsePatience::behind_slow).

Tests: "a lost response is missed beside others that are large", with slow ones without end and with fast ones one after the other. The second is the case that the code before would not end; not run against it.

--- a/packages/forwarding/include/vanillalever/forwarding/paced_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/paced_table.h
@@ -46,6 +46,9 @@
   base::TimePoint last_large_response() const override {
     return store_.last_large_response();
   }
+  base::TimePoint last_slow_response() const override {
+    return store_.last_slow_response();
+  }
 
  private:
   // Writes of one caller, all or none of which are applied.
--- a/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/relayed_table.h
@@ -75,6 +75,9 @@
     return std::max(direct_.last_large_response(),
                     client_.last_large_response());
   }
+  base::TimePoint last_slow_response() const override {
+    return std::max(direct_.last_slow_response(), client_.last_slow_response());
+  }
 
   // Makes the call of another gateway.
   void Serve(const std::shared_ptr<http::Exchange>& exchange);
--- a/packages/forwarding/include/vanillalever/forwarding/shared_table.h
+++ b/packages/forwarding/include/vanillalever/forwarding/shared_table.h
@@ -140,9 +140,11 @@
                             base::milliseconds wait,
                             std::function<void(ChangesResult)> done) = 0;
 
-  // When the last part of a large response of the store arrived, which other
-  // responses may wait behind; the beginning of time if there was none.
+  // When the last part of a large response of the store arrived, and of one
+  // that takes up the link to it, so that others wait; the beginning of time if
+  // there was none.
   virtual base::TimePoint last_large_response() const { return {}; }
+  virtual base::TimePoint last_slow_response() const { return {}; }
 
   // Time that a transaction which begins now waits before it is sent.
   virtual base::Duration expected_wait() const { return base::Duration(0); }
--- a/packages/forwarding/include/vanillalever/forwarding/table_watcher.h
+++ b/packages/forwarding/include/vanillalever/forwarding/table_watcher.h
@@ -99,8 +99,8 @@
   void ListThroughPeers();
   // Whether another such listing is worth beginning beside those in progress.
   bool may_list_through_peers() const;
-  // Whether a large response arrives at present.
-  bool large_response_arrives() const;
+  // Whether a slow response arrives at present.
+  bool slow_response_arrives() const;
   void OnFailure(std::string_view step, const std::string& reason);
 
   boost::asio::steady_timer timer_;
--- a/packages/forwarding/src/relayed_table.cc
+++ b/packages/forwarding/src/relayed_table.cc
@@ -19,6 +19,7 @@
 constexpr http::ResponsePatience kReplyPatience{
     .stall = milliseconds(1000),
     .total = milliseconds(20000),
+    .behind_slow = milliseconds(3000),
 };
 constexpr milliseconds kTickInterval{50};
 constexpr int kOk = 200;
--- a/packages/forwarding/src/table_watcher.cc
+++ b/packages/forwarding/src/table_watcher.cc
@@ -14,8 +14,8 @@
 // Listings through other gateways that may be in progress at once: some of
 // these gateways may stand still.
 constexpr int kMaxRelayedLists = 3;
-// A large response of which nothing has arrived for this long has stopped.
-constexpr base::milliseconds kLargeResponsePause{1000};
+// A slow response of which nothing has arrived for this long has stopped.
+constexpr base::milliseconds kSlowResponsePause{1000};
 
 }  // namespace
 
@@ -45,7 +45,7 @@
 
 void TableWatcher::OnStoreReturned() {
   // What arrives may be what this call is to bring; it would begin anew.
-  if (connected_ || (call_open_ && large_response_arrives()))
+  if (connected_ || (call_open_ && slow_response_arrives()))
     return;
   auto most = static_cast<std::uint64_t>(settings_.max_return_delay.count());
   CallAfter(base::milliseconds(random_.Below(most + 1)));
@@ -176,12 +176,12 @@
   if (!listed_ || relayed_lists_ >= kMaxRelayedLists)
     return false;
   // What arrives slowly would arrive twice as slowly beside another one.
-  return relayed_lists_ == 0 || !large_response_arrives();
+  return relayed_lists_ == 0 || !slow_response_arrives();
 }
 
-bool TableWatcher::large_response_arrives() const {
-  return base::TimePoint::clock::now() - table_.last_large_response() <
-         kLargeResponsePause;
+bool TableWatcher::slow_response_arrives() const {
+  return base::TimePoint::clock::now() - table_.last_slow_response() <
+         kSlowResponsePause;
 }
 
 void TableWatcher::ListThroughPeers() {
--- a/packages/http/include/vanillalever/http/client.h
+++ b/packages/http/include/vanillalever/http/client.h
@@ -24,6 +24,9 @@
   // Limit for the whole exchange, which bounds responses that arrive byte by
   // byte.
   base::Duration total{};
+  // Longest time beyond the timeout for which a call waits behind a slow
+  // response of the same server. Its own response may be lost.
+  base::Duration behind_slow{};
 };
 
 // Request to a server.
@@ -39,7 +42,7 @@
   base::Duration timeout = base::seconds(10);
   // Set for responses of which the size is not known: then `timeout` is the
   // limit until the response begins. A response that arrives slowly is not cut,
-  // nor is one that waits behind a large one of the same server.
+  // nor at once one that waits behind such a response of the same server.
   std::optional<ResponsePatience> patience;
   // Opens a new connection. Required for a non-idempotent request: a request
   // that is sent on a kept connection is sent again if that ends before a
@@ -109,9 +112,10 @@
                                    DoneCallback on_done,
                                    DataCallback on_data = nullptr);
 
-  // When the last part of a large response arrived; the beginning of time if
-  // there was none.
+  // When the last part of a large response arrived, and of one that was slow;
+  // the beginning of time if there was none.
   base::TimePoint last_large_response() const;
+  base::TimePoint last_slow_response() const;
 
  private:
   IoThreads& threads_;
--- a/packages/http/src/call.cc
+++ b/packages/http/src/call.cc
@@ -224,8 +224,12 @@
 
 void Call::OnArrival() {
   last_arrival_ = base::TimePoint::clock::now();
+  if (first_arrival_ == base::TimePoint{})
+    first_arrival_ = last_arrival_;
   if (counted_bytes_ >= kLargeBytes)
-    pool_->OnLargeResponse(request_.address, last_arrival_);
+    pool_->OnLargeResponse(request_.address,
+                           last_arrival_ - first_arrival_ >= kSlowTime,
+                           last_arrival_);
 }
 
 base::TimePoint Call::PatientUntil(base::TimePoint now) {
@@ -235,10 +239,13 @@
   boost::system::error_code error;
   if (sent_ && stream_ && stream_->socket().available(error) > 0)
     last_arrival_ = now;
-  auto last =
-      std::max(last_arrival_, pool_->last_large_response(request_.address));
-  return std::min(last + request_.patience->stall,
-                  started_at_ + request_.patience->total);
+  const ResponsePatience& patience = *request_.patience;
+  auto own =
+      std::min(last_arrival_ + patience.stall, started_at_ + patience.total);
+  auto behind =
+      std::min(pool_->last_slow_response(request_.address) + patience.stall,
+               started_at_ + request_.timeout + patience.behind_slow);
+  return std::max(own, behind);
 }
 
 void Call::OnTimeout() {
--- a/packages/http/src/call.h
+++ b/packages/http/src/call.h
@@ -77,16 +77,19 @@
 
   boost::asio::steady_timer deadline_timer_;
   base::TimePoint started_at_{};
-  // When the last part of the response arrived.
+  // When the first and the last part of the response arrived.
+  base::TimePoint first_arrival_{};
   base::TimePoint last_arrival_{};
   std::unique_ptr<Stream> stream_;
   base::TimePoint opened_at_{};
   // Input that the parser cannot use yet, for example an endless chunk header.
   static constexpr std::size_t kMaxUnparsedBytes = 128 << 10;
   boost::beast::flat_buffer buffer_{kMaxUnparsedBytes};
-  // Bytes of a body from which on the response takes up the link to its server
-  // for a time that other calls notice.
+  // Bytes of a body from which on a response is large.
   static constexpr std::size_t kLargeBytes = 16 << 10;
+  // Time after which a large response that still arrives is slow: it takes up
+  // the link to its server, and other calls wait.
+  static constexpr base::milliseconds kSlowTime{200};
   // Bytes of the body that count, and those of them that the parser holds.
   std::size_t counted_bytes_ = 0;
   std::size_t held_bytes_ = 0;
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -27,4 +27,8 @@
   return pool_->last_large_response();
 }
 
+base::TimePoint Client::last_slow_response() const {
+  return pool_->last_slow_response();
+}
+
 }  // namespace vanillalever::http
--- a/packages/http/src/connection_pool.cc
+++ b/packages/http/src/connection_pool.cc
@@ -54,22 +54,28 @@
 }
 
 void ConnectionPool::OnLargeResponse(const std::string& address,
+                                     bool slow,
                                      base::TimePoint now) {
   std::lock_guard lock(mutex_);
-  large_responses_[address] = now;
   last_large_response_ = now;
+  if (slow)
+    last_slow_response_ = slow_responses_[address] = now;
 }
 
-base::TimePoint ConnectionPool::last_large_response() {
+base::TimePoint ConnectionPool::last_slow_response(const std::string& address) {
   std::lock_guard lock(mutex_);
-  return last_large_response_;
+  auto found = slow_responses_.find(address);
+  return found == slow_responses_.end() ? base::TimePoint{} : found->second;
 }
 
-base::TimePoint ConnectionPool::last_large_response(
-    const std::string& address) {
+base::TimePoint ConnectionPool::last_slow_response() {
   std::lock_guard lock(mutex_);
-  auto found = large_responses_.find(address);
-  return found == large_responses_.end() ? base::TimePoint{} : found->second;
+  return last_slow_response_;
+}
+
+base::TimePoint ConnectionPool::last_large_response() {
+  std::lock_guard lock(mutex_);
+  return last_large_response_;
 }
 
 }  // namespace vanillalever::http
--- a/packages/http/src/connection_pool.h
+++ b/packages/http/src/connection_pool.h
@@ -44,11 +44,15 @@
   // Returns their number.
   std::size_t Drop(const std::string& address);
 
-  // A part of a large response of the server arrived.
-  void OnLargeResponse(const std::string& address, base::TimePoint now);
+  // A part of a large response of the server arrived. `slow`: it has been
+  // arriving for a time that other calls notice.
+  void OnLargeResponse(const std::string& address,
+                       bool slow,
+                       base::TimePoint now);
   // When that was last, of the server or of any; the beginning of time if it
   // never was.
-  base::TimePoint last_large_response(const std::string& address);
+  base::TimePoint last_slow_response(const std::string& address);
+  base::TimePoint last_slow_response();
   base::TimePoint last_large_response();
 
  private:
@@ -60,7 +64,8 @@
   base::Duration max_age_;
   std::mutex mutex_;
   std::map<std::string, std::vector<Connection>> idle_connections_;
-  std::map<std::string, base::TimePoint> large_responses_;
+  std::map<std::string, base::TimePoint> slow_responses_;
+  base::TimePoint last_slow_response_{};
   base::TimePoint last_large_response_{};
 };
 
