--- a/packages/conversation/src/turn_index.cc
+++ b/packages/conversation/src/turn_index.cc
@@ -110,9 +110,11 @@
 
 void TurnIndex::Remove(const std::string& id, std::uint64_t version) {
   auto found = nodes_.find(id);
-  if (found != nodes_.end() && found->second.known &&
-      found->second.version < version)
-    Erase(id);
+  if (found == nodes_.end() || !found->second.known ||
+      found->second.version >= version)
+    return;
+  unlisted_.erase(id);
+  Erase(id);
 }
 
 void TurnIndex::Erase(const std::string& id) {
--- a/packages/forwarding/src/turn_collector.cc
+++ b/packages/forwarding/src/turn_collector.cc
@@ -108,6 +108,9 @@
   if (!std::exchange(part.watched, false))
     return;
   ++part.generation;
+  base::LogEvent(base::LogLevel::kInfo, "turn_index_left",
+                 {{"table", TurnIndexTable(part.number)},
+                  {"records", std::to_string(part.index.size())}});
   part.index = {};
 }
 
@@ -142,6 +145,9 @@
         if (--part.unlisted > 0)
           return ListPartition(part);
         part.index.EndListing();
+        base::LogEvent(base::LogLevel::kInfo, "turn_index_listed",
+                       {{"table", TurnIndexTable(part.number)},
+                        {"records", std::to_string(part.index.size())}});
         part.next_call = timer_.now();
       });
 }
