Ask who watches the index of turns only where there are turns

Cause: TurnCollector asked twice a second for each of 16 parts which gateway is responsible, which copies the addresses of all gateways, also where no route is stateful. An include was unused.

Change: it asks only for parts that are needed. Behaviour stays. Measured: vl_forwarding_test passes (106 cases, six of them the collector's); the linter passes the unit.

--- a/packages/forwarding/src/turn_collector.cc
+++ b/packages/forwarding/src/turn_collector.cc
@@ -1,7 +1,6 @@
 #include "vanillalever/forwarding/turn_collector.h"
 
 #include <algorithm>
-#include <iterator>
 #include <map>
 #include <utility>
 
@@ -81,10 +80,12 @@
   for (Part& part : parts_) {
     // Records may be left of routes that were stateful.
     bool needed = interval_ || part.index.size() > 0;
-    auto responsible = responsible_(TurnIndexTable(part.number));
-    if (needed && !responsible)
+    std::optional<bool> responsible = false;
+    if (needed)
+      responsible = responsible_(TurnIndexTable(part.number));
+    if (!responsible)
       continue;
-    if (!needed || !*responsible) {
+    if (!*responsible) {
       part.responsible_since.reset();
       Unwatch(part);
       continue;
