Clamp retention times of turns in one place

Cause: the entry of the index of turns repeated the clamp of the record's codec.

Change: both call ParseRetention() of src/retention_ms.h. Behaviour stays.

--- a/packages/conversation/src/turn_index.cc
+++ b/packages/conversation/src/turn_index.cc
@@ -8,6 +8,7 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include "retention_ms.h"
 #include "turn.capnp.h"
 
 #include "vanillalever/base/hash.h"
@@ -25,8 +26,6 @@
 constexpr base::seconds kRetryDelay{2};
 // More rows do not fit into one transaction.
 constexpr std::uint32_t kMaxRows = 48;
-// Longer times were not written by this project.
-constexpr base::milliseconds kMaxRetention = std::chrono::hours(24 * 365);
 
 }  // namespace
 
@@ -49,8 +48,7 @@
       return std::nullopt;
     TurnIndexEntry entry;
     entry.previous.assign(root.getPrevious().cStr(), root.getPrevious().size());
-    auto most = static_cast<std::uint64_t>(kMaxRetention.count());
-    entry.retention = base::milliseconds(std::min(root.getRetentionMs(), most));
+    entry.retention = ParseRetention(root.getRetentionMs());
     entry.rows = root.getRows();
     return entry;
   } catch (const kj::Exception&) {
--- a/packages/conversation/src/turn_record.cc
+++ b/packages/conversation/src/turn_record.cc
@@ -10,6 +10,7 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include "retention_ms.h"
 #include "turn.capnp.h"
 
 #include "vanillalever/protocol/packed_message.h"
@@ -24,14 +25,6 @@
   return {reinterpret_cast<const char*>(data.begin()), data.size()};
 }
 
-// Longer times were not written by this project.
-constexpr base::milliseconds kMaxRetention = std::chrono::hours(24 * 365);
-
-base::Duration ParseRetention(std::uint64_t ms) {
-  auto most = static_cast<std::uint64_t>(kMaxRetention.count());
-  return base::milliseconds(std::min(ms, most));
-}
-
 // Separates the number of rows from the first row's part of the record.
 constexpr char kCountSeparator = ' ';
 
